Read the configuration again on SIGHUP and turn to the new discovery at once

Ruled out: a restart by the platform (129 is 128 + SIGHUP; the first loss is at the first signal).

At fault: shutdown::listen registered SIGTERM, SIGINT and SIGUSR1 only, and transport_map::watch could not be reached inside a held call (may's own read with a time-out waits for the socket alone).

Now: signals are caught before the configuration is read; the thread that waits for them reads the file again (nothing blocks the coroutines), checks it as at a start, names keys that wait for a restart, and passes the new address on. The follower's call is cut, its connection dropped, and the whole list asked for at the new address. The file's discovery stands before NODE_DISCOVERY there, which is as old as the process. One conversation (converse.rs) now serves next hops and discovery; both end it by the same Cut.

Tests: sighup_turns_to_another_discovery_and_keeps_what_is_under_way, config::reload.

--- a/dispatcher/src/config.rs
+++ b/dispatcher/src/config/mod.rs
@@ -1,14 +1,19 @@
 //! The one place that reads the environment and `NODE_CONFIG`, checks them and fills in defaults.
 
+mod reload;
+
 use crate::json::{self, JsonError, Node};
 use crate::transport_map::{read_list, List};
 use millrudder as mr;
+pub use reload::Source;
+use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
 
 /// Descriptors of the program itself: standard streams, listener, epoll, signals, discovery, and a reserve so
 /// that an accept or a look into /proc never meets the limit.
 const OWN_DESCRIPTORS: usize = 48;
+const VARIABLES: [&str; 4] = ["NODE_CONFIG", "NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"];
 const LEAST_SOCKETS: usize = 96;
 const DEFAULT_SOCKETS: usize = 1024;
 /// A call-back or a drain must still come in when clients hold all they may.
@@ -92,11 +97,16 @@
 }
 
 impl Config {
-    pub fn load() -> Result<Self, ConfigError> {
-        let path = std::env::var("NODE_CONFIG").map_err(|_| ConfigError::Missing("NODE_CONFIG"))?;
-        let bytes =
-            std::fs::read(&path).map_err(|error| ConfigError::Unreadable { path: path.clone(), error })?;
-        Config::read(&bytes, |key| std::env::var(key).ok())
+    /// The configuration at the start, and where to read it again.
+    pub fn load() -> Result<(Self, Source), ConfigError> {
+        let environment: HashMap<String, String> = VARIABLES
+            .into_iter()
+            .filter_map(|key| std::env::var(key).ok().map(|value| (key.to_owned(), value)))
+            .collect();
+        let path = environment.get("NODE_CONFIG").cloned().ok_or(ConfigError::Missing("NODE_CONFIG"))?;
+        let bytes = read_file(&path)?;
+        let config = Config::read(&bytes, |key| environment.get(key).cloned())?;
+        Ok((config, Source::new(path, environment, &bytes)?))
     }
 
     /// What the environment names stands before the file: it is what the platform sets at each start.
@@ -130,6 +140,10 @@
     }
 }
 
+fn read_file(path: &str) -> Result<Vec<u8>, ConfigError> {
+    std::fs::read(path).map_err(|error| ConfigError::Unreadable { path: path.to_owned(), error })
+}
+
 fn read_seed(node: &Node) -> Result<u64, ConfigError> {
     let Some(hex) = node.text()? else { return Ok(0) };
     u64::from_str_radix(hex, 16).map_err(|_| ConfigError::Value {
@@ -287,7 +301,7 @@
     use super::*;
     use crate::random::garbage;
 
-    const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:7070","discovery":"127.0.0.2:8500",
+    pub(super) const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:7070","discovery":"127.0.0.2:8500",
         "seed":"8c1f30d27a5be964","limits":{"sockets":1024},"settings":{"me":1,"replicas_of_me":2,
         "lanes":[{"name":"copy-issue","aim":120,"hard_limit":5000,"effect":"deduplicated","dedup_scope":"cell",
         "window":7500}],"kinds":["a","b"],"registry_mode":"ask","permissions":{"connect_timeout":120,
--- a/dispatcher/src/counters.rs
+++ b/dispatcher/src/counters.rs
@@ -69,6 +69,11 @@
     map_failures,
     map_bad,
     map_changes,
+    /// Turns to another discovery.
+    map_moves,
+    reloads_good,
+    /// Files that were refused on SIGHUP.
+    reloads_bad,
 }
 
 impl Counters {
--- a/dispatcher/src/dispatch/mod.rs
+++ b/dispatcher/src/dispatch/mod.rs
@@ -121,6 +121,7 @@
             Message::MapUnavailable => {
                 self.feed(mr::Event::List { kind: mr::ListKind::Unavailable, entries: Vec::new() });
             }
+            Message::Discovery(address) => self.transport_map.turn_to(address),
             Message::Stop => self.on_stop(),
         }
     }
@@ -355,6 +356,7 @@
             }
             Due::Tidy => {
                 self.next_hops.tidy();
+                self.transport_map.tidy();
                 self.timers.arm(self.clock.now() + TIDY_MS, Due::Tidy);
             }
             Due::StopHard => self.fail_all(),
--- a/dispatcher/src/exchange.rs
+++ b/dispatcher/src/exchange.rs
@@ -151,15 +151,37 @@
 
 /// All that reaches the dispatch coroutine.
 pub enum Message {
-    Submitted { ticket: Ticket, job: Arc<Job>, reply: Reply },
-    Withdrawn { ticket: Ticket },
+    Submitted {
+        ticket: Ticket,
+        job: Arc<Job>,
+        reply: Reply,
+    },
+    Withdrawn {
+        ticket: Ticket,
+    },
     News(JobNews),
-    Accepted { attempt: AttemptId },
-    Ended { attempt: AttemptId, end: AttemptEnd, load: Option<LoadReport> },
-    CalledOff { attempt: AttemptId },
-    Probed { hop: HopId, passed: bool, connected: bool, latency: f64, load: Option<LoadReport> },
+    Accepted {
+        attempt: AttemptId,
+    },
+    Ended {
+        attempt: AttemptId,
+        end: AttemptEnd,
+        load: Option<LoadReport>,
+    },
+    CalledOff {
+        attempt: AttemptId,
+    },
+    Probed {
+        hop: HopId,
+        passed: bool,
+        connected: bool,
+        latency: f64,
+        load: Option<LoadReport>,
+    },
     Map(MapNews),
     MapUnavailable,
+    /// From now on discovery is here.
+    Discovery(std::net::SocketAddr),
     Stop,
 }
 
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -6,6 +6,7 @@
 
 mod clock;
 mod config;
+mod converse;
 mod counters;
 mod dispatch;
 mod exchange;
@@ -18,17 +19,19 @@
 mod rate;
 mod sender;
 mod shutdown;
+mod signals;
 mod socket;
 mod transport_map;
 
 use clock::{span, Clock};
-use config::Config;
+use config::{Config, Source};
 use counters::Counters;
 use dispatch::Dispatch;
 use exchange::Exchange;
 use next_hop::NextHops;
 use sender::SenderSide;
 use shutdown::Stopping;
+use signal_hook::iterator::Signals;
 use slog::Logger;
 use std::process::ExitCode;
 use std::sync::Arc;
@@ -44,10 +47,10 @@
 
 fn main() -> ExitCode {
     let (log, guard) = logging::start();
-    let code = match Config::load() {
-        Ok(config) => run(config, &log),
-        Err(error) => {
-            slog::crit!(log, "configuration: {}", error);
+    let code = match start(&log) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            slog::crit!(log, "{}", problem);
             ExitCode::FAILURE
         }
     };
@@ -61,26 +64,29 @@
     may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
 }
 
-fn run(config: Config, log: &Logger) -> ExitCode {
+fn start(log: &Logger) -> Result<(), String> {
+    let signals = signals::catch().map_err(|e| format!("signals: {e}"))?;
+    let (config, source) = Config::load().map_err(|e| format!("configuration: {e}"))?;
     start_coroutines();
     let counters = Arc::new(Counters::default());
-    let outcome = serve(config, &counters, log);
+    let outcome = serve(config, source, signals, &counters, log);
     slog::info!(log, "counters: {}", counters.line());
-    match outcome {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(problem) => {
-            slog::crit!(log, "{}", problem);
-            ExitCode::FAILURE
-        }
-    }
+    outcome
 }
 
-fn serve(config: Config, counters: &Arc<Counters>, log: &Logger) -> Result<(), String> {
+fn serve(
+    config: Config,
+    source: Source,
+    signals: Signals,
+    counters: &Arc<Counters>,
+    log: &Logger,
+) -> Result<(), String> {
     let clock = Clock::start();
     let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
     let stopping = Stopping::new(longest);
     let (exchange, inbox) = Exchange::new();
-    shutdown::listen(exchange.clone(), counters.clone(), log.clone()).map_err(|e| format!("signals: {e}"))?;
+    signals::listen(signals, source, exchange.clone(), counters.clone(), log.clone())
+        .map_err(|e| format!("signals: {e}"))?;
 
     let limits = next_hop::Limits {
         connections: config.budget.next_hops,
@@ -90,8 +96,14 @@
     };
     let next_hops = NextHops::new(limits, exchange.clone(), counters.clone(), clock);
     let generation = config.known.as_ref().map(|list| list.generation);
-    let map =
-        TransportMap::follow(config.discovery, generation, exchange.clone(), counters.clone(), log.clone());
+    let map = TransportMap::follow(
+        config.discovery,
+        generation,
+        exchange.clone(),
+        counters.clone(),
+        clock,
+        log.clone(),
+    );
     let sender =
         SenderSide::new(&config, exchange.clone(), counters.clone(), stopping.clone(), clock, log.clone());
     let dispatch = Dispatch::new(&config, exchange, next_hops, map, counters.clone(), stopping, clock);
--- a/dispatcher/src/next_hop/attempt.rs
+++ b/dispatcher/src/next_hop/attempt.rs
@@ -2,21 +2,15 @@
 
 use super::pool::Connection;
 use super::{report, Hop, Shared, Stop};
+use crate::converse::{self, Broken};
 use crate::exchange::{AttemptEnd, AttemptId, Job, LoadReport, Message};
-use crate::http::{self, Decoder, FrameError, Response};
-use crate::socket::{Got, Socket};
+use crate::http::{self, Response};
 use std::io;
 use std::sync::atomic::Ordering;
 
 /// A probe or a call-off without an answer for this long is given up.
 const SHORT_WAIT_MS: f64 = 1_000.0;
 
-/// How far a conversation came before it failed: only before the last byte is it certain that nothing ran.
-enum Broken {
-    BeforeWritten,
-    AfterWritten,
-}
-
 /// A delivery attempt up to its 202 or its end. Never sends a second time by itself: whether a job may be
 /// repeated is the module's to decide.
 pub(super) fn deliver(shared: &Shared, attempt: AttemptId, hop: Hop, job: &Job, until: f64, stop: &Stop) {
@@ -26,15 +20,17 @@
         let accepted = stop.accepted.load(Ordering::Acquire);
         return match result {
             Ok(Response { status: 202, .. }) => delete(shared, attempt, hop, job),
-            Err(Broken::AfterWritten) if accepted => delete(shared, attempt, hop, job),
+            Err(Broken::AfterWritten(_)) if accepted => delete(shared, attempt, hop, job),
             // Ended by itself, never written, or its connection is closed by now.
             _ => shared.exchange.put(Message::CalledOff { attempt }),
         };
     }
     let message = match result {
         Ok(response) => told(attempt, &response),
-        Err(Broken::BeforeWritten) => Message::Ended { attempt, end: AttemptEnd::NotConnected, load: None },
-        Err(Broken::AfterWritten) => Message::Ended { attempt, end: AttemptEnd::Reset, load: None },
+        Err(Broken::BeforeWritten(_)) => {
+            Message::Ended { attempt, end: AttemptEnd::NotConnected, load: None }
+        }
+        Err(Broken::AfterWritten(_)) => Message::Ended { attempt, end: AttemptEnd::Reset, load: None },
     };
     shared.exchange.put(message);
 }
@@ -76,8 +72,8 @@
     let latency = shared.clock.now() - sent;
     let (passed, connected, load): (bool, bool, Option<LoadReport>) = match &result {
         Ok(response) => (response.status == 200, true, report::of_probe(response)),
-        Err(Broken::AfterWritten) => (false, true, None),
-        Err(Broken::BeforeWritten) => (false, false, None),
+        Err(Broken::AfterWritten(_)) => (false, true, None),
+        Err(Broken::BeforeWritten(_)) => (false, false, None),
     };
     shared.exchange.put(Message::Probed { hop: hop.id, passed, connected, latency, load });
 }
@@ -88,22 +84,20 @@
     let late = stop.clone();
     may::go!(move || {
         may::coroutine::sleep(crate::clock::span(SHORT_WAIT_MS));
-        late.cut();
+        late.cut.now();
     });
     converse(shared, hop, request, &stop)
 }
 
 /// Writes a request on a kept or new connection, reads its response and keeps the connection if it allows that.
 fn converse(shared: &Shared, hop: Hop, request: &[u8], stop: &Stop) -> Result<Response, Broken> {
-    let connection = shared.pool.take(hop).map_err(|_| Broken::BeforeWritten)?;
+    let connection = shared.pool.take(hop).map_err(Broken::BeforeWritten)?;
     if stop.is_left() {
         // Given up while the connection was made: nothing is sent, and it serves the next attempt.
         shared.pool.keep(hop.id, connection);
-        return Err(Broken::BeforeWritten);
+        return Err(Broken::BeforeWritten(io::ErrorKind::Interrupted.into()));
     }
-    stop.wakes(connection.socket.waker());
-    connection.socket.write_all(request, || stop.is_cut()).map_err(|_| Broken::BeforeWritten)?;
-    let response = read_response(&connection.socket, stop).map_err(|_| Broken::AfterWritten)?;
+    let response = converse::converse(&connection.socket, request, &stop.cut)?;
     give_back(shared, hop, connection, &response);
     Ok(response)
 }
@@ -114,31 +108,10 @@
     }
 }
 
-fn read_response(socket: &Socket, stop: &Stop) -> io::Result<Response> {
-    let mut decoder = Decoder::<Response>::default();
-    let mut buffer = vec![0; 2048];
-    loop {
-        let next = match socket.try_read(&mut buffer)? {
-            Got::Bytes(n) => {
-                decoder.push(&buffer[..n]);
-                decoder.next()
-            }
-            Got::End => decoder.finish().and_then(|r| r.ok_or(FrameError::CutShort).map(Some)),
-            Got::Nothing if stop.is_cut() => return Err(io::ErrorKind::TimedOut.into()),
-            Got::Nothing => {
-                socket.wait();
-                continue;
-            }
-        };
-        if let Some(response) = next.map_err(io::Error::other)? {
-            return Ok(response);
-        }
-    }
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::http::Decoder;
 
     const ATTEMPT: AttemptId = AttemptId { ticket: 1, number: 0 };
 
--- a/dispatcher/src/next_hop/mod.rs
+++ b/dispatcher/src/next_hop/mod.rs
@@ -9,7 +9,7 @@
 use crate::clock::{span, Clock};
 use crate::counters::Counters;
 use crate::exchange::{AttemptId, Exchange, HopId, Job};
-use may::io::WaitIoWaker;
+use crate::socket::Cut;
 use pool::Pool;
 pub use report::read_load;
 use std::collections::HashMap;
@@ -32,8 +32,7 @@
     /// ... though its next hop is known to hold the job.
     accepted: AtomicBool,
     /// Its connection is not worth waiting for any longer.
-    cut: AtomicBool,
-    waker: Mutex<Option<WaitIoWaker>>,
+    cut: Cut,
 }
 
 impl Stop {
@@ -41,25 +40,10 @@
         self.left.load(Ordering::Acquire)
     }
 
-    fn is_cut(&self) -> bool {
-        self.cut.load(Ordering::Acquire)
-    }
-
     fn leave(&self, accepted: bool) {
         self.accepted.store(accepted, Ordering::Release);
         self.left.store(true, Ordering::Release);
     }
-
-    fn cut(&self) {
-        self.cut.store(true, Ordering::Release);
-        if let Some(waker) = self.waker.lock().unwrap_or_else(PoisonError::into_inner).as_ref() {
-            waker.wakeup();
-        }
-    }
-
-    fn wakes(&self, waker: WaitIoWaker) {
-        *self.waker.lock().unwrap_or_else(PoisonError::into_inner) = Some(waker);
-    }
 }
 
 /// What the coroutines of all next hops share.
@@ -104,7 +88,7 @@
                 stop.leave(accepted);
                 may::go!(move || {
                     may::coroutine::sleep(span(shared.pool.limits().call_off_grace));
-                    stop.cut();
+                    stop.cut.now();
                 });
             }
             None => drop(may::go!(move || attempt::delete(&shared, attempt, hop, &job))),
@@ -129,7 +113,7 @@
         let now = self.0.clock.now();
         for (stop, until) in self.waiting().values() {
             if *until < now {
-                stop.cut();
+                stop.cut.now();
             }
         }
     }
--- a/dispatcher/src/shutdown.rs
+++ b/dispatcher/src/shutdown.rs
@@ -1,11 +1,5 @@
-//! A planned stop: signals, and how long the dispatcher goes on after one.
+//! A planned stop: how long the dispatcher goes on after it was told to.
 
-use crate::counters::Counters;
-use crate::exchange::{Exchange, Message};
-use signal_hook::consts::{SIGINT, SIGTERM, SIGUSR1};
-use signal_hook::iterator::Signals;
-use slog::Logger;
-use std::io;
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// New connections may come for 0.4 s after SIGTERM, and requests count until 0.7 s after it.
@@ -58,22 +52,6 @@
     }
 }
 
-/// Waits for signals on a thread of its own: handlers cannot run coroutines, and a wait would block them.
-pub fn listen(exchange: Exchange, counters: Arc<Counters>, log: Logger) -> io::Result<()> {
-    let mut signals = Signals::new([SIGTERM, SIGINT, SIGUSR1])?;
-    std::thread::Builder::new().name("signals".to_owned()).spawn(move || {
-        for signal in signals.forever() {
-            if signal == SIGUSR1 {
-                slog::info!(log, "counters: {}", counters.line());
-            } else {
-                slog::info!(log, "told to stop"; "signal" => signal);
-                exchange.put(Message::Stop);
-            }
-        }
-    })?;
-    Ok(())
-}
-
 #[cfg(test)]
 mod tests {
     use super::*;
--- a/dispatcher/src/socket.rs
+++ b/dispatcher/src/socket.rs
@@ -8,8 +8,35 @@
 use may::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
+/// Ends a wait on a socket from outside, wherever its coroutine is; one is for one conversation.
+#[derive(Default)]
+pub struct Cut {
+    done: AtomicBool,
+    waker: Mutex<Option<WaitIoWaker>>,
+}
+
+impl Cut {
+    pub fn is_done(&self) -> bool {
+        self.done.load(Ordering::Acquire)
+    }
+
+    pub fn now(&self) {
+        self.done.store(true, Ordering::Release);
+        if let Some(waker) = self.waker.lock().unwrap_or_else(PoisonError::into_inner).as_ref() {
+            waker.wakeup();
+        }
+    }
+
+    /// The conversation has its socket from here on.
+    pub fn wakes(&self, socket: &Socket) {
+        *self.waker.lock().unwrap_or_else(PoisonError::into_inner) = Some(socket.waker());
+    }
+}
+
 pub struct Socket {
     stream: TcpStream,
 }
@@ -41,12 +68,6 @@
         }
     }
 
-    /// may's own read: waits for the socket alone, up to a limit.
-    pub fn read_within(&mut self, buffer: &mut [u8], limit: Duration) -> io::Result<usize> {
-        self.stream.set_read_timeout(Some(limit))?;
-        self.stream.read(buffer)
-    }
-
     /// Writes what the socket takes now.
     pub fn try_write(&self, bytes: &[u8]) -> io::Result<usize> {
         Ok(retry(|| self.stream.inner().write(bytes))?.unwrap_or(0))
--- a/dispatcher/src/transport_map/watch.rs
+++ b/dispatcher/src/transport_map/watch.rs
@@ -1,17 +1,17 @@
 //! Follows discovery in one coroutine: calls wait for each other, as discovery answers them one after another.
 
 use super::list::{read_list, List};
-use crate::clock::span;
+use crate::clock::{span, Clock};
+use crate::converse::{converse, Broken};
 use crate::counters::Counters;
 use crate::exchange::{Exchange, Message};
-use crate::http::{self, Decoder, Response};
+use crate::http::{self, Response};
 use crate::json::{self, Node};
-use crate::socket::Socket;
+use crate::socket::{Cut, Socket};
 use may::sync::mpsc;
 use slog::Logger;
-use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 /// How long discovery may hold a watch that has nothing to tell. A change in it is told at once.
 const HOLD_MS: u32 = 20_000;
@@ -25,19 +25,29 @@
     Watch,
     /// The whole list, once.
     Fetch,
+    /// Discovery is here from now on: follow the changes there, beginning with the whole list.
+    TurnTo(SocketAddr),
 }
 
+/// The call under way, to end it from outside, and its last moment.
+type UnderWay = Arc<Mutex<(Arc<Cut>, f64)>>;
+
 /// The handle by which dispatch asks.
 pub struct TransportMap {
     calls: mpsc::Sender<Call>,
+    under_way: UnderWay,
+    clock: Clock,
 }
 
 struct Follower {
     discovery: SocketAddr,
     generation: Option<u64>,
     connection: Option<Socket>,
+    asked: mpsc::Receiver<Call>,
+    under_way: UnderWay,
     exchange: Exchange,
     counters: Arc<Counters>,
+    clock: Clock,
     log: Logger,
 }
 
@@ -48,44 +58,119 @@
         generation: Option<u64>,
         exchange: Exchange,
         counters: Arc<Counters>,
+        clock: Clock,
         log: Logger,
     ) -> Self {
         let (calls, asked) = mpsc::channel();
-        let follower = Follower { discovery, generation, connection: None, exchange, counters, log };
-        may::go!(move || follower.run(&asked));
-        TransportMap { calls }
+        let under_way = UnderWay::default();
+        let (connection, shared) = (None, under_way.clone());
+        let follower = Follower {
+            discovery,
+            generation,
+            connection,
+            asked,
+            under_way: shared,
+            exchange,
+            counters,
+            clock,
+            log,
+        };
+        may::go!(move || follower.run());
+        TransportMap { calls, under_way, clock }
     }
 
     pub fn ask(&self, call: Call) {
         let _ = self.calls.send(call);
     }
+
+    /// Leaves the old discovery at once, also inside a held watch.
+    pub fn turn_to(&self, discovery: SocketAddr) {
+        self.ask(Call::TurnTo(discovery));
+        self.cut(f64::INFINITY);
+    }
+
+    /// Once in a while: ends a call whose answer is overdue.
+    pub fn tidy(&self) {
+        self.cut(self.clock.now());
+    }
+
+    fn cut(&self, due: f64) {
+        let under_way = self.under_way.lock().unwrap_or_else(PoisonError::into_inner);
+        if under_way.1 < due {
+            under_way.0.now();
+        }
+    }
 }
 
 impl Follower {
-    fn run(mut self, asked: &mpsc::Receiver<Call>) {
-        while let Ok(call) = asked.recv() {
-            match call {
-                Call::Watch => self.watch(asked),
-                Call::Fetch => drop(self.call(Call::Fetch)),
+    fn run(mut self) {
+        while let Ok(call) = self.asked.recv() {
+            self.take(call);
+        }
+    }
+
+    fn take(&mut self, call: Call) {
+        match call {
+            Call::Watch => self.watch(),
+            Call::Fetch => {
+                let fetched = self.call(Call::Fetch);
+                self.report(fetched);
+            }
+            Call::TurnTo(discovery) => {
+                self.turn(discovery);
+                self.watch();
             }
         }
     }
 
+    fn report(&self, called: Result<(), String>) {
+        if let Err(problem) = called {
+            self.counters.map_failures.add();
+            slog::warn!(self.log, "discovery call failed"; "at" => %self.discovery, "problem" => problem);
+            self.exchange.put(Message::MapUnavailable);
+        }
+    }
+
+    /// The generations of another discovery need not be those of the last: the whole list is asked for.
+    fn turn(&mut self, discovery: SocketAddr) {
+        self.counters.map_moves.add();
+        (self.discovery, self.generation, self.connection) = (discovery, None, None);
+    }
+
     /// Calls again right after each answer: a gap of 200 ms would make it a new watch. Ends with a failed call;
     /// when to try again is the module's to say.
-    fn watch(&mut self, asked: &mpsc::Receiver<Call>) {
-        while self.call(Call::Watch) {
-            // Another watch asked for meanwhile is this one.
-            while let Ok(call) = asked.try_recv() {
-                if call == Call::Fetch {
-                    self.call(Call::Fetch);
+    fn watch(&mut self) {
+        loop {
+            let called = self.call(Call::Watch);
+            let moved = self.take_asked();
+            // A move cuts the call under way: that is no failure.
+            if called.is_err() && !moved {
+                return self.report(called);
+            }
+        }
+    }
+
+    /// What was asked for during a watch; another watch is the same one. True if discovery has moved.
+    fn take_asked(&mut self) -> bool {
+        let mut moved = false;
+        while let Ok(call) = self.asked.try_recv() {
+            match call {
+                Call::Watch => {}
+                Call::Fetch => {
+                    let fetched = self.call(Call::Fetch);
+                    self.report(fetched);
+                }
+                Call::TurnTo(discovery) => {
+                    self.turn(discovery);
+                    moved = true;
                 }
             }
         }
+        moved
     }
 
-    /// One call; passes on what it brought. False if it failed.
-    fn call(&mut self, call: Call) -> bool {
+    /// One call; passes on what it brought.
+    fn call(&mut self, call: Call) -> Result<(), String> {
         let held = match (call, self.generation) {
             (Call::Watch, Some(_)) => HOLD_MS,
             _ => 0,
@@ -97,21 +182,20 @@
             _ => "/v1/endpoints".to_owned(),
         };
         self.counters.map_calls.add();
-        let list = self.fetch(&target, f64::from(held) + GRACE_MS).and_then(|response| self.read(&response));
-        match list {
-            Ok(list) => {
-                self.generation = Some(list.generation);
-                self.counters.map_changes.add();
-                self.exchange.put(Message::Map(list.news));
-                true
-            }
-            Err(problem) => {
-                self.counters.map_failures.add();
-                slog::warn!(self.log, "discovery call failed"; "target" => target, "problem" => problem);
-                self.exchange.put(Message::MapUnavailable);
-                false
-            }
-        }
+        let cut = self.begin(f64::from(held) + GRACE_MS);
+        let list = self.fetch(&target, &cut).and_then(|response| self.read(&response))?;
+        self.generation = Some(list.generation);
+        self.counters.map_changes.add();
+        self.exchange.put(Message::Map(list.news));
+        Ok(())
+    }
+
+    /// The time limit of the call that follows.
+    fn begin(&self, patience: f64) -> Arc<Cut> {
+        let cut = Arc::new(Cut::default());
+        let until = self.clock.now() + patience;
+        *self.under_way.lock().unwrap_or_else(PoisonError::into_inner) = (cut.clone(), until);
+        cut
     }
 
     fn read(&self, response: &Response) -> Result<List, String> {
@@ -125,36 +209,18 @@
         })
     }
 
-    fn fetch(&mut self, target: &str, patience: f64) -> Result<Response, String> {
-        let mut socket = match self.connection.take().filter(Socket::is_quiet) {
+    fn fetch(&mut self, target: &str, cut: &Cut) -> Result<Response, String> {
+        let socket = match self.connection.take().filter(Socket::is_quiet) {
             Some(kept) => kept,
             None => Socket::connect(self.discovery, span(CONNECT_MS)).map_err(|e| format!("connect: {e}"))?,
         };
         let request = http::request("GET", target, &self.discovery.to_string(), &[], b"");
-        let response = converse(&mut socket, &request, patience).map_err(|e| e.to_string())?;
+        let response = converse(&socket, &request, cut).map_err(|broken| match broken {
+            Broken::BeforeWritten(error) | Broken::AfterWritten(error) => error.to_string(),
+        })?;
         if response.keep_alive {
             self.connection = Some(socket);
         }
         Ok(response)
     }
 }
-
-/// Writes a request and reads its response; each read may take this many milliseconds. Nobody else wakes this
-/// coroutine, so may's own reads with their time-out serve.
-fn converse(socket: &mut Socket, request: &[u8], patience: f64) -> io::Result<Response> {
-    socket.write_all(request, || false)?;
-    let mut decoder = Decoder::<Response>::default();
-    let mut buffer = vec![0; 16 * 1024];
-    loop {
-        let next = match socket.read_within(&mut buffer, span(patience))? {
-            0 => decoder.finish().and_then(|r| r.ok_or(http::FrameError::CutShort).map(Some)),
-            n => {
-                decoder.push(&buffer[..n]);
-                decoder.next()
-            }
-        };
-        if let Some(response) = next.map_err(io::Error::other)? {
-            return Ok(response);
-        }
-    }
-}
--- a/dispatcher/tests/peers/mod.rs
+++ b/dispatcher/tests/peers/mod.rs
@@ -53,6 +53,15 @@
         Hop { address: "127.0.0.1:1".to_owned(), seen: channel().1 }
     }
 
+    /// The list that names this next hop alone.
+    pub fn listed(&self, name: &str) -> String {
+        format!(
+            r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"{name}","hostPort":"{}","zone":"z",
+            "machineType":"m","cell":0,"lifecycle":"active","weight":1,"startedAtMs":0}}]}}"#,
+            self.address
+        )
+    }
+
     pub fn next(&self) -> Seen {
         self.seen.recv_timeout(WAIT).expect("a request reaches the next hop")
     }
@@ -96,12 +105,13 @@
     Some(Message { head, body: String::from_utf8(body).ok()?, status })
 }
 
-/// Answers the first calls as told, then gives the list; holds every watch from then on until the test ends.
-fn start_discovery(mut first: VecDeque<&'static str>, list: String) -> String {
+/// Answers the first calls as told, then gives the list; holds every watch from then on until the test ends, and
+/// gives each of them out.
+pub fn start_discovery(mut first: VecDeque<&'static str>, list: String) -> (String, Receiver<TcpStream>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap().to_string();
+    let (held, watches) = channel();
     std::thread::spawn(move || {
-        let mut held = Vec::new();
         for mut stream in listener.incoming().flatten() {
             while let Some(request) = read_message(&mut stream) {
                 let text = match first.pop_front() {
@@ -111,10 +121,12 @@
                 };
                 let _ = stream.write_all(text.as_bytes());
             }
-            held.push(stream);
+            if held.send(stream).is_err() {
+                return;
+            }
         }
     });
-    address
+    (address, watches)
 }
 
 pub struct Client(TcpStream);
@@ -140,6 +152,9 @@
     child: Child,
     log: Receiver<String>,
     config: std::path::PathBuf,
+    discovery: String,
+    /// Watches that its discovery holds.
+    pub watches: Receiver<TcpStream>,
 }
 
 impl Dispatcher {
@@ -169,12 +184,9 @@
         // Loopback has room for an address of its own for each: no port is taken from or by others.
         let listen = format!("127.{}.{}.{}:7070", 64 + pid / 65_536 % 64, pid / 256 % 256, pid % 256);
         let listen = listen.replace(":7070", &format!(":{}", 7070 + number));
-        let list = format!(
-            r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"s-1","hostPort":"{}","zone":"z",
-            "machineType":"m","cell":0,"lifecycle":"active","weight":1,"startedAtMs":0}}]}}"#,
-            hop.address
-        );
-        let discovery = start_discovery(first_of_discovery.iter().copied().collect(), list.clone());
+        let list = hop.listed("s-1");
+        let (discovery, watches) =
+            start_discovery(first_of_discovery.iter().copied().collect(), list.clone());
         let config = change(format!(
             r#"{{"name":"n0","listen":"{listen}","discovery":"{discovery}","seed":"1","known":{list},
             "limits":{{"sockets":{sockets}}},"settings":{{"me":0,"replicas_of_me":1,"period":2,"zone":"z",
@@ -196,7 +208,7 @@
         let (lines, log) = channel();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| lines.send(l)));
-        Dispatcher { listen, child, log, config: path }
+        Dispatcher { listen, child, log, config: path, discovery, watches }
     }
 
     /// Waits for a line of the log that holds these words.
@@ -239,6 +251,13 @@
         assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
+    /// Replaces the configuration's file, with another discovery, and tells the program so.
+    pub fn reload(&self, discovery: &str, change: impl Fn(String) -> String) {
+        let config = std::fs::read_to_string(&self.config).unwrap();
+        std::fs::write(&self.config, change(config.replace(&self.discovery, discovery))).unwrap();
+        self.signal("HUP");
+    }
+
     pub fn exit_code(&mut self) -> Option<i32> {
         self.child.wait().unwrap().code()
     }
--- a/dispatcher/tests/serve.rs
+++ b/dispatcher/tests/serve.rs
@@ -3,7 +3,8 @@
 
 mod peers;
 
-use peers::{client, Dispatcher, Hop, Reply, WAIT};
+use peers::{client, start_discovery, Dispatcher, Hop, Reply, WAIT};
+use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
@@ -202,3 +203,34 @@
     assert!(dispatcher.log_shows("answered_failed=1"));
     assert_eq!(dispatcher.exit_code(), Some(0));
 }
+
+#[test]
+fn sighup_turns_to_another_discovery_and_keeps_what_is_under_way() {
+    // The signal used to end the process: nineteen requests lost on the first day that sent it.
+    let (hop, other) = (Hop::start(), Hop::start());
+    let mut dispatcher = Dispatcher::start(&hop, 256);
+    let mut held = dispatcher.watches.recv_timeout(WAIT).expect("a watch is held");
+    let mut waiting = client(&dispatcher.listen);
+    waiting.send(JOB);
+    hop.next().answer(Reply::Accept);
+    let (discovery, _watches) = start_discovery(VecDeque::new(), other.listed("s-2"));
+    dispatcher.reload(&discovery, |config| config.replace("\"me\":0", "\"me\":1"));
+    assert!(dispatcher.log_shows("not changed while running: settings.me"));
+    held.set_read_timeout(Some(WAIT)).unwrap();
+    assert_eq!(held.read(&mut [0]).expect("the held watch is dropped at once"), 0);
+    dispatcher.until_counted("map_changes 1\n");
+    // The job that was out is still known; the next one goes where the new discovery says.
+    assert_eq!(dispatcher.news(r#"{"id":"9b1f","from":"s-1","state":"done","result":"kept"}"#), 204);
+    assert_eq!(waiting.answer().body, "kept");
+    waiting.send(&JOB.replace("9b1f", "9b20"));
+    other.next().answer(Reply::Break);
+    assert_eq!(waiting.answer().status, 502);
+    // A bad file changes nothing, also beside a stop.
+    dispatcher.reload(&discovery, |config| config.replace("\"hard_limit\":20000", "\"hard_limit\":0"));
+    assert!(dispatcher.log_shows("settings.lanes[0].hard_limit"));
+    assert!(dispatcher.counters().contains("map_moves 1\nreloads_good 1\nreloads_bad 1\n"));
+    // Signals reach a child that has ended too, until it is waited for: no race on time.
+    dispatcher.signal("TERM");
+    dispatcher.signal("HUP");
+    assert_eq!(dispatcher.exit_code(), Some(0));
+}
