Give peers time limits, refuse for good, and let strangers leave first at a full door

Ruled out: the part of a core (0.06 s in the worst second), memory (14 of 48 MB), the descriptors themselves (273 of 384 held).

At fault: doors::is_crowded deferred by the bare count of connections; doors::longest took the longest idle one, mostly a usual client's; nothing ever ended a connection that says nothing or half a request; a refused peer kept its connection; accept made room for one in 10 ms; linger was bounded by bytes only.

Now: the first request must be whole 2.2 s after connecting, later ones as long after their first byte (408); an answer is taken within 5 s; reading past a refusal ends after 0.6 s. A refusal closes. Room is made ahead of need and by strangers first, then idle call-back connections, then idle clients. Jobs are deferred by the number of jobs that are here; strangers' first jobs earlier than known clients'. limits.memory_mb bounds what inbound connections hold together. Doubled or unprintable headers, keyed jobs without a key, targets with a fragment or odd bytes are refused before the core. Rejections are counted by kind.

Tests: doors' order and limits, silent_connections_do_not_crowd_out_jobs, who_says_nothing_or_half_a_request..., the_second_user_of_an_id_gets_an_error..., more bad messages in bad_input and a_refusal_names_the_header.

--- a/dispatcher/src/config/mod.rs
+++ b/dispatcher/src/config/mod.rs
@@ -18,6 +18,11 @@
 const DEFAULT_SOCKETS: usize = 1024;
 /// A call-back or a drain must still come in when clients hold all they may.
 const CALL_BACK_RESERVE: usize = 32;
+const LEAST_MEMORY_MB: usize = 24;
+const DEFAULT_MEMORY_MB: usize = 192;
+/// One part in so many of the memory is for what inbound connections hold of requests: a body is held twice
+/// while it is taken in and passed on, and the program with its stacks needs 14 to 20 MB.
+const BUFFERS_PART: usize = 8;
 
 #[derive(Debug)]
 pub enum ConfigError {
@@ -58,16 +63,19 @@
     /// Inbound connections beyond which new jobs are deferred.
     pub inbound_jobs: usize,
     pub next_hops: usize,
+    /// Bytes that all inbound connections together may hold of requests.
+    pub buffers: usize,
 }
 
 impl Budget {
     /// The next hops need few: an accepted job gives its connection back at the 202.
-    pub fn of(sockets: usize) -> Self {
+    pub fn of(sockets: usize, memory_mb: usize) -> Self {
         let free = sockets - OWN_DESCRIPTORS;
         let next_hops = (free / 4).min(256);
         let inbound = free - next_hops;
+        let buffers = memory_mb * 1024 * 1024 / BUFFERS_PART;
         let reserve = CALL_BACK_RESERVE.min(inbound / 4);
-        Budget { inbound, inbound_jobs: inbound - reserve, next_hops }
+        Budget { inbound, inbound_jobs: inbound - reserve, next_hops, buffers }
     }
 }
 
@@ -128,7 +136,7 @@
             listen: address("NODE_LISTEN", told("NODE_LISTEN", "listen")?)?,
             discovery: address("NODE_DISCOVERY", told("NODE_DISCOVERY", "discovery")?)?,
             seed: read_seed(&root.at("seed"))?,
-            budget: Budget::of(read_sockets(&root.at("limits").at("sockets"))?),
+            budget: read_budget(&root.at("limits"))?,
             known: match root.at("known") {
                 absent if absent.is_absent() => None,
                 known => Some(read_list(&known)?),
@@ -152,12 +160,18 @@
     })
 }
 
-fn read_sockets(node: &Node) -> Result<usize, ConfigError> {
-    match node.count()?.map_or(DEFAULT_SOCKETS, |n| n as usize) {
-        n if n >= LEAST_SOCKETS => Ok(n),
+fn read_budget(limits: &Node) -> Result<Budget, ConfigError> {
+    let sockets = read_limit(limits, "sockets", DEFAULT_SOCKETS, LEAST_SOCKETS)?;
+    let memory_mb = read_limit(limits, "memory_mb", DEFAULT_MEMORY_MB, LEAST_MEMORY_MB)?;
+    Ok(Budget::of(sockets, memory_mb))
+}
+
+fn read_limit(limits: &Node, key: &str, default: usize, least: usize) -> Result<usize, ConfigError> {
+    match limits.at(key).count()?.map_or(default, |n| n as usize) {
+        n if n >= least => Ok(n),
         n => Err(ConfigError::Value {
-            key: "limits.sockets".to_owned(),
-            problem: format!("{n} is too few, at least {LEAST_SOCKETS} are needed"),
+            key: format!("limits.{key}"),
+            problem: format!("{n} is too few, at least {least} are needed"),
         }),
     }
 }
@@ -343,6 +357,7 @@
             ("\"hard_limit\":5000", "\"hard_limit\":0", "settings.lanes[0].hard_limit"),
             ("deduplicated", "often", "settings.lanes[0].effect"),
             ("\"sockets\":1024", "\"sockets\":8", "limits.sockets"),
+            ("\"sockets\":1024", "\"memory_mb\":8", "limits.memory_mb"),
             ("8c1f", "xyz", "seed"),
             ("\"settings\"", "\"setting\"", "settings"),
         ] {
@@ -355,7 +370,7 @@
     #[test]
     fn descriptors_are_shared_out_within_the_limit() {
         for sockets in [LEAST_SOCKETS, 256, 1024, 4096] {
-            let budget = Budget::of(sockets);
+            let budget = Budget::of(sockets, 32);
             assert!(budget.inbound + budget.next_hops + OWN_DESCRIPTORS <= sockets);
             assert!(budget.inbound_jobs < budget.inbound && budget.next_hops >= 12, "{budget:?}");
         }
--- a/dispatcher/src/counters.rs
+++ b/dispatcher/src/counters.rs
@@ -32,8 +32,20 @@
 
 counters! {
     taken,
-    /// Bad requests, unknown paths, wrong methods and the like, answered without the core.
-    rejected,
+    /// Answered without the core: bytes that are no HTTP or whose end two readers could see differently ...
+    rejected_malformed,
+    /// ... heads, targets or bodies over the limits ...
+    rejected_too_large,
+    /// ... paths and methods that are not served ...
+    rejected_unknown,
+    /// ... jobs whose headers are missing, doubled or cannot be read ...
+    rejected_headers,
+    /// ... the id of a job that is under way ...
+    rejected_repeated,
+    /// ... requests that did not come whole in time ...
+    rejected_too_slow,
+    /// ... and those that found the memory for inbound bytes full.
+    rejected_no_memory,
     /// Refused at the door for want of descriptors, or because the dispatcher stops.
     turned_away,
     withdrawn,
@@ -59,8 +71,10 @@
     news_bad,
     probes,
     connections_in,
-    /// Idle client connections closed to make room.
+    /// Connections closed to make room.
     connections_evicted,
+    /// Connections that had their time for a first request, a head, a body, an answer or a last look.
+    connections_timed_out,
     connections_out,
     connections_reused,
     connects_failed,
--- a/dispatcher/src/http/decode.rs
+++ b/dispatcher/src/http/decode.rs
@@ -211,9 +211,9 @@
         self.buffer.is_empty() && self.open.is_none()
     }
 
-    /// More than any one message may hold is waiting: read on only after taking a message.
-    pub fn is_full(&self) -> bool {
-        self.buffer.len() > HEAD_LIMIT + BODY_LIMIT
+    /// Bytes that wait here for their message to be whole.
+    pub fn held(&self) -> usize {
+        self.buffer.len() + self.open.as_ref().map_or(0, |open| open.chunks.len())
     }
 
     /// True once for a message whose sender waits for `100 Continue`.
--- a/dispatcher/src/sender/answer.rs
+++ b/dispatcher/src/sender/answer.rs
@@ -12,11 +12,12 @@
     http::response(204, &[], b"", close)
 }
 
-pub fn rejection(refusal: &Refusal, close: bool) -> Vec<u8> {
+/// The last answer on its connection.
+pub fn rejection(refusal: &Refusal) -> Vec<u8> {
     let text = format!("{refusal}\n");
     match refusal {
-        Refusal::WrongMethod(allowed) => http::response(405, &[("Allow", allowed)], text.as_bytes(), close),
-        _ => plain(refusal.status(), &text, close),
+        Refusal::WrongMethod(allowed) => http::response(405, &[("Allow", allowed)], text.as_bytes(), true),
+        _ => plain(refusal.status(), &text, true),
     }
 }
 
@@ -31,6 +32,6 @@
         Answer::Defer { retry_after: None } => plain(503, "deferred, try again\n", close),
         Answer::Failed(Failure::Attempts) => plain(502, "failed\n", close),
         Answer::Failed(Failure::Late) => plain(504, "not done in time\n", close),
-        Answer::Failed(Failure::Repeated) => plain(409, "a job with this id is under way\n", close),
+        Answer::Failed(Failure::Repeated) => rejection(&Refusal::Repeated),
     }
 }
--- a/dispatcher/src/sender/call_back.rs
+++ b/dispatcher/src/sender/call_back.rs
@@ -6,16 +6,20 @@
 use crate::next_hop::read_load;
 use tinyjson::JsonValue;
 
-/// Passes news on. What cannot be read is counted and logged now and then; it is answered like any other, as
-/// the next hop would only repeat it.
-pub fn take(shared: &Shared, body: &[u8]) {
+/// Passes news on; false if it cannot be read. That is counted and logged now and then; it is answered like any
+/// other, as the next hop would only repeat it.
+pub fn take(shared: &Shared, body: &[u8]) -> bool {
     match read(body) {
-        Ok(news) => shared.exchange.put(Message::News(news)),
+        Ok(news) => {
+            shared.exchange.put(Message::News(news));
+            true
+        }
         Err(error) => {
             shared.counters.news_bad.add();
             if shared.bad_news.allows(shared.clock.now()) {
                 slog::warn!(shared.log, "call-back cannot be read"; "problem" => %error);
             }
+            false
         }
     }
 }
--- a/dispatcher/src/sender/connection.rs
+++ b/dispatcher/src/sender/connection.rs
@@ -1,10 +1,10 @@
 //! One inbound connection, from its first byte to its end, in one coroutine.
 
-use super::doors::{Doing, Pass};
+use super::doors::{Doing, Pass, Standing};
 use super::intake::{self, Intake, Refusal};
 use super::{answer, call_back, Shared};
-use crate::exchange::{Answer, Job, Reply};
-use crate::http::{self, Decoder, FrameError, Request};
+use crate::exchange::{Answer, Failure, Job, Reply};
+use crate::http::{self, Decoder, Request};
 use crate::socket::{Got, Socket};
 use may::net::TcpStream;
 use std::io;
@@ -13,6 +13,8 @@
 const READ_SIZE: usize = 2048;
 /// What is read of a refused message before its connection is closed all the same.
 const LINGER_BYTES: usize = 1024 * 1024;
+/// What a client sends ahead while its job is here is read up to this.
+const AHEAD_BYTES: usize = 4 * 1024;
 /// What a client is told that finds the place crowded (ms): about the time in which running jobs end.
 const CROWDED_RETRY_MS: f64 = 500.0;
 
@@ -28,7 +30,7 @@
 
 /// Why the next request does not come.
 enum NoRequest {
-    Bad(FrameError),
+    Refused(Refusal),
     Gone,
 }
 
@@ -49,29 +51,32 @@
 
     pub fn serve(mut self) {
         loop {
-            match self.next_request() {
-                Ok(request) => {
-                    if self.handle(request).is_err() {
-                        return;
-                    }
-                }
-                Err(NoRequest::Bad(error)) => {
-                    self.shared.counters.rejected.add();
-                    if self.write(&answer::rejection(&Refusal::Framing(error), true)).is_ok() {
-                        self.linger();
-                    }
-                    return;
-                }
+            let handled = match self.next_request() {
+                Ok(request) => self.handle(request),
+                Err(NoRequest::Refused(refusal)) => self.refuse(&refusal),
                 Err(NoRequest::Gone) => return,
+            };
+            if handled.is_err() {
+                return;
             }
         }
     }
 
-    /// Reads past what the peer still sends of a refused message, within bounds: closing over unread bytes resets
-    /// the connection, and the peer would never see why it was refused.
+    /// Says what is wrong, and ends the connection: who sends what is not served should not hold a descriptor.
+    fn refuse(&mut self, refusal: &Refusal) -> io::Result<()> {
+        refusal.count(&self.shared.counters);
+        self.write(&answer::rejection(refusal))?;
+        self.linger();
+        Err(io::ErrorKind::ConnectionAborted.into())
+    }
+
+    /// Reads past what the peer still sends of a refused message, within bounds of bytes and time: closing over
+    /// unread bytes resets the connection, and the peer would never see why it was refused.
     fn linger(&mut self) {
         self.socket.end();
-        self.doing(Doing::Idle);
+        self.decoder = Decoder::default();
+        self.shared.doors.holds(&self.pass, 0);
+        self.doing(Doing::Lingering);
         let mut left = LINGER_BYTES;
         while left > 0 && !self.pass.is_ended() {
             match self.socket.try_read(&mut self.buffer) {
@@ -89,7 +94,10 @@
     fn next_request(&mut self) -> Result<Request, NoRequest> {
         self.began = self.shared.clock.now();
         loop {
-            if let Some(request) = self.decoder.next().map_err(NoRequest::Bad)? {
+            let next = self.decoder.next().map_err(|error| NoRequest::Refused(Refusal::Framing(error)))?;
+            if let Some(request) = next {
+                // Chosen to leave just as its request came: it stays for that one.
+                self.pass.spare();
                 return Ok(request);
             }
             if self.decoder.take_expectation() {
@@ -98,9 +106,14 @@
             let idle = self.decoder.is_idle();
             self.doing(if idle { Doing::Idle } else { Doing::Reading });
             match self.read() {
+                Ok(Got::Bytes(_)) if !self.shared.doors.holds(&self.pass, self.decoder.held()) => {
+                    return Err(NoRequest::Refused(Refusal::NoMemory));
+                }
                 Ok(Got::Bytes(_)) if idle => self.began = self.shared.clock.now(),
                 Ok(Got::Bytes(_)) => {}
-                Ok(Got::Nothing) if self.pass.is_ended() => return Err(NoRequest::Gone),
+                // What has come is read before a connection is ended: a request may be in it.
+                Ok(Got::Nothing) if self.pass.is_ended() && idle => return Err(NoRequest::Gone),
+                Ok(Got::Nothing) if self.pass.is_ended() => return Err(NoRequest::Refused(Refusal::TooSlow)),
                 Ok(Got::Nothing) => self.socket.wait(),
                 Ok(Got::End) | Err(_) => return Err(NoRequest::Gone),
             }
@@ -117,7 +130,7 @@
 
     /// Reads on while a job is here, to see its client leave; what it sends ahead waits, within bounds.
     fn read_ahead(&mut self) -> io::Result<Got> {
-        if self.decoder.is_full() {
+        if self.decoder.held() > AHEAD_BYTES {
             return Ok(Got::Nothing);
         }
         self.read()
@@ -133,14 +146,13 @@
                 self.reply(keep, |close| answer::plain(200, &text, close))
             }
             Ok(Intake::News(body)) => {
-                call_back::take(&self.shared, &body);
+                if call_back::take(&self.shared, &body) {
+                    self.shared.doors.proved(&self.pass, Standing::Caller);
+                }
                 self.reply(keep, answer::no_content)
             }
             Ok(Intake::Job(job)) => self.serve_job(*job, keep),
-            Err(refusal) => {
-                self.shared.counters.rejected.add();
-                self.reply(keep, |close| answer::rejection(&refusal, close))
-            }
+            Err(refusal) => self.refuse(&refusal),
         }
     }
 
@@ -151,12 +163,15 @@
             return self.reply(false, |close| answer::of_job(&Answer::Defer { retry_after }, close));
         }
         self.doing(Doing::Waiting);
+        self.shared.doors.holds(&self.pass, self.decoder.held() + job.verbatim.body.len());
         let waker = self.socket.waker();
         let reply = Reply::new(move || waker.wakeup());
         let ticket = self.shared.exchange.submit(job, reply.clone());
         loop {
-            if let Some(answer) = reply.take() {
-                return self.reply(keep, |close| answer::of_job(&answer, close));
+            match reply.take() {
+                Some(Answer::Failed(Failure::Repeated)) => return self.refuse(&Refusal::Repeated),
+                Some(answer) => return self.give(&answer, keep),
+                None => {}
             }
             match self.read_ahead() {
                 Ok(Got::Bytes(_)) => {}
@@ -169,10 +184,16 @@
         }
     }
 
-    /// No new job is taken on: the dispatcher stops, or the rest of the descriptors is kept for call-backs.
+    fn give(&mut self, answer: &Answer, keep: bool) -> io::Result<()> {
+        self.shared.doors.proved(&self.pass, Standing::Client);
+        self.shared.doors.holds(&self.pass, self.decoder.held());
+        self.reply(keep, |close| answer::of_job(answer, close))
+    }
+
+    /// No new job is taken on: the dispatcher stops, or the rest of the descriptors is kept for others.
     fn is_closing(&self) -> bool {
         let shared = &self.shared;
-        shared.stopping.grace_is_over(shared.clock.now()) || shared.doors.is_crowded()
+        shared.stopping.grace_is_over(shared.clock.now()) || shared.doors.is_crowded(&self.pass)
     }
 
     /// Writes an answer; an error tells that the connection is at its end.
@@ -188,6 +209,10 @@
 
     fn write(&self, bytes: &[u8]) -> io::Result<()> {
         self.doing(Doing::Writing);
+        if self.pass.is_ended() {
+            // It has had its time: a last word, if it fits.
+            return self.socket.try_write(bytes).map(drop);
+        }
         self.socket.write_all(bytes, || self.pass.is_ended())
     }
 }
--- a/dispatcher/src/sender/intake.rs
+++ b/dispatcher/src/sender/intake.rs
@@ -1,5 +1,6 @@
 //! A request as it came to what it asks for. Whatever is wrong with it is named in the refusal.
 
+use crate::counters::Counters;
 use crate::exchange::{Job, Verbatim};
 use crate::http::{FrameError, Request};
 use std::fmt;
@@ -17,10 +18,19 @@
 pub enum Refusal {
     Framing(FrameError),
     UnknownPath,
+    /// A target that a next hop might read differently, or not at all.
+    BadTarget,
+    LongTarget,
     /// The methods that the path knows.
     WrongMethod(&'static str),
     MissingHeader(&'static str),
     BadHeader(&'static str),
+    /// A job with this id is under way.
+    Repeated,
+    /// Not whole in time.
+    TooSlow,
+    /// All inbound connections together hold as much as they may.
+    NoMemory,
 }
 
 impl Refusal {
@@ -30,10 +40,29 @@
             Refusal::Framing(FrameError::HeadTooLarge) => 431,
             Refusal::Framing(FrameError::UnknownCoding) => 501,
             Refusal::UnknownPath => 404,
+            Refusal::LongTarget => 414,
             Refusal::WrongMethod(_) => 405,
+            Refusal::Repeated => 409,
+            Refusal::TooSlow => 408,
+            Refusal::NoMemory => 503,
             _ => 400,
         }
     }
+
+    pub fn count(&self, counters: &Counters) {
+        match self {
+            Refusal::Framing(FrameError::BodyTooLarge | FrameError::HeadTooLarge) | Refusal::LongTarget => {
+                &counters.rejected_too_large
+            }
+            Refusal::Framing(_) | Refusal::BadTarget => &counters.rejected_malformed,
+            Refusal::UnknownPath | Refusal::WrongMethod(_) => &counters.rejected_unknown,
+            Refusal::MissingHeader(_) | Refusal::BadHeader(_) => &counters.rejected_headers,
+            Refusal::Repeated => &counters.rejected_repeated,
+            Refusal::TooSlow => &counters.rejected_too_slow,
+            Refusal::NoMemory => &counters.rejected_no_memory,
+        }
+        .add();
+    }
 }
 
 impl fmt::Display for Refusal {
@@ -41,9 +70,14 @@
         match self {
             Refusal::Framing(error) => error.fmt(f),
             Refusal::UnknownPath => f.write_str("unknown path"),
+            Refusal::BadTarget => f.write_str("malformed target"),
+            Refusal::LongTarget => write!(f, "target over {TARGET_LIMIT} bytes"),
             Refusal::WrongMethod(allowed) => write!(f, "wrong method, allowed: {allowed}"),
             Refusal::MissingHeader(name) => write!(f, "header {name} is missing"),
             Refusal::BadHeader(name) => write!(f, "header {name} cannot be read"),
+            Refusal::Repeated => f.write_str("a job with this id is under way"),
+            Refusal::TooSlow => f.write_str("the request did not come whole in time"),
+            Refusal::NoMemory => f.write_str("no memory for this request now"),
         }
     }
 }
@@ -53,11 +87,23 @@
 const EXPIRES: &str = "X-Expires-In";
 const PROPS: &str = "X-Props";
 const KEY: &str = "Idempotency-Key";
+const CONTENT_TYPE: &str = "Content-Type";
 /// An id becomes part of a path at the next hop.
 const ID_LIMIT: usize = 128;
+/// What passes on of a target and of a header: a next hop need not take more.
+const TARGET_LIMIT: usize = 2_048;
+const VALUE_LIMIT: usize = 512;
+
+/// A class of jobs, as far as intake knows it.
+#[derive(Clone, Debug)]
+pub struct Class {
+    pub name: String,
+    /// Its jobs carry a key by which next hops drop repeats.
+    pub keyed: bool,
+}
 
 /// `began`: when the request's first byte came; `classes`: those that the settings name.
-pub fn route(request: Request, began: f64, classes: &[String]) -> Result<Intake, Refusal> {
+pub fn route(request: Request, began: f64, classes: &[Class]) -> Result<Intake, Refusal> {
     match (request.path(), request.method.as_str()) {
         ("/api", "POST") => job(request, began, classes).map(|job| Intake::Job(Box::new(job))),
         ("/_jobs/news", "POST") => Ok(Intake::News(request.body)),
@@ -69,32 +115,58 @@
     }
 }
 
-fn job(request: Request, began: f64, classes: &[String]) -> Result<Job, Refusal> {
-    let needed =
-        |name| request.headers.get(name).filter(|v| !v.is_empty()).ok_or(Refusal::MissingHeader(name));
+fn job(request: Request, began: f64, classes: &[Class]) -> Result<Job, Refusal> {
+    check_target(&request.target)?;
+    let headers = &request.headers;
+    let single = |name| match headers.all(name).count() {
+        0 | 1 => Ok(headers.get(name).filter(|value| !value.is_empty())),
+        _ => Err(Refusal::BadHeader(name)),
+    };
+    let needed = |name| single(name)?.ok_or(Refusal::MissingHeader(name));
+    let passed_on = |name| match single(name)? {
+        Some(value) if value.len() > VALUE_LIMIT || !is_plain(value) => Err(Refusal::BadHeader(name)),
+        value => Ok(value.map(str::to_owned)),
+    };
     let trace_id = needed(TRACE_ID)?.to_owned();
-    if trace_id.len() > ID_LIMIT
-        || !trace_id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.~".contains(&b))
-    {
+    if !is_id(&trace_id) {
         return Err(Refusal::BadHeader(TRACE_ID));
     }
     // Of a class without settings neither worth nor what may be repeated is known.
     let class = needed(CLASS)?;
-    let class = classes.iter().find(|known| *known == class).ok_or(Refusal::BadHeader(CLASS))?.clone();
+    let class = classes.iter().find(|known| known.name == class).ok_or(Refusal::BadHeader(CLASS))?;
     let expires = read_span(needed(EXPIRES)?).ok_or(Refusal::BadHeader(EXPIRES))?;
-    let props = request.headers.get(PROPS).unwrap_or_default();
+    let props = single(PROPS)?.unwrap_or_default();
     let prop = |name| read_prop(props, name).map_err(|()| Refusal::BadHeader(PROPS));
     let (slots, memory) = (prop("slots")?.unwrap_or(1.0), prop("memory")?.unwrap_or(0.0));
-    let verbatim = Verbatim {
-        idempotency_key: request.headers.get(KEY).map(str::to_owned),
-        content_type: request.headers.get("Content-Type").map(str::to_owned),
-        method: request.method,
-        target: request.target,
-        body: request.body,
-    };
+    let idempotency_key = passed_on(KEY)?;
+    if class.keyed && idempotency_key.is_none() {
+        return Err(Refusal::MissingHeader(KEY));
+    }
+    let (content_type, class) = (passed_on(CONTENT_TYPE)?, class.name.clone());
+    let Request { method, target, body, .. } = request;
+    let verbatim = Verbatim { method, target, body, idempotency_key, content_type };
     Ok(Job { trace_id, class, slots, memory, deadline: began + expires, verbatim })
 }
 
+/// What passes on must mean the same to any next hop: printable ASCII, and no fragment.
+fn check_target(target: &str) -> Result<(), Refusal> {
+    if target.len() > TARGET_LIMIT {
+        return Err(Refusal::LongTarget);
+    }
+    let clean = target.bytes().all(|b| b.is_ascii_graphic() && b != b'#');
+    clean.then_some(()).ok_or(Refusal::BadTarget)
+}
+
+fn is_plain(value: &str) -> bool {
+    value.bytes().all(|b| b.is_ascii_graphic() || b == b' ')
+}
+
+/// Only dots would name another path.
+fn is_id(id: &str) -> bool {
+    let known = |b: u8| b.is_ascii_alphanumeric() || b"-_.~".contains(&b);
+    id.len() <= ID_LIMIT && id.bytes().all(known) && id.bytes().any(|b| b != b'.')
+}
+
 /// A number and its unit: `480m` are milliseconds, `480u` microseconds.
 fn read_span(text: &str) -> Option<f64> {
     let (number, scale) = match text.strip_suffix('m') {
--- a/dispatcher/src/sender/mod.rs
+++ b/dispatcher/src/sender/mod.rs
@@ -18,16 +18,20 @@
 use crate::shutdown::Stopping;
 use connection::Connection;
 use doors::Doors;
+use intake::Class;
 use may::net::{TcpListener, TcpStream};
+use millrudder as mr;
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// After a failed accept (no descriptor is free, say) the next try waits: retrying at once would spin.
 const ACCEPT_PAUSE_MS: f64 = 10.0;
+/// How soon one that was ended to make room has left: its coroutine runs next.
+const ROOM_PAUSE_MS: f64 = 1.0;
 
-/// How often a stop is looked for.
-const WIND_DOWN_MS: f64 = 50.0;
+/// How often connections are looked through.
+const WATCH_MS: f64 = 50.0;
 /// A connection younger than this was opened to bring something, a call-back most likely.
 const JUST_OPENED_MS: f64 = 200.0;
 
@@ -38,7 +42,7 @@
     stopping: Stopping,
     clock: Clock,
     doors: Doors,
-    classes: Vec<String>,
+    classes: Vec<Class>,
     log: Logger,
     /// For the log of bad call-backs, so that a broken next hop cannot flood it.
     bad_news: Limiter,
@@ -57,6 +61,11 @@
         log: Logger,
     ) -> Self {
         let doors = Doors::new(config.budget);
+        let class = |(name, class): (&String, &mr::Class)| Class {
+            name: name.clone(),
+            keyed: class.effect == mr::Effect::Deduplicated,
+        };
+        let classes = config.names.classes.iter().zip(&config.settings.classes).map(class).collect();
         let (bad_news, bad_accepts) = (Limiter::default(), Limiter::default());
         SenderSide(Arc::new(Shared {
             exchange,
@@ -64,7 +73,7 @@
             stopping,
             clock,
             doors,
-            classes: config.names.classes.clone(),
+            classes,
             log,
             bad_news,
             bad_accepts,
@@ -74,9 +83,9 @@
     /// Listens, and accepts in a coroutine of its own for as long as the program runs.
     pub fn open(&self, listen: SocketAddr) -> std::io::Result<()> {
         let listener = TcpListener::bind(listen)?;
-        let (shared, winding) = (self.0.clone(), self.0.clone());
+        let (shared, watched) = (self.0.clone(), self.0.clone());
         may::go!(move || accept(&listener, &shared));
-        may::go!(move || wind_down(&winding));
+        may::go!(move || watch(&watched));
         Ok(())
     }
 
@@ -94,7 +103,7 @@
 fn accept(listener: &TcpListener, shared: &Arc<Shared>) {
     loop {
         if !shared.doors.make_room(&shared.counters, shared.clock.now()) {
-            may::coroutine::sleep(span(ACCEPT_PAUSE_MS));
+            may::coroutine::sleep(span(ROOM_PAUSE_MS));
             continue;
         }
         match listener.accept() {
@@ -110,12 +119,13 @@
     }
 }
 
-/// On a stop, ends connections between requests once the front sends nobody new here: their clients would go on
-/// using them, and be deferred.
-fn wind_down(shared: &Shared) {
+/// Ends connections that have had their time, and on a stop those between requests once the front sends nobody
+/// new here: their clients would go on using them, and be deferred.
+fn watch(shared: &Shared) {
     loop {
-        may::coroutine::sleep(span(WIND_DOWN_MS));
+        may::coroutine::sleep(span(WATCH_MS));
         let now = shared.clock.now();
+        shared.doors.end_overdue(&shared.counters, now);
         if shared.stopping.front_has_left(now) {
             shared.doors.end_idle(now - JUST_OPENED_MS);
         }
--- a/dispatcher/src/sender/tests.rs
+++ b/dispatcher/src/sender/tests.rs
@@ -1,6 +1,7 @@
+use super::answer;
 use super::call_back;
-use super::intake::{route, Intake, Refusal};
-use super::{answer, doors};
+use super::doors::{first_to_leave, Doing, Standing, State};
+use super::intake::{route, Class, Intake, Refusal};
 use crate::exchange::{Answer, Failure, Job, JobState};
 use crate::http::{Decoder, Request, Response};
 use crate::random::garbage;
@@ -17,7 +18,8 @@
     Idempotency-Key: 5c0f\r\nX-Props: slots=1,memory=1.433";
 
 fn job(head: &str) -> Result<Job, Refusal> {
-    match route(request(head, "body"), 1000.0, &["copy-issue".to_owned()])? {
+    let class = Class { name: "copy-issue".to_owned(), keyed: true };
+    match route(request(head, "body"), 1000.0, &[class])? {
         Intake::Job(job) => Ok(*job),
         other => panic!("not a job: {other:?}"),
     }
@@ -43,6 +45,15 @@
         ("X-Trace-Id: 9b1f", "X-Other: 1", Refusal::MissingHeader("X-Trace-Id")),
         // An id becomes part of a path at the next hop.
         ("9b1f", "../status", Refusal::BadHeader("X-Trace-Id")),
+        ("9b1f", "..", Refusal::BadHeader("X-Trace-Id")),
+        // Two readers could each take another of the two.
+        ("9b1f", "9b1f\r\nX-Trace-Id: 9b20", Refusal::BadHeader("X-Trace-Id")),
+        ("4998m", "4998m\r\nX-Expires-In: 1m", Refusal::BadHeader("X-Expires-In")),
+        // A keyed job without its key could be logged twice.
+        ("Idempotency-Key: 5c0f", "X-Other: 1", Refusal::MissingHeader("Idempotency-Key")),
+        ("5c0f", "5c\u{e9}f", Refusal::BadHeader("Idempotency-Key")),
+        ("/api?q=1", "/api#q", Refusal::BadTarget),
+        ("/api?q=1", &format!("/api?{}", "q".repeat(3000)), Refusal::LongTarget),
         ("X-Qos: copy-issue", "X-Qos:", Refusal::MissingHeader("X-Qos")),
         ("copy-issue", "other", Refusal::BadHeader("X-Qos")),
         ("4998m", "4998", Refusal::BadHeader("X-Expires-In")),
@@ -109,11 +120,42 @@
     }
 }
 
+fn state(doing: Doing, standing: Standing, since: f64) -> State {
+    State { doing, standing, opened: since, since }
+}
+
+#[test]
+fn room_is_made_by_strangers_first_and_never_by_one_that_waits() {
+    // Hundreds that connect and say nothing must not end the kept connections of usual clients.
+    use {Doing::*, Standing::*};
+    let pick = |doors: &[State]| first_to_leave(doors.iter().copied(), 10_000.0);
+    let waits = state(Waiting, Stranger, 0.0);
+    let idle = state(Idle, Client, 10.0);
+    let stalled = state(Reading, Client, 20.0);
+    let busy = state(Reading, Client, 9_500.0);
+    assert_eq!(
+        pick(&[waits, idle, state(Idle, Stranger, 9_990.0), state(Reading, Stranger, 9_000.0)]),
+        Some(3)
+    );
+    assert_eq!(
+        pick(&[waits, stalled, idle, state(Idle, Caller, 9_000.0)]),
+        Some(3),
+        "call-backs' before clients'"
+    );
+    assert_eq!(pick(&[waits, stalled, idle]), Some(2));
+    assert_eq!(pick(&[waits, busy, stalled]), Some(2));
+    assert_eq!(pick(&[waits, busy]), None);
+}
+
 #[test]
-fn room_is_made_by_the_longest_idle_never_by_one_that_waits() {
-    use doors::Doing::{Idle, Reading, Waiting};
-    let pick = |doors: &[(doors::Doing, f64)]| doors::longest(doors.iter().copied(), 10_000.0);
-    assert_eq!(pick(&[(Waiting, 0.0), (Idle, 9000.0), (Idle, 8000.0), (Reading, 1.0)]), Some(2));
-    assert_eq!(pick(&[(Waiting, 0.0), (Reading, 8500.0), (Reading, 8000.0)]), Some(2), "stalled longest");
-    assert_eq!(pick(&[(Waiting, 0.0), (Reading, 9500.0)]), None);
+fn every_wait_on_a_peer_has_its_end_but_that_of_a_known_idle_one() {
+    // A bad client is owed an error or a close within 3 s of connecting, however slowly it sends.
+    use {Doing::*, Standing::*};
+    let first = State { opened: 1_000.0, since: 2_900.0, ..state(Reading, Stranger, 0.0) };
+    assert!(first.limit() < 4_000.0 - 500.0 && state(Idle, Stranger, 1_000.0).limit() < 4_000.0 - 500.0);
+    for doing in [Reading, Writing, Lingering] {
+        assert!(state(doing, Client, 0.0).limit() <= 5_000.0, "{doing:?}");
+    }
+    assert_eq!(state(Idle, Client, 0.0).limit(), f64::INFINITY);
+    assert_eq!(state(Waiting, Stranger, 0.0).limit(), f64::INFINITY);
 }
--- a/dispatcher/tests/peers/mod.rs
+++ b/dispatcher/tests/peers/mod.rs
@@ -142,6 +142,11 @@
         self.0.write_all(text.as_bytes()).unwrap();
     }
 
+    /// The dispatcher closes the connection, and says nothing more on it.
+    pub fn is_ended(&self) -> bool {
+        matches!((&self.0).read(&mut [0]), Ok(0))
+    }
+
     pub fn answer(&mut self) -> Message {
         read_message(&mut self.0).expect("an answer")
     }
--- a/dispatcher/tests/serve.rs
+++ b/dispatcher/tests/serve.rs
@@ -81,19 +81,76 @@
         ("DELETE /api HTTP/1.1\r\n\r\n", 405, "POST"),
         ("POST /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n", 400, "X-Trace-Id"),
         (&JOB.replace("20000m", "soon"), 400, "X-Expires-In"),
+        (&JOB.replace("copy-issue", "other"), 400, "X-Qos"),
+        (&JOB.replace("th: 4", "th: -4"), 400, "Content-Length"),
+        (&JOB.replace("Content-Length: 4", "Content-Length: 4\r\nTransfer-Encoding: chunked"), 400, "beside"),
+        (&JOB.replace("Content-Length: 4", "Content-Length: 99999999999999999999"), 413, "body over"),
     ] {
         let mut client = client(&dispatcher.listen);
         client.send(request);
         let answer = client.answer();
         assert_eq!(answer.status, status, "{request:?}");
         assert!(answer.body.contains(words), "{:?}", answer.body);
+        assert!(client.is_ended(), "who is refused does not hold a descriptor");
     }
     // One that is still sending a body that is too large is not reset: it can finish, and read why it was refused.
     let mut client = client(&dispatcher.listen);
     client.send("POST /api HTTP/1.1\r\nContent-Length: 500000\r\n\r\n");
     assert_eq!(client.answer().status, 413);
     (0..50).for_each(|_| client.send(&"x".repeat(10_000)));
-    assert!(dispatcher.counters().contains("rejected 8\n"));
+    let counters = dispatcher.counters();
+    for line in ["rejected_malformed 4", "rejected_too_large 3", "rejected_unknown 2", "rejected_headers 3"] {
+        assert!(counters.lines().any(|l| l == line), "{line}: {counters}");
+    }
+    assert!(counters.contains("taken 0\n") && counters.contains("attempts_sent 0\n"));
+}
+
+#[test]
+fn the_second_user_of_an_id_gets_an_error_and_the_first_job_is_untouched() {
+    let hop = Hop::start();
+    let dispatcher = Dispatcher::start(&hop, 256);
+    let (mut first, mut second) = (client(&dispatcher.listen), client(&dispatcher.listen));
+    first.send(JOB);
+    let seen = hop.next();
+    second.send(JOB);
+    assert_eq!(second.answer().status, 409);
+    assert!(second.is_ended());
+    seen.answer(Reply::Accept);
+    assert_eq!(dispatcher.news(r#"{"id":"9b1f","from":"s-1","state":"done","result":"first"}"#), 204);
+    assert_eq!(first.answer().body, "first");
+    assert!(dispatcher.counters().contains("rejected_repeated 1\n"));
+}
+
+#[test]
+fn who_says_nothing_or_half_a_request_is_ended_and_who_is_known_stays() {
+    // 477 connections that never sent a whole request held what usual clients needed, for a whole day.
+    let hop = Hop::start();
+    let dispatcher = Dispatcher::start(&hop, 256);
+    let mut known = client(&dispatcher.listen);
+    known.send(JOB);
+    hop.next().answer(Reply::Break);
+    assert_eq!(known.answer().status, 502);
+    let (silent, mut half) = (client(&dispatcher.listen), client(&dispatcher.listen));
+    half.send(&JOB[..JOB.len() - 2]);
+    assert_eq!(half.answer().status, 408);
+    assert!(half.is_ended() && silent.is_ended());
+    known.send(&JOB.replace("9b1f", "9b20"));
+    hop.next().answer(Reply::Break);
+    assert_eq!(known.answer().status, 502, "a kept connection of a usual client is not ended for being idle");
+}
+
+#[test]
+fn silent_connections_do_not_crowd_out_jobs() {
+    // On the first day with bad clients every job was deferred once they held most of the descriptors.
+    let hop = Hop::start();
+    let dispatcher = Dispatcher::start(&hop, 96);
+    let _silent: Vec<TcpStream> =
+        (0..120).map(|_| TcpStream::connect(&dispatcher.listen).expect("taken or queued")).collect();
+    let mut client = client(&dispatcher.listen);
+    client.send(JOB);
+    hop.next().answer(Reply::Accept);
+    assert_eq!(dispatcher.news(r#"{"id":"9b1f","from":"s-1","state":"done","result":"made"}"#), 204);
+    assert_eq!(client.answer().body, "made");
 }
 
 #[test]
