Serve kept clients after SIGTERM for as long as their jobs can still be done

A probe build printed what is owed on a stop: all was served and the program gone 1.07 s after SIGTERM, while clients with open connections had nowhere to go. Ruled out: jobs left open (0 owed), an earlier restart for an earlier exit (the restart comes at the same time).

At fault: shutdown's GRACE_MS (0.8 s) and FRONT_MS (idle connections ended at 0.45 s), and Connection: close on each answer from the signal on, though the kill comes no sooner than 3.7 s after it.

Now jobs are taken on until 0.4 s before all must be answered (3.05 s with deadlines of 3 s and more), idle connections end then, and a stop ends earlier once no client's connection is left.

--- a/dispatcher/src/sender/connection.rs
+++ b/dispatcher/src/sender/connection.rs
@@ -198,7 +198,7 @@
 
     /// Writes an answer; an error tells that the connection is at its end.
     fn reply(&mut self, keep: bool, write: impl FnOnce(bool) -> Vec<u8>) -> io::Result<()> {
-        let close = !keep || self.shared.stopping.has_begun();
+        let close = !keep || self.shared.stopping.grace_is_over(self.shared.clock.now());
         self.write(&write(close))?;
         if close {
             self.socket.end();
--- a/dispatcher/src/sender/doors.rs
+++ b/dispatcher/src/sender/doors.rs
@@ -219,6 +219,11 @@
         self.open().doors.values().filter(idle).for_each(Door::end);
     }
 
+    /// A connection is open on which a job may come.
+    pub fn has_clients(&self) -> bool {
+        self.open().doors.values().any(|d| d.state.standing != Standing::Caller)
+    }
+
     pub fn busy(&self) -> usize {
         let busy = |d: &&Door| matches!(d.state.doing, Doing::Waiting | Doing::Writing);
         self.open().doors.values().filter(busy).count()
--- a/dispatcher/src/sender/mod.rs
+++ b/dispatcher/src/sender/mod.rs
@@ -119,14 +119,17 @@
     }
 }
 
-/// Ends connections that have had their time, and on a stop those between requests once the front sends nobody
-/// new here: their clients would go on using them, and be deferred.
+/// Ends connections that have had their time, and those between requests once a stop takes no more jobs on: their
+/// clients would go on using them, and be deferred.
 fn watch(shared: &Shared) {
     loop {
         may::coroutine::sleep(span(WATCH_MS));
         let now = shared.clock.now();
         shared.doors.end_overdue(&shared.counters, now);
-        if shared.stopping.front_has_left(now) {
+        if !shared.doors.has_clients() {
+            shared.stopping.note_no_clients(now);
+        }
+        if shared.stopping.grace_is_over(now) {
             shared.doors.end_idle(now - JUST_OPENED_MS);
         }
     }
