Hold a request's last byte back for a round trip, and take stray resets for what they are

Probe builds printed age and time of each break: kept connections break from 0.1 s of idleness on (17% at 0.1 to 0.2 s, half at over 0.4 s), 0.02 to 0.1 ms after the request's first bytes. Ruled out: connections that had said that they end (is_quiet sees those), slow nodes.

At fault: converse wrote the whole request before it could learn that the connection is dead, so it "may have run"; rules.rs set a worker aside for each single reset (0.8 s and more), which took most workers out and raised the price until a fifth was refused; pool::place counted a lack of descriptors here as the next hop's failure.

Now the last byte follows half a millisecond after the rest, if nothing has come back. A kept connection that died and a lack of descriptors end an attempt as NotSent (the module's Ignored): no blame, no retry budget. A dead kept connection condemns those idle as long. Resets count against a worker once they are a quarter of its outcomes, as errors do; three at once are still a crash.

--- a/dispatcher/src/converse.rs
+++ b/dispatcher/src/converse.rs
@@ -1,10 +1,13 @@
 //! One request and its response on a connection that this program opened, for next hops and discovery alike.
 
+use crate::clock::span;
 use crate::http::{Decoder, FrameError, Response};
 use crate::socket::{Cut, Got, Socket};
 use std::io;
 
 const READ_SIZE: usize = 2048;
+/// A round trip to a next hop, with room: by then a connection that is dead has said so (ms).
+const HOLD_BACK_MS: f64 = 0.5;
 
 /// How far a conversation came before it failed: only before the last byte is it certain that nothing ran.
 #[derive(Debug)]
@@ -14,9 +17,19 @@
 }
 
 /// Ends early once it is cut.
+///
+/// The last byte is held back until the rest is out and nothing has come back for a round trip: a connection that
+/// the peer's machine or one between has dropped without a word answers the first bytes with a reset. Had the last
+/// byte been among them, the request might have run; so it is certain that it has not.
 pub fn converse(socket: &Socket, request: &[u8], cut: &Cut) -> Result<Response, Broken> {
     cut.wakes(socket);
-    socket.write_all(request, || cut.is_done()).map_err(Broken::BeforeWritten)?;
+    let (first, last) = request.split_at(request.len().saturating_sub(1));
+    let written = socket.write_all(first, || cut.is_done()).and_then(|()| {
+        may::coroutine::sleep(span(HOLD_BACK_MS));
+        socket.check_quiet()?;
+        socket.write_all(last, || cut.is_done())
+    });
+    written.map_err(Broken::BeforeWritten)?;
     read_response(socket, cut).map_err(Broken::AfterWritten)
 }
 
@@ -41,3 +54,28 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use may::coroutine::yield_now;
+    use std::net::TcpListener;
+    use std::time::Duration;
+
+    #[test]
+    fn a_connection_that_has_ended_gets_no_last_byte() {
+        // Written whole in one go, the request might have run, and the job could not be sent elsewhere.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let to = listener.local_addr().unwrap();
+        let talk = move || {
+            let socket = Socket::connect(to, Duration::from_secs(60)).unwrap();
+            drop(listener.accept().unwrap());
+            while socket.is_quiet() {
+                yield_now();
+            }
+            converse(&socket, b"POST /api HTTP/1.1\r\n\r\n", &Cut::default())
+        };
+        let result = may::go!(talk).join().expect("the test's coroutine");
+        assert!(matches!(result, Err(Broken::BeforeWritten(_))), "{result:?}");
+    }
+}
--- a/dispatcher/src/counters.rs
+++ b/dispatcher/src/counters.rs
@@ -77,6 +77,10 @@
     connections_timed_out,
     connections_out,
     connections_reused,
+    /// Kept ones that were found dead before a request's last byte.
+    connections_died,
+    /// Attempts for which no descriptor was free in time.
+    connections_lacking,
     connects_failed,
     accept_errors,
     map_calls,
--- a/dispatcher/src/dispatch/mod.rs
+++ b/dispatcher/src/dispatch/mod.rs
@@ -109,8 +109,8 @@
                 self.settle(attempt, translate::outcome(end), load.as_ref());
             }
             Message::CalledOff { attempt } => self.on_called_off(attempt),
-            Message::Probed { hop, passed, connected, latency, load } => {
-                let outcome = translate::probe_outcome(passed, connected);
+            Message::Probed { hop, end, latency, load } => {
+                let outcome = end.map_or(mr::Outcome::Ok, translate::outcome);
                 let load = load.map(|l| translate::load(&self.names, &l));
                 self.feed(mr::Event::Probed { worker: hop, outcome, latency, load });
             }
--- a/dispatcher/src/dispatch/translate.rs
+++ b/dispatcher/src/dispatch/translate.rs
@@ -108,19 +108,12 @@
     match end {
         AttemptEnd::Failed => mr::Outcome::Failed,
         AttemptEnd::NeverRan => mr::Outcome::QueueFull,
+        AttemptEnd::NotSent => mr::Outcome::Ignored,
         AttemptEnd::NotConnected => mr::Outcome::ConnectError,
         AttemptEnd::Reset => mr::Outcome::ResetByPeer,
     }
 }
 
-pub fn probe_outcome(passed: bool, connected: bool) -> mr::Outcome {
-    match (passed, connected) {
-        (true, _) => mr::Outcome::Ok,
-        (false, true) => mr::Outcome::Failed,
-        (false, false) => mr::Outcome::ConnectError,
-    }
-}
-
 pub fn count(counters: &Counters, outcome: mr::Outcome) {
     match outcome {
         mr::Outcome::Ok => &counters.outcome_ok,
--- a/dispatcher/src/exchange.rs
+++ b/dispatcher/src/exchange.rs
@@ -98,6 +98,9 @@
 pub enum AttemptEnd {
     Failed,
     NeverRan,
+    /// It never left, for a reason that is not the next hop's: a kept connection had died, or no descriptor was
+    /// free here.
+    NotSent,
     NotConnected,
     Reset,
 }
@@ -171,10 +174,10 @@
     CalledOff {
         attempt: AttemptId,
     },
+    /// `end`: none if the probe passed.
     Probed {
         hop: HopId,
-        passed: bool,
-        connected: bool,
+        end: Option<AttemptEnd>,
         latency: f64,
         load: Option<LoadReport>,
     },
--- a/dispatcher/src/next_hop/attempt.rs
+++ b/dispatcher/src/next_hop/attempt.rs
@@ -1,11 +1,10 @@
 //! One conversation with a next hop: a delivery attempt, a call-off or a probe.
 
-use super::pool::Connection;
+use super::pool::{Connection, NoConnection};
 use super::{report, Hop, Shared, Stop};
 use crate::converse::{self, Broken};
-use crate::exchange::{AttemptEnd, AttemptId, Job, LoadReport, Message};
+use crate::exchange::{AttemptEnd, AttemptId, Job, Message};
 use crate::http::{self, Response};
-use std::io;
 use std::sync::atomic::Ordering;
 
 /// A probe or a call-off without an answer for this long is given up.
@@ -20,19 +19,15 @@
         let accepted = stop.accepted.load(Ordering::Acquire);
         return match result {
             Ok(Response { status: 202, .. }) => delete(shared, attempt, hop, job),
-            Err(Broken::AfterWritten(_)) if accepted => delete(shared, attempt, hop, job),
+            Err(AttemptEnd::Reset) if accepted => delete(shared, attempt, hop, job),
             // Ended by itself, never written, or its connection is closed by now.
             _ => shared.exchange.put(Message::CalledOff { attempt }),
         };
     }
-    let message = match result {
+    shared.exchange.put(match result {
         Ok(response) => told(attempt, &response),
-        Err(Broken::BeforeWritten(_)) => {
-            Message::Ended { attempt, end: AttemptEnd::NotConnected, load: None }
-        }
-        Err(Broken::AfterWritten(_)) => Message::Ended { attempt, end: AttemptEnd::Reset, load: None },
-    };
-    shared.exchange.put(message);
+        Err(end) => Message::Ended { attempt, end, load: None },
+    });
 }
 
 /// The protocol's table for an answer to a job.
@@ -70,36 +65,58 @@
     let request = http::request("GET", "/status/load", &hop.address.to_string(), &[], b"");
     let result = converse_within(shared, hop, &request);
     let latency = shared.clock.now() - sent;
-    let (passed, connected, load): (bool, bool, Option<LoadReport>) = match &result {
-        Ok(response) => (response.status == 200, true, report::of_probe(response)),
-        Err(Broken::AfterWritten(_)) => (false, true, None),
-        Err(Broken::BeforeWritten(_)) => (false, false, None),
+    let (end, load) = match &result {
+        Ok(response) if response.status == 200 => (None, report::of_probe(response)),
+        Ok(response) => (Some(AttemptEnd::Failed), report::of_probe(response)),
+        Err(end) => (Some(*end), None),
     };
-    shared.exchange.put(Message::Probed { hop: hop.id, passed, connected, latency, load });
+    shared.exchange.put(Message::Probed { hop: hop.id, end, latency, load });
 }
 
-/// A conversation that is given up after a short while.
-fn converse_within(shared: &Shared, hop: Hop, request: &[u8]) -> Result<Response, Broken> {
+/// A conversation that is given up after a short while. What it asks may be asked again: a kept connection that
+/// had died is replaced by another.
+fn converse_within(shared: &Shared, hop: Hop, request: &[u8]) -> Result<Response, AttemptEnd> {
     let stop = std::sync::Arc::new(Stop::default());
     let late = stop.clone();
     may::go!(move || {
         may::coroutine::sleep(crate::clock::span(SHORT_WAIT_MS));
         late.cut.now();
     });
-    converse(shared, hop, request, &stop)
+    loop {
+        match converse(shared, hop, request, &stop) {
+            Err(AttemptEnd::NotSent) if !stop.cut.is_done() => {}
+            result => return result,
+        }
+    }
 }
 
 /// Writes a request on a kept or new connection, reads its response and keeps the connection if it allows that.
-fn converse(shared: &Shared, hop: Hop, request: &[u8], stop: &Stop) -> Result<Response, Broken> {
-    let connection = shared.pool.take(hop).map_err(Broken::BeforeWritten)?;
+fn converse(shared: &Shared, hop: Hop, request: &[u8], stop: &Stop) -> Result<Response, AttemptEnd> {
+    let wanted = || !stop.is_left() && !stop.cut.is_done();
+    let connection = shared.pool.take(hop, wanted).map_err(|none| match none {
+        NoConnection::NoDescriptor => AttemptEnd::NotSent,
+        NoConnection::NotConnected => AttemptEnd::NotConnected,
+    })?;
     if stop.is_left() {
         // Given up while the connection was made: nothing is sent, and it serves the next attempt.
         shared.pool.keep(hop.id, connection);
-        return Err(Broken::BeforeWritten(io::ErrorKind::Interrupted.into()));
+        return Err(AttemptEnd::NotSent);
+    }
+    match converse::converse(&connection.socket, request, &stop.cut) {
+        Ok(response) => {
+            give_back(shared, hop, connection, &response);
+            Ok(response)
+        }
+        Err(Broken::AfterWritten(_)) => Err(AttemptEnd::Reset),
+        Err(Broken::BeforeWritten(_)) => Err(match connection.kept_since {
+            // It had died while it stood idle: nothing is known of the next hop.
+            Some(since) => {
+                shared.pool.forget_older(hop.id, since);
+                AttemptEnd::NotSent
+            }
+            None => AttemptEnd::NotConnected,
+        }),
     }
-    let response = converse::converse(&connection.socket, request, &stop.cut)?;
-    give_back(shared, hop, connection, &response);
-    Ok(response)
 }
 
 fn give_back(shared: &Shared, hop: Hop, connection: Connection, response: &Response) {
--- a/dispatcher/src/socket.rs
+++ b/dispatcher/src/socket.rs
@@ -103,7 +103,15 @@
 
     /// Idle and open as far as is known: an end, an error or stray bytes make a kept connection useless.
     pub fn is_quiet(&self) -> bool {
-        matches!(self.try_read(&mut [0; 16]), Ok(Got::Nothing))
+        self.check_quiet().is_ok()
+    }
+
+    pub fn check_quiet(&self) -> io::Result<()> {
+        match self.try_read(&mut [0; 16])? {
+            Got::Nothing => Ok(()),
+            Got::End => Err(ErrorKind::UnexpectedEof.into()),
+            Got::Bytes(_) => Err(ErrorKind::InvalidData.into()),
+        }
     }
 }
 
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -381,7 +381,8 @@
             return;
         }
         let left = pending.request.deadline - self.now - self.margin();
-        let retry = !pending.attempts.is_empty();
+        // One that never left here cost no worker anything.
+        let retry = pending.attempts.iter().any(|a| a.outcome != Some(Outcome::Ignored));
         if !self.may_send_again(pending) || left <= 0.0 || retry && self.retry_tokens < 1.0 {
             self.answer(id, out);
             return;
@@ -427,7 +428,7 @@
         if ok && latency >= 0.0 {
             worker.sign = self.now;
             self.pools[worker.pool].lag = self.pools[worker.pool].lag.min(latency);
-        } else if !ok {
+        } else if !ok && outcome != Outcome::Ignored {
             self.blame(i);
         }
         for id in self.scouting.clone() {
@@ -835,13 +836,12 @@
                 worker.errors += ERROR_WEIGHT;
                 let full = outcome == Outcome::QueueFull;
                 late = if full && hop == 0 && flight.due.is_finite() { flight.stake } else { 0.0 };
-                if outcome == Outcome::Failed && worker.errors < ERROR_SHARE {
+                let crashed = outcome == Outcome::ResetByPeer && worker.reset(self.now) >= CRASH;
+                let stray = matches!(outcome, Outcome::Failed | Outcome::ResetByPeer) && !crashed;
+                if stray && worker.errors < ERROR_SHARE {
                     return true;
                 }
-                if outcome == Outcome::ResetByPeer
-                    && worker.reset(self.now) >= CRASH
-                    && worker.flights.is_empty()
-                {
+                if crashed && worker.flights.is_empty() {
                     // Its process died. It comes back cold before a list tells so, and fell over again.
                     (worker.ready_at, worker.since) = (Some(self.now), self.now);
                 }
