Hold a watch for 2 s at the most, and ask anew when its answer is overdue

The log shows no failed call. Ruled out: connections to next hops (none died), deferral here.

At fault: transport_map::watch let discovery hold a call for 20 s and waited 6 s longer, so a silent watch went unnoticed for 26 s, longer than its changes may stay untold (2 s after the hold).

Now a watch is held for 2 s at the most and given up 1.5 s after that; other calls after 3.2 s, as discovery itself gives up at 3 s. Tests: a_silent_discovery_is_noticed_before_its_changes_count_as_told, an_overdue_call_is_cut_and_reported.

--- a/dispatcher/src/transport_map/watch.rs
+++ b/dispatcher/src/transport_map/watch.rs
@@ -13,10 +13,13 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 
-/// How long discovery may hold a watch that has nothing to tell. A change in it is told at once.
-const HOLD_MS: u32 = 20_000;
-/// A call without an answer this long after it may have waited has failed: discovery itself gives up sooner.
-const GRACE_MS: f64 = 6_000.0;
+/// How long discovery may hold a watch that has nothing to tell. A change in it is told at once; what it holds back
+/// in silence counts as told 2 s after this.
+const HOLD_MS: u32 = 2_000;
+/// A watch without an answer this long after it may have been held has fallen silent, and is asked for anew.
+const LATE_MS: f64 = 1_500.0;
+/// Any call may wait its turn at discovery, which gives up after 3 s at the latest.
+const TURN_MS: f64 = 3_200.0;
 const CONNECT_MS: f64 = 1_000.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,6 +54,11 @@
     log: Logger,
 }
 
+/// How long the answer of a call is waited for that may be held so long (ms).
+fn patience(held: u32) -> f64 {
+    (f64::from(held) + LATE_MS).max(TURN_MS)
+}
+
 impl TransportMap {
     /// `generation` is that of the list held already, if any: changes since then are told first.
     pub fn follow(
@@ -182,7 +190,7 @@
             _ => "/v1/endpoints".to_owned(),
         };
         self.counters.map_calls.add();
-        let cut = self.begin(f64::from(held) + GRACE_MS);
+        let cut = self.begin(patience(held));
         let list = self.fetch(&target, &cut).and_then(|response| self.read(&response))?;
         self.generation = Some(list.generation);
         self.counters.map_changes.add();
@@ -224,3 +232,30 @@
         Ok(response)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::net::TcpListener;
+
+    #[test]
+    fn a_silent_discovery_is_noticed_before_its_changes_count_as_told() {
+        // Nothing new may be sent 0.5 s after a drain counts as told: 2 s after a hold, 6 s after any other call.
+        assert!(patience(HOLD_MS) < f64::from(HOLD_MS) + 2_000.0 && patience(0) < 6_000.0);
+    }
+
+    #[test]
+    fn an_overdue_call_is_cut_and_reported() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (exchange, inbox) = Exchange::new();
+        let log = Logger::root(slog::Discard, slog::o!());
+        let at = listener.local_addr().unwrap();
+        let map = TransportMap::follow(at, Some(1), exchange, Arc::default(), Clock::start(), log);
+        map.ask(Call::Watch);
+        let _silent = listener.accept().unwrap();
+        while inbox.try_recv().is_err() {
+            map.cut(f64::INFINITY);
+            std::thread::yield_now();
+        }
+    }
+}
