Never wait without end for a timer that is all but due, and notice a silent next hop early

Seen: a test of failing discovery hung once in about twenty runs, four times in sixty side by side. A probe build wrote each wait of the dispatch coroutine: the last line of a hung one is "wait 0ns". At fault: Dispatch::run passing span(next - now) to recv_timeout. Now timers::wait never gives less than 1 ms. Test: a_wait_is_never_taken_for_one_without_end; the hung test passed 80 of 80 runs, eight at a time.

Also: a next hop that does not answer a job within twice the connect limit (0.2 to 2 s) ends the attempt as timed out instead of at the deadline, and the module sets it aside if it gave no sign since the send; our own close is no longer its reset. A 4xx of a next hop is the job's fault: the client gets a 400, the worker no blame. Tests: a_next_hop_that_says_nothing_is_silent_and_its_own_close_no_reset, a_worker_that_took_a_job_and_said_nothing_is_set_aside, answers_of_next_hops_follow_the_protocols_table.

--- a/dispatcher/src/dispatch/jobs.rs
+++ b/dispatcher/src/dispatch/jobs.rs
@@ -136,6 +136,10 @@
         self.attempt(id).is_some_and(|a| !std::mem::replace(&mut a.started, true))
     }
 
+    pub fn has_started(&mut self, id: AttemptId) -> bool {
+        self.attempt(id).is_some_and(|a| a.started)
+    }
+
     pub fn accept(&mut self, id: AttemptId) {
         if let Some(attempt) = self.attempt(id).filter(|a| a.state == AttemptState::Sent) {
             attempt.state = AttemptState::Accepted;
--- a/dispatcher/src/dispatch/mod.rs
+++ b/dispatcher/src/dispatch/mod.rs
@@ -5,7 +5,7 @@
 mod timers;
 mod translate;
 
-use crate::clock::{span, Clock};
+use crate::clock::Clock;
 use crate::config::{Config, Names};
 use crate::counters::Counters;
 use crate::exchange::{
@@ -26,8 +26,10 @@
 /// The module answers the time-out at the deadline; what it has left open this much later (ms, inside the
 /// rules' `answer_slack`) is answered as failed.
 const OVERDUE_MS: f64 = 5.0;
-/// Connections and overdue waits are looked through this often (ms).
+/// Kept connections are looked through this often (ms) ...
 const TIDY_MS: f64 = 500.0;
+/// ... and waits for an answer of next hops and of discovery this often.
+const OVERLOOK_MS: f64 = 50.0;
 
 pub struct Dispatch {
     balancer: mr::Balancer,
@@ -79,9 +81,9 @@
         let known = known.unwrap_or(MapNews { whole: true, entries: Vec::new() });
         self.on_map(known, mr::ListKind::Restored);
         self.timers.arm(self.clock.now() + TIDY_MS, Due::Tidy);
+        self.timers.arm(self.clock.now() + OVERLOOK_MS, Due::Overlook);
         while !self.is_done() {
-            let wait = span(self.timers.next() - self.clock.now());
-            if let Ok(message) = inbox.recv_timeout(wait) {
+            if let Ok(message) = inbox.recv_timeout(self.timers.wait(self.clock.now())) {
                 self.take(message);
                 while let Ok(message) = inbox.try_recv() {
                     self.take(message);
@@ -105,9 +107,7 @@
             Message::Withdrawn { ticket } => self.on_withdrawn(ticket),
             Message::News(news) => self.on_news(news),
             Message::Accepted { attempt } => self.on_accepted(attempt),
-            Message::Ended { attempt, end, load } => {
-                self.settle(attempt, translate::outcome(end), load.as_ref());
-            }
+            Message::Ended { attempt, end, load } => self.on_ended(attempt, end, load.as_ref()),
             Message::CalledOff { attempt } => self.on_called_off(attempt),
             Message::Probed { hop, end, latency, load } => {
                 let outcome = end.map_or(mr::Outcome::Ok, translate::outcome);
@@ -188,6 +188,16 @@
         self.jobs.accept(attempt);
     }
 
+    fn on_ended(&mut self, attempt: AttemptId, end: AttemptEnd, load: Option<&LoadReport>) {
+        match end {
+            // Its call-back came before the 202, which no longer matters.
+            AttemptEnd::Silent if self.jobs.has_started(attempt) => return self.jobs.accept(attempt),
+            AttemptEnd::Refused => drop(self.answer(attempt.ticket, Answer::Failed(Failure::Refused))),
+            _ => {}
+        }
+        self.settle(attempt, translate::outcome(end), load);
+    }
+
     /// The next hop holds a given-up attempt no more: one of the same job that waited for that may go.
     fn on_called_off(&mut self, attempt: AttemptId) {
         let Some((parked, hop)) = self.jobs.called_off(attempt) else { return };
@@ -356,9 +366,13 @@
             }
             Due::Tidy => {
                 self.next_hops.tidy();
-                self.transport_map.tidy();
                 self.timers.arm(self.clock.now() + TIDY_MS, Due::Tidy);
             }
+            Due::Overlook => {
+                self.next_hops.cut_overdue();
+                self.transport_map.tidy();
+                self.timers.arm(self.clock.now() + OVERLOOK_MS, Due::Overlook);
+            }
             Due::StopHard => self.fail_all(),
         }
     }
--- a/dispatcher/src/dispatch/timers.rs
+++ b/dispatcher/src/dispatch/timers.rs
@@ -1,8 +1,12 @@
 //! What falls due when.
 
+use crate::clock::span;
 use crate::exchange::{AttemptId, Ticket};
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
+use std::time::Duration;
+
+const LONGEST_WAIT_MS: f64 = 1_000.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
@@ -11,6 +15,7 @@
     Overdue(Ticket),
     Attempt(AttemptId),
     Tidy,
+    Overlook,
     StopHard,
 }
 
@@ -52,11 +57,16 @@
         self.heap.push(Reverse(Item { at, number: self.armed, due }));
     }
 
-    /// When the next one falls due; a second from any time at the latest is the caller's tidying.
-    pub fn next(&self) -> f64 {
+    fn next(&self) -> f64 {
         self.heap.peek().map_or(f64::INFINITY, |item| item.0.at)
     }
 
+    /// How long to wait for the next one. may counts whole milliseconds and takes none for no limit at all: a wait
+    /// of less would last until the next message, for ever if none comes.
+    pub fn wait(&self, now: f64) -> Duration {
+        span((self.next() - now).clamp(1.0, LONGEST_WAIT_MS))
+    }
+
     /// The next one that is due by now; of equal times the one armed first.
     pub fn due(&mut self, now: f64) -> Option<Due> {
         if self.next() > now {
@@ -82,4 +92,15 @@
         assert_eq!(timers.due(5.0), Some(Due::Module(3)));
         assert_eq!(timers.due(5.0), None);
     }
+
+    #[test]
+    fn a_wait_is_never_taken_for_one_without_end() {
+        let mut timers = Timers::default();
+        assert!(timers.wait(0.0).as_millis() >= 1, "nothing is armed");
+        timers.arm(100.0, Due::Tidy);
+        for now in [0.0, 99.5, 100.0, 500.0] {
+            let wait = timers.wait(now).as_millis();
+            assert!((1..=100).contains(&wait), "{wait} ms at {now}");
+        }
+    }
 }
--- a/dispatcher/src/dispatch/translate.rs
+++ b/dispatcher/src/dispatch/translate.rs
@@ -108,7 +108,8 @@
     match end {
         AttemptEnd::Failed => mr::Outcome::Failed,
         AttemptEnd::NeverRan => mr::Outcome::QueueFull,
-        AttemptEnd::NotSent => mr::Outcome::Ignored,
+        AttemptEnd::NotSent | AttemptEnd::Refused => mr::Outcome::Ignored,
+        AttemptEnd::Silent => mr::Outcome::TimedOut,
         AttemptEnd::NotConnected => mr::Outcome::ConnectError,
         AttemptEnd::Reset => mr::Outcome::ResetByPeer,
     }
--- a/dispatcher/src/exchange.rs
+++ b/dispatcher/src/exchange.rs
@@ -53,6 +53,8 @@
     Late,
     /// A job with this id is still here.
     Repeated,
+    /// A next hop cannot use it.
+    Refused,
 }
 
 /// Where one job's answer is put and fetched: settled once, whatever comes later is dropped.
@@ -103,6 +105,10 @@
     NotSent,
     NotConnected,
     Reset,
+    /// The next hop took the whole request and said nothing for far longer than it needs: it may run, or may yet.
+    Silent,
+    /// The next hop cannot use this job, whoever sends it; nothing is wrong there.
+    Refused,
 }
 
 /// What a next hop tells of a job by call-back.
--- a/dispatcher/src/next_hop/attempt.rs
+++ b/dispatcher/src/next_hop/attempt.rs
@@ -19,7 +19,7 @@
         let accepted = stop.accepted.load(Ordering::Acquire);
         return match result {
             Ok(Response { status: 202, .. }) => delete(shared, attempt, hop, job),
-            Err(AttemptEnd::Reset) if accepted => delete(shared, attempt, hop, job),
+            Err(AttemptEnd::Reset | AttemptEnd::Silent) if accepted => delete(shared, attempt, hop, job),
             // Ended by itself, never written, or its connection is closed by now.
             _ => shared.exchange.put(Message::CalledOff { attempt }),
         };
@@ -37,6 +37,7 @@
     match response.status {
         202 => Message::Accepted { attempt },
         503 | 504 if never_ran => Message::Ended { attempt, end: AttemptEnd::NeverRan, load },
+        400..=499 => Message::Ended { attempt, end: AttemptEnd::Refused, load },
         // Anything unforeseen proves nothing: it may have run.
         _ => Message::Ended { attempt, end: AttemptEnd::Failed, load },
     }
@@ -107,7 +108,10 @@
             give_back(shared, hop, connection, &response);
             Ok(response)
         }
+        // Our own close is not the next hop's.
+        Err(Broken::AfterWritten(_)) if stop.cut.is_done() => Err(AttemptEnd::Silent),
         Err(Broken::AfterWritten(_)) => Err(AttemptEnd::Reset),
+        Err(Broken::BeforeWritten(_)) if stop.cut.is_done() => Err(AttemptEnd::NotSent),
         Err(Broken::BeforeWritten(_)) => Err(match connection.kept_since {
             // It had died while it stood idle: nothing is known of the next hop.
             Some(since) => {
@@ -147,6 +151,8 @@
         let answer = |status: &str| format!("HTTP/1.1 {status}\r\nContent-Length: 0\r\n\r\n");
         assert_eq!(end_of(&answer("202 Accepted")), None);
         assert_eq!(end_of(&answer("500 Error")), Some(AttemptEnd::Failed));
+        // A job that no worker can use says nothing of the worker: a flood of them would set all aside.
+        assert_eq!(end_of(&answer("400 Bad Request")), Some(AttemptEnd::Refused));
         assert_eq!(end_of(&answer("503 Busy\r\nX-Never-Ran: 1")), Some(AttemptEnd::NeverRan));
         assert_eq!(end_of(&answer("504 Late\r\nX-Never-Ran: 1")), Some(AttemptEnd::NeverRan));
         // Without the mark nothing is proven: a repeat of what ran would be logged twice.
--- a/dispatcher/src/next_hop/mod.rs
+++ b/dispatcher/src/next_hop/mod.rs
@@ -49,7 +49,7 @@
 /// What the coroutines of all next hops share.
 struct Shared {
     pool: Pool,
-    /// Attempts whose answer is awaited, each with its last moment.
+    /// Attempts whose answer is awaited, each with the time by which a next hop that is there has given it.
     waiting: Mutex<HashMap<AttemptId, (Arc<Stop>, f64)>>,
     exchange: Exchange,
     counters: Arc<Counters>,
@@ -68,7 +68,9 @@
     /// Starts a delivery attempt; its end or its acceptance comes through the exchange.
     pub fn deliver(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, until: f64) {
         let stop = Arc::new(Stop::default());
-        self.waiting().insert(attempt, (stop.clone(), until));
+        let limits = self.0.pool.limits();
+        let due = self.0.clock.now() + limits.connect_timeout + limits.answer_time();
+        self.waiting().insert(attempt, (stop.clone(), due));
         let shared = self.0.clone();
         may::go!(move || {
             attempt::deliver(&shared, attempt, hop, &job, until, &stop);
@@ -106,13 +108,17 @@
         self.0.pool.release(hop);
     }
 
-    /// Once in a while: closes what has stood idle too long, and ends waits for an answer that can no longer
-    /// matter (a machine that went silent would hold the descriptor for ever).
+    /// Once in a while: closes what has stood idle too long.
     pub fn tidy(&self) {
         self.0.pool.tidy();
+    }
+
+    /// Ends waits for an answer that is overdue: a machine that went silent would hold the job until its deadline
+    /// and the descriptor for ever.
+    pub fn cut_overdue(&self) {
         let now = self.0.clock.now();
-        for (stop, until) in self.waiting().values() {
-            if *until < now {
+        for (stop, due) in self.waiting().values() {
+            if *due < now {
                 stop.cut.now();
             }
         }
@@ -128,7 +134,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::exchange::{Message, Verbatim};
+    use crate::exchange::{AttemptEnd, Message, Verbatim};
     use may::sync::mpsc::Receiver;
     use std::io::{Read, Write};
     use std::net::{TcpListener, TcpStream};
@@ -150,7 +156,7 @@
             idempotency_key: None,
             content_type: None,
         };
-        let deadline = clock.now() + 60_000.0;
+        let deadline = clock.now() + 600_000.0;
         let (trace_id, class) = ("9b1f".to_owned(), "c".to_owned());
         let job = Arc::new(Job { trace_id, class, slots: 1.0, memory: 0.0, deadline, verbatim });
         hops.deliver(ATTEMPT, hop, job.clone(), deadline);
@@ -185,4 +191,15 @@
         assert_eq!(read_to(&mut peer, "never"), "");
         assert!(matches!(inbox.recv(), Ok(Message::CalledOff { attempt: ATTEMPT })));
     }
+
+    #[test]
+    fn a_next_hop_that_says_nothing_is_silent_and_its_own_close_no_reset() {
+        let (hops, _, _, mut peer, inbox) = under_way(0.0);
+        let now = hops.0.clock.now();
+        assert!(hops.waiting().values().all(|(_, due)| *due < now + 63_000.0), "not only at the deadline");
+        hops.waiting().values_mut().for_each(|(_, due)| *due = now - 1.0);
+        hops.cut_overdue();
+        assert!(matches!(inbox.recv(), Ok(Message::Ended { end: AttemptEnd::Silent, .. })));
+        assert_eq!(read_to(&mut peer, "never"), "", "before the 202 a close gives the attempt up");
+    }
 }
--- a/dispatcher/src/next_hop/pool.rs
+++ b/dispatcher/src/next_hop/pool.rs
@@ -26,6 +26,18 @@
     pub call_off_grace: f64,
 }
 
+/// The settings' limit on a connect tells how long the way to a next hop may take; an answer takes its own time.
+const ANSWER_FACTOR: f64 = 2.0;
+const LEAST_ANSWER_MS: f64 = 200.0;
+const MOST_ANSWER_MS: f64 = 2_000.0;
+
+impl Limits {
+    /// A next hop that is there says within this time (ms) whether it takes a job; that does not depend on its queue.
+    pub fn answer_time(&self) -> f64 {
+        (ANSWER_FACTOR * self.connect_timeout).clamp(LEAST_ANSWER_MS, MOST_ANSWER_MS)
+    }
+}
+
 /// A connection that counts against the budget until it is dropped.
 pub struct Connection {
     pub socket: Socket,
--- a/dispatcher/src/sender/answer.rs
+++ b/dispatcher/src/sender/answer.rs
@@ -31,6 +31,7 @@
         }
         Answer::Defer { retry_after: None } => plain(503, "deferred, try again\n", close),
         Answer::Failed(Failure::Attempts) => plain(502, "failed\n", close),
+        Answer::Failed(Failure::Refused) => plain(400, "no next hop can use this job\n", close),
         Answer::Failed(Failure::Late) => plain(504, "not done in time\n", close),
         Answer::Failed(Failure::Repeated) => rejection(&Refusal::Repeated),
     }
--- a/dispatcher/src/sender/tests.rs
+++ b/dispatcher/src/sender/tests.rs
@@ -114,7 +114,7 @@
     let later = read(answer::of_job(&Answer::Defer { retry_after: Some(250.0) }, false));
     assert_eq!((later.status, later.headers.get("retry-after")), (503, Some("0.250")));
     // 429 and 503 would promise that nothing ran.
-    for failure in [Failure::Attempts, Failure::Late, Failure::Repeated] {
+    for failure in [Failure::Attempts, Failure::Late, Failure::Repeated, Failure::Refused] {
         let failed = read(answer::of_job(&Answer::Failed(failure), true)).status;
         assert!(![200, 429, 503].contains(&failed));
     }
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -834,7 +834,11 @@
             Outcome::TimedOut | Outcome::Canceled => {
                 // The work may go on: count it as still there for about as long again as a job takes.
                 flight.ghost_until = Some(self.now + mean_time);
+                let silent = outcome == Outcome::TimedOut && worker.sign < flight.sent;
                 worker.push(flight);
+                if silent {
+                    self.blame(at);
+                }
             }
             Outcome::Ignored => {}
             Outcome::Failed | Outcome::QueueFull | Outcome::ConnectError | Outcome::ResetByPeer => {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -900,3 +900,17 @@
     }
     assert!(late <= 18, "{late} jobs to the slow one");
 }
+
+#[test]
+fn a_worker_that_took_a_job_and_said_nothing_is_set_aside() {
+    let class = class(Effect::Idempotent, Group::All);
+    let mut s = Script::new(settings(vec![class]), vec![entry(0, 0), entry(1, 0)]);
+    let to = sent(&s.request(1, 0)).unwrap();
+    s.now += 400.0;
+    assert_eq!(sent(&s.outcome(1, 0, to, Outcome::TimedOut)), Some(1 - to));
+    s.outcome(1, 1, 1 - to, Outcome::Ok);
+    s.now += 10.0;
+    for id in 2..5 {
+        assert_eq!(sent(&s.request(id, 0)), Some(1 - to));
+    }
+}
