Learn how long kept connections may stand idle from those that die

About half break only at the last byte, where holding it back does not help.

At fault: pool's one fixed share of the settings' idle time, while something on the way drops them far sooner.

Now a death at 0.1 s of idleness or more brings the limit down to that age; it doubles every 3 s without one. Test: how_long_one_may_stand_idle_is_learnt_from_those_that_died.

--- a/dispatcher/src/next_hop/attempt.rs
+++ b/dispatcher/src/next_hop/attempt.rs
@@ -110,7 +110,10 @@
         }
         // Our own close is not the next hop's.
         Err(Broken::AfterWritten(_)) if stop.cut.is_done() => Err(AttemptEnd::Silent),
-        Err(Broken::AfterWritten(_)) => Err(AttemptEnd::Reset),
+        Err(Broken::AfterWritten(_)) => {
+            connection.kept_since.into_iter().for_each(|since| shared.pool.forget_older(hop.id, since));
+            Err(AttemptEnd::Reset)
+        }
         Err(Broken::BeforeWritten(_)) if stop.cut.is_done() => Err(AttemptEnd::NotSent),
         Err(Broken::BeforeWritten(_)) => Err(match connection.kept_since {
             // It had died while it stood idle: nothing is known of the next hop.
--- a/dispatcher/src/next_hop/pool.rs
+++ b/dispatcher/src/next_hop/pool.rs
@@ -14,6 +14,9 @@
 /// Kept connections are dropped at this share of the time at which the next hop's machine may close them: a
 /// request written after that close ends as a reset, which may have run.
 const IDLE_SHARE: f64 = 0.6;
+const LEAST_IDLE_MS: f64 = 100.0;
+/// After each such time without a death, connections may stand idle twice as long.
+const DOUBLES_MS: f64 = 3_000.0;
 /// How often a free descriptor is looked for when all that next hops may use are taken.
 const PLACE_PAUSE_MS: f64 = 2.0;
 
@@ -75,7 +78,29 @@
     since: f64,
 }
 
+/// Something on the way may drop idle connections sooner than the settings say. How long one may stand idle is
+/// learnt from those that died: down to the age at which one did, and slowly up again.
+#[derive(Clone, Copy)]
+struct IdleLimit {
+    learnt: f64,
+    at: f64,
+}
+
+impl IdleLimit {
+    fn now(&self, now: f64, most: f64) -> f64 {
+        (self.learnt * ((now - self.at) / DOUBLES_MS).exp2()).min(most)
+    }
+
+    /// One that died younger tells nothing of idleness.
+    fn died(&mut self, age: f64, now: f64, most: f64) {
+        if age >= LEAST_IDLE_MS {
+            *self = IdleLimit { learnt: age.min(self.now(now, most)), at: now };
+        }
+    }
+}
+
 pub struct Pool {
+    idle: Mutex<IdleLimit>,
     limits: Limits,
     open: Arc<AtomicUsize>,
     /// By next hop, the latest used last: it is used next, so that the others grow old and go.
@@ -86,7 +111,8 @@
 
 impl Pool {
     pub fn new(limits: Limits, counters: Arc<Counters>, clock: Clock) -> Self {
-        Pool { limits, open: Arc::default(), kept: Mutex::default(), counters, clock }
+        let idle = Mutex::new(IdleLimit { learnt: f64::INFINITY, at: 0.0 });
+        Pool { idle, limits, open: Arc::default(), kept: Mutex::default(), counters, clock }
     }
 
     pub fn limits(&self) -> Limits {
@@ -128,6 +154,10 @@
     /// A kept connection was found dead: those that have stood idle as long will be.
     pub fn forget_older(&self, hop: HopId, since: f64) {
         self.counters.connections_died.add();
+        let now = self.clock.now();
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.died(now - since, now, self.limits.conn_idle * IDLE_SHARE);
+        drop(idle);
         if let Some(list) = self.kept().get_mut(&hop) {
             list.retain(|kept| kept.since > since);
         }
@@ -159,7 +189,9 @@
     }
 
     fn fresh_since(&self) -> f64 {
-        self.clock.now() - self.limits.conn_idle * IDLE_SHARE
+        let now = self.clock.now();
+        let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        now - idle.now(now, self.limits.conn_idle * IDLE_SHARE)
     }
 
     fn wait_for_place(&self, wanted: impl Fn() -> bool) -> Option<Place> {
@@ -266,6 +298,19 @@
         });
     }
 
+    #[test]
+    fn how_long_one_may_stand_idle_is_learnt_from_those_that_died() {
+        let mut idle = IdleLimit { learnt: f64::INFINITY, at: 0.0 };
+        assert_eq!(idle.now(5_000.0, 6_000.0), 6_000.0);
+        idle.died(20.0, 5_000.0, 6_000.0);
+        assert_eq!(idle.now(5_000.0, 6_000.0), 6_000.0, "a reset of one in use tells nothing of idleness");
+        idle.died(400.0, 5_000.0, 6_000.0);
+        idle.died(900.0, 5_000.0, 6_000.0);
+        assert_eq!(idle.now(5_000.0, 6_000.0), 400.0);
+        assert_eq!(idle.now(5_000.0 + DOUBLES_MS, 6_000.0), 800.0);
+        assert_eq!(idle.now(1e9, 6_000.0), 6_000.0);
+    }
+
     #[test]
     fn the_budget_holds_and_the_oldest_kept_connection_makes_room() {
         // Without a bound of its own a storm of attempts would take the descriptors that accept needs.
