Take a failed connection right after a sign of life for a stray error

Ruled out: kept connections (28 left), resets of running jobs (they count only from a quarter of the outcomes on).

At fault: rules.rs set a worker aside for one ConnectError, though it had answered milliseconds before.

Now within a second of a sign of life it counts as an error does. A worker that is gone has no new sign, so it is set aside after three at the most. Test: a_connection_that_fails_right_after_a_sign_of_life_does_not_set_a_worker_aside.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -43,6 +43,8 @@
 /// Errors count once they are this share of a worker's latest outcomes: stray ones do not.
 const ERROR_SHARE: f64 = 0.25;
 const ERROR_WEIGHT: f64 = 0.1;
+/// So long after a sign of life a failed connection counts as a stray error.
+const ALIVE_MS: f64 = 1000.0;
 /// Indices nearer than this (relative) are a tie where our own counts tell little: hundreds of dispatchers
 /// would pick the same fastest worker.
 const SPREAD: f64 = 0.25;
@@ -847,7 +849,12 @@
                 let full = outcome == Outcome::QueueFull;
                 late = if full && hop == 0 && flight.due.is_finite() { flight.stake } else { 0.0 };
                 let crashed = outcome == Outcome::ResetByPeer && worker.reset(self.now) >= CRASH;
-                let stray = matches!(outcome, Outcome::Failed | Outcome::ResetByPeer) && !crashed;
+                let stray = match outcome {
+                    Outcome::Failed | Outcome::ResetByPeer => !crashed,
+                    // One that has just answered is there: the way to it broke.
+                    Outcome::ConnectError => self.now - worker.sign < ALIVE_MS,
+                    _ => false,
+                };
                 if stray && worker.errors < ERROR_SHARE {
                     return true;
                 }
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -914,3 +914,21 @@
         assert_eq!(sent(&s.request(id, 0)), Some(1 - to));
     }
 }
+
+#[test]
+fn a_connection_that_fails_right_after_a_sign_of_life_does_not_set_a_worker_aside() {
+    for (age, stays) in [(10.0, true), (5000.0, false)] {
+        let class = class(Effect::Idempotent, Group::All);
+        let mut s = Script::new(settings(vec![class]), vec![entry(0, 0), entry(1, 0)]);
+        let to = sent(&s.request(1, 0)).unwrap();
+        s.outcome(1, 0, to, Outcome::Ok);
+        s.now += age;
+        let both = [sent(&s.request(2, 0)).unwrap(), sent(&s.request(3, 0)).unwrap()];
+        let id = 2 + RequestId::from(both[1] == to);
+        s.outcome(id, 0, to, Outcome::ConnectError);
+        s.outcome(id, 1, 1 - to, Outcome::Ok);
+        s.outcome(5 - id, 0, 1 - to, Outcome::Ok);
+        let next = [sent(&s.request(4, 0)), sent(&s.request(5, 0))];
+        assert_eq!(next.contains(&Some(to)), stays, "{age} ms after it: {next:?}");
+    }
+}
