--- a/dispatcher/src/sender/tests.rs
+++ b/dispatcher/src/sender/tests.rs
@@ -1,10 +1,14 @@
 use super::answer;
 use super::call_back;
-use super::doors::{first_to_leave, Doing, Standing, State};
+use super::doors::{first_to_leave, Doing, Doors, Standing, State};
 use super::intake::{route, Class, Intake, Refusal};
+use crate::config::Budget;
 use crate::exchange::{Answer, Failure, Job, JobState};
 use crate::http::{Decoder, Request, Response};
 use crate::random::garbage;
+use crate::socket::Socket;
+use std::net::TcpListener;
+use std::time::Duration;
 
 fn request(head: &str, body: &str) -> Request {
     let text = format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
@@ -159,3 +163,27 @@
     assert_eq!(state(Idle, Client, 0.0).limit(), f64::INFINITY);
     assert_eq!(state(Waiting, Stranger, 0.0).limit(), f64::INFINITY);
 }
+
+#[test]
+fn memory_and_places_for_jobs_are_bounded_over_all_connections() {
+    // With 32 MB, hundreds of half-sent bodies would be the end of the program.
+    let check = || {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let socket = Socket::connect(listener.local_addr().unwrap(), Duration::from_secs(60)).unwrap();
+        let doors = Doors::new(Budget { inbound: 9, inbound_jobs: 4, next_hops: 1, buffers: 100 });
+        let [first, second, known] = [(); 3].map(|()| doors.enter(socket.waker(), 0.0));
+        assert!(doors.holds(&first, 80) && !doors.holds(&second, 30));
+        assert!(doors.holds(&second, 10), "giving some back is never refused");
+        doors.leave(&first);
+        assert!(doors.holds(&second, 90));
+        // Three jobs are here: a stranger's next is deferred, a known client's is not; silent ones do not count.
+        doors.proved(&known, Standing::Client);
+        let waits = [(); 3].map(|()| doors.enter(socket.waker(), 0.0));
+        assert!(!doors.is_crowded(&second));
+        waits.iter().for_each(|pass| doors.now_doing(pass, Doing::Waiting, 1.0));
+        assert!(doors.is_crowded(&second) && !doors.is_crowded(&known));
+        doors.now_doing(&second, Doing::Waiting, 1.0);
+        assert!(doors.is_crowded(&known));
+    };
+    may::go!(check).join().expect("the test's coroutine");
+}
