Split the dispatcher into packages: exchange, wire, config, core, the HTTP/1.1 front

Need: a second front is to go through the same exchange, and config, counters and clock have to be where both fronts reach them. One binary crate held all of it.

Change: moves only, by concern, with dependencies one way: exchange and wire at the bottom, config, core and the front above, the binary wires. Decoder::next became next_message (clippy, now that it is public). No behaviour changes.

--- a/dispatcher/src/config/mod.rs
+++ b/config/src/lib.rs
@@ -2,9 +2,9 @@
 
 mod reload;
 
-use crate::json::{self, JsonError, Node};
-use crate::transport_map::{read_list, List};
 use millrudder as mr;
+use millrudder_wire::json::{self, JsonError, Node};
+use millrudder_wire::list::{read_list, List};
 pub use reload::Source;
 use std::collections::HashMap;
 use std::fmt;
@@ -313,7 +313,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::random::garbage;
+    use millrudder_testing::garbage;
 
     pub(super) const CONFIG: &str = r#"{"name":"n0","listen":"127.0.0.1:7070","discovery":"127.0.0.2:8500",
         "seed":"8c1f30d27a5be964","limits":{"sockets":1024},"settings":{"me":1,"replicas_of_me":2,
--- a/dispatcher/src/config/reload.rs
+++ b/config/src/reload.rs
@@ -4,7 +4,7 @@
 //! named, so that nobody takes it for applied; a file that cannot be used changes nothing.
 
 use super::{read_file, Config, ConfigError};
-use crate::json;
+use millrudder_wire::json;
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use tinyjson::JsonValue;
@@ -83,7 +83,7 @@
 mod tests {
     use super::super::tests::CONFIG;
     use super::*;
-    use crate::random::garbage;
+    use millrudder_testing::garbage;
 
     fn source() -> Source {
         let environment = HashMap::from([("NODE_DISCOVERY".to_owned(), "127.0.0.9:1".to_owned())]);
--- a/dispatcher/src/dispatch/jobs.rs
+++ b/core/src/dispatch/jobs.rs
@@ -1,6 +1,6 @@
 //! The jobs that are here, and their delivery attempts.
 
-use crate::exchange::{AttemptId, HopId, Job, Reply, Ticket};
+use millrudder_exchange::{AttemptId, HopId, Job, Reply, Ticket};
 use std::collections::{BTreeMap, HashMap};
 use std::sync::Arc;
 
@@ -191,7 +191,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::exchange::{Answer, Failure, Verbatim};
+    use millrudder_exchange::{Answer, Failure, Verbatim};
 
     fn entry() -> Entry {
         let verbatim = Verbatim {
--- a/dispatcher/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -5,19 +5,19 @@
 mod timers;
 mod translate;
 
-use crate::clock::Clock;
-use crate::config::{Config, Names};
-use crate::counters::Counters;
-use crate::exchange::{
-    Answer, AttemptEnd, AttemptId, Exchange, Failure, HopId, Job, JobNews, JobState, LoadReport, MapNews,
-    Message, Reply, Ticket,
-};
 use crate::next_hop::NextHops;
-use crate::shutdown::Stopping;
 use crate::transport_map::{Call, TransportMap};
 use jobs::{AttemptState, Entry, Jobs, Settled};
 use may::sync::mpsc::Receiver;
 use millrudder as mr;
+use millrudder_config::{Config, Names};
+use millrudder_exchange::clock::Clock;
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::shutdown::Stopping;
+use millrudder_exchange::{
+    Answer, AttemptEnd, AttemptId, Exchange, Failure, HopId, Job, JobNews, JobState, LoadReport, MapNews,
+    Message, Reply, Ticket,
+};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use timers::{Due, Timers};
--- a/dispatcher/src/dispatch/timers.rs
+++ b/core/src/dispatch/timers.rs
@@ -1,7 +1,7 @@
 //! What falls due when.
 
-use crate::clock::span;
-use crate::exchange::{AttemptId, Ticket};
+use millrudder_exchange::clock::span;
+use millrudder_exchange::{AttemptId, Ticket};
 use std::cmp::{Ordering, Reverse};
 use std::collections::BinaryHeap;
 use std::time::Duration;
--- a/dispatcher/src/dispatch/translate.rs
+++ b/core/src/dispatch/translate.rs
@@ -2,11 +2,11 @@
 //!
 //! next hop = worker, delivery attempt = attempt, transport map = list, defer = refuse.
 
-use crate::config::{position, Names};
-use crate::counters::Counters;
-use crate::exchange::{AttemptEnd, HopId, HopState, Job, LoadReport, MapEntry, Ticket};
 use crate::next_hop::Hop;
 use millrudder as mr;
+use millrudder_config::{position, Names};
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::{AttemptEnd, HopId, HopState, Job, LoadReport, MapEntry, Ticket};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
--- a/dispatcher/src/next_hop/attempt.rs
+++ b/core/src/next_hop/attempt.rs
@@ -1,10 +1,11 @@
 //! One conversation with a next hop: a delivery attempt, a call-off or a probe.
 
 use super::pool::{Connection, NoConnection};
-use super::{report, Hop, Shared, Stop};
-use crate::converse::{self, Broken};
-use crate::exchange::{AttemptEnd, AttemptId, Job, Message};
-use crate::http::{self, Response};
+use super::{Hop, Shared, Stop};
+use millrudder_exchange::{AttemptEnd, AttemptId, Job, Message};
+use millrudder_wire::converse::{self, Broken};
+use millrudder_wire::http::{self, Response};
+use millrudder_wire::report;
 use std::sync::atomic::Ordering;
 
 /// A probe or a call-off without an answer for this long is given up.
@@ -80,7 +81,7 @@
     let stop = std::sync::Arc::new(Stop::default());
     let late = stop.clone();
     may::go!(move || {
-        may::coroutine::sleep(crate::clock::span(SHORT_WAIT_MS));
+        may::coroutine::sleep(millrudder_exchange::clock::span(SHORT_WAIT_MS));
         late.cut.now();
     });
     loop {
@@ -135,14 +136,14 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::http::Decoder;
+    use millrudder_wire::http::Decoder;
 
     const ATTEMPT: AttemptId = AttemptId { ticket: 1, number: 0 };
 
     fn end_of(text: &str) -> Option<AttemptEnd> {
         let mut decoder = Decoder::default();
         decoder.push(text.as_bytes());
-        match told(ATTEMPT, &decoder.next().unwrap().unwrap()) {
+        match told(ATTEMPT, &decoder.next_message().unwrap().unwrap()) {
             Message::Accepted { .. } => None,
             Message::Ended { end, .. } => Some(end),
             _ => panic!("neither accepted nor ended"),
--- a/dispatcher/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -4,14 +4,12 @@
 
 mod attempt;
 mod pool;
-mod report;
 
-use crate::clock::{span, Clock};
-use crate::counters::Counters;
-use crate::exchange::{AttemptId, Exchange, HopId, Job};
-use crate::socket::Cut;
+use millrudder_exchange::clock::{span, Clock};
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::{AttemptId, Exchange, HopId, Job};
+use millrudder_wire::socket::Cut;
 use pool::Pool;
-pub use report::read_load;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -134,8 +132,8 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::exchange::{AttemptEnd, Message, Verbatim};
     use may::sync::mpsc::Receiver;
+    use millrudder_exchange::{AttemptEnd, Message, Verbatim};
     use std::io::{Read, Write};
     use std::net::{TcpListener, TcpStream};
 
--- a/dispatcher/src/next_hop/pool.rs
+++ b/core/src/next_hop/pool.rs
@@ -1,10 +1,10 @@
 //! Kept connections to next hops, within the descriptor budget.
 
 use super::Hop;
-use crate::clock::{span, Clock};
-use crate::counters::Counters;
-use crate::exchange::HopId;
-use crate::socket::Socket;
+use millrudder_exchange::clock::{span, Clock};
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::HopId;
+use millrudder_wire::socket::Socket;
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
--- /dev/null
+++ b/core/src/transport_map/mod.rs
@@ -0,0 +1,5 @@
+//! Discovery's list of next hops: following its changes.
+
+mod watch;
+
+pub use watch::{Call, TransportMap};
--- a/dispatcher/src/transport_map/watch.rs
+++ b/core/src/transport_map/watch.rs
@@ -1,14 +1,14 @@
 //! Follows discovery in one coroutine: calls wait for each other, as discovery answers them one after another.
 
-use super::list::{read_list, List};
-use crate::clock::{span, Clock};
-use crate::converse::{converse, Broken};
-use crate::counters::Counters;
-use crate::exchange::{Exchange, Message};
-use crate::http::{self, Response};
-use crate::json::{self, Node};
-use crate::socket::{Cut, Socket};
 use may::sync::mpsc;
+use millrudder_exchange::clock::{span, Clock};
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::{Exchange, Message};
+use millrudder_wire::converse::{converse, Broken};
+use millrudder_wire::http::{self, Response};
+use millrudder_wire::json::{self, Node};
+use millrudder_wire::list::{read_list, List};
+use millrudder_wire::socket::{Cut, Socket};
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -4,42 +4,24 @@
 //! A request passes `sender` (accept, intake), `exchange`, `dispatch` (the module), `next_hop`, and comes back
 //! the same way; `transport_map` follows discovery beside it.
 
-mod clock;
-mod config;
-mod converse;
-mod counters;
-mod dispatch;
-mod exchange;
-mod http;
-mod json;
 mod logging;
-mod next_hop;
-#[cfg(test)]
-mod random;
-mod rate;
-mod sender;
-mod shutdown;
 mod signals;
-mod socket;
-mod transport_map;
 
-use clock::{span, Clock};
-use config::{Config, Source};
-use counters::Counters;
-use dispatch::Dispatch;
-use exchange::Exchange;
-use next_hop::NextHops;
-use sender::SenderSide;
-use shutdown::Stopping;
+use millrudder_config::{Config, Source};
+use millrudder_core::dispatch::Dispatch;
+use millrudder_core::next_hop::{self, NextHops};
+use millrudder_core::transport_map::TransportMap;
+use millrudder_exchange::clock::{span, Clock};
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::shutdown::Stopping;
+use millrudder_exchange::Exchange;
+use millrudder_front_http::SenderSide;
+use millrudder_wire::STACK_WORDS;
 use signal_hook::iterator::Signals;
 use slog::Logger;
 use std::process::ExitCode;
 use std::sync::Arc;
-use transport_map::TransportMap;
 
-/// In words of 8 bytes. The deepest are JSON (bounded nesting) and formatting for the log; pages that are never
-/// touched cost no memory.
-const STACK_WORDS: usize = 16 * 1024;
 /// A 202 on its way comes within a few round trips; a next hop that is slower than this is cut off.
 const CALL_OFF_GRACE_MS: f64 = 25.0;
 /// How long answers may take to be written at the end.
--- a/dispatcher/src/signals.rs
+++ b/dispatcher/src/signals.rs
@@ -1,9 +1,9 @@
 //! What the platform says by signals: stop (SIGTERM, SIGINT), read the configuration again (SIGHUP), print the
 //! counters (SIGUSR1).
 
-use crate::config::Source;
-use crate::counters::Counters;
-use crate::exchange::{Exchange, Message};
+use millrudder_config::Source;
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::{Exchange, Message};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM, SIGUSR1};
 use signal_hook::iterator::Signals;
 use slog::Logger;
--- a/dispatcher/src/sender/answer.rs
+++ b/fronts/http/src/answer.rs
@@ -1,8 +1,8 @@
 //! Answers as bytes.
 
 use super::intake::Refusal;
-use crate::exchange::{Answer, Failure};
-use crate::http;
+use millrudder_exchange::{Answer, Failure};
+use millrudder_wire::http;
 
 pub fn plain(status: u16, text: &str, close: bool) -> Vec<u8> {
     http::response(status, &[("Content-Type", "text/plain")], text.as_bytes(), close)
--- a/dispatcher/src/sender/call_back.rs
+++ b/fronts/http/src/call_back.rs
@@ -1,9 +1,9 @@
 //! Call-backs of next hops: `POST /_jobs/news`.
 
 use super::Shared;
-use crate::exchange::{JobNews, JobState, Message};
-use crate::json::{self, JsonError, Node};
-use crate::next_hop::read_load;
+use millrudder_exchange::{JobNews, JobState, Message};
+use millrudder_wire::json::{self, JsonError, Node};
+use millrudder_wire::report::read_load;
 use tinyjson::JsonValue;
 
 /// Passes news on; false if it cannot be read. That is counted and logged now and then; it is answered like any
--- a/dispatcher/src/sender/connection.rs
+++ b/fronts/http/src/connection.rs
@@ -3,10 +3,10 @@
 use super::doors::{Doing, Pass, Standing};
 use super::intake::{self, Intake, Refusal};
 use super::{answer, call_back, Shared};
-use crate::exchange::{Answer, Failure, Job, Reply};
-use crate::http::{self, Decoder, Request};
-use crate::socket::{Got, Socket};
 use may::net::TcpStream;
+use millrudder_exchange::{Answer, Failure, Job, Reply};
+use millrudder_wire::http::{self, Decoder, Request};
+use millrudder_wire::socket::{Got, Socket};
 use std::io;
 use std::sync::Arc;
 
@@ -94,7 +94,8 @@
     fn next_request(&mut self) -> Result<Request, NoRequest> {
         self.began = self.shared.clock.now();
         loop {
-            let next = self.decoder.next().map_err(|error| NoRequest::Refused(Refusal::Framing(error)))?;
+            let next =
+                self.decoder.next_message().map_err(|error| NoRequest::Refused(Refusal::Framing(error)))?;
             if let Some(request) = next {
                 // Chosen to leave just as its request came: it stays for that one.
                 self.pass.spare();
--- a/dispatcher/src/sender/doors.rs
+++ b/fronts/http/src/doors.rs
@@ -3,9 +3,9 @@
 //!
 //! Peers that have proved themselves come first: when room is short, strangers leave before them.
 
-use crate::config::Budget;
-use crate::counters::Counters;
 use may::io::WaitIoWaker;
+use millrudder_config::Budget;
+use millrudder_exchange::counters::Counters;
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/dispatcher/src/sender/intake.rs
+++ b/fronts/http/src/intake.rs
@@ -1,8 +1,8 @@
 //! A request as it came to what it asks for. Whatever is wrong with it is named in the refusal.
 
-use crate::counters::Counters;
-use crate::exchange::{Job, Verbatim};
-use crate::http::{FrameError, Request};
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::{Job, Verbatim};
+use millrudder_wire::http::{FrameError, Request};
 use std::fmt;
 
 #[derive(Debug)]
--- a/dispatcher/src/sender/mod.rs
+++ b/fronts/http/src/lib.rs
@@ -10,17 +10,17 @@
 #[cfg(test)]
 mod tests;
 
-use crate::clock::{span, Clock};
-use crate::config::Config;
-use crate::counters::Counters;
-use crate::exchange::Exchange;
-use crate::rate::Limiter;
-use crate::shutdown::Stopping;
 use connection::Connection;
 use doors::Doors;
 use intake::Class;
 use may::net::{TcpListener, TcpStream};
 use millrudder as mr;
+use millrudder_config::Config;
+use millrudder_exchange::clock::{span, Clock};
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::rate::Limiter;
+use millrudder_exchange::shutdown::Stopping;
+use millrudder_exchange::Exchange;
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::Arc;
--- a/dispatcher/src/sender/tests.rs
+++ b/fronts/http/src/tests.rs
@@ -2,11 +2,11 @@
 use super::call_back;
 use super::doors::{first_to_leave, Doing, Doors, Standing, State};
 use super::intake::{route, Class, Intake, Refusal};
-use crate::config::Budget;
-use crate::exchange::{Answer, Failure, Job, JobState};
-use crate::http::{Decoder, Request, Response};
-use crate::random::garbage;
-use crate::socket::Socket;
+use millrudder_config::Budget;
+use millrudder_exchange::{Answer, Failure, Job, JobState};
+use millrudder_testing::garbage;
+use millrudder_wire::http::{Decoder, Request, Response};
+use millrudder_wire::socket::Socket;
 use std::net::TcpListener;
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
     let text = format!("{head}\r\nContent-Length: {}\r\n\r\n{body}", body.len());
     let mut decoder = Decoder::default();
     decoder.push(text.as_bytes());
-    decoder.next().unwrap().unwrap()
+    decoder.next_message().unwrap().unwrap()
 }
 
 const HEAD: &str =
@@ -111,7 +111,7 @@
     let read = |bytes: Vec<u8>| {
         let mut decoder = Decoder::<Response>::default();
         decoder.push(&bytes);
-        decoder.next().unwrap().unwrap()
+        decoder.next_message().unwrap().unwrap()
     };
     let served = read(answer::of_job(&Answer::Served { result: b"made".to_vec() }, false));
     assert_eq!((served.status, served.body.as_slice()), (200, b"made".as_slice()));
--- a/dispatcher/src/converse.rs
+++ b/wire/src/converse.rs
@@ -1,8 +1,8 @@
 //! One request and its response on a connection that this program opened, for next hops and discovery alike.
 
-use crate::clock::span;
 use crate::http::{Decoder, FrameError, Response};
 use crate::socket::{Cut, Got, Socket};
+use millrudder_exchange::clock::span;
 use std::io;
 
 const READ_SIZE: usize = 2048;
@@ -40,7 +40,7 @@
         let next = match socket.try_read(&mut buffer)? {
             Got::Bytes(n) => {
                 decoder.push(&buffer[..n]);
-                decoder.next()
+                decoder.next_message()
             }
             Got::End => decoder.finish().and_then(|r| r.ok_or(FrameError::CutShort).map(Some)),
             Got::Nothing if cut.is_done() => return Err(io::ErrorKind::TimedOut.into()),
--- a/dispatcher/src/http/decode.rs
+++ b/wire/src/http/decode.rs
@@ -222,7 +222,7 @@
     }
 
     /// The next message, once whole. After an error the connection cannot be read on.
-    pub fn next(&mut self) -> Framed<Option<M>> {
+    pub fn next_message(&mut self) -> Framed<Option<M>> {
         while self.open.is_none() {
             match self.read_head()? {
                 Some(open) if open.message.is_interim() => {}
--- a/dispatcher/src/http/tests.rs
+++ b/wire/src/http/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::random::{cuts, garbage};
+use millrudder_testing::{cuts, garbage};
 
 const CHUNKED: &[u8] = b"POST /api?x=1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\nX-Trace-Id: ab\r\n\r\n\
     5;e=1\r\nhello\r\n1\r\n!\r\n0\r\nX-Sum: 1\r\n\r\n";
@@ -9,7 +9,7 @@
     let (mut decoder, mut found) = (Decoder::default(), Vec::new());
     for part in parts {
         decoder.push(part);
-        while let Some(message) = decoder.next()? {
+        while let Some(message) = decoder.next_message()? {
             found.push(message);
         }
     }
@@ -99,11 +99,11 @@
 fn a_client_that_waits_for_continue_is_told_once() {
     let mut decoder = Decoder::<Request>::default();
     decoder.push(b"POST /api HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
-    assert_eq!(decoder.next(), Ok(None));
+    assert_eq!(decoder.next_message(), Ok(None));
     assert!(decoder.take_expectation());
     assert!(!decoder.take_expectation());
     decoder.push(b"ok");
-    assert_eq!(decoder.next().unwrap().unwrap().body, b"ok");
+    assert_eq!(decoder.next_message().unwrap().unwrap().body, b"ok");
     assert!(decoder.is_idle());
 }
 
--- a/dispatcher/src/transport_map/list.rs
+++ b/wire/src/list.rs
@@ -1,7 +1,7 @@
 //! Discovery's JSON to entries of the transport map.
 
-use crate::exchange::{HopState, MapEntry, MapNews};
 use crate::json::{JsonError, Node};
+use millrudder_exchange::{HopState, MapEntry, MapNews};
 
 #[derive(Clone, Debug, PartialEq)]
 pub struct List {
@@ -48,7 +48,7 @@
 mod tests {
     use super::*;
     use crate::json;
-    use crate::random::garbage;
+    use millrudder_testing::garbage;
 
     const LIST: &str = r#"{"generation":43,"reset":false,"instances":[{"instanceId":"s-1",
         "hostPort":"127.0.0.9:7070","zone":"z","machineType":"m","cell":3,"lifecycle":"leaving","startedAtMs":0},
--- a/dispatcher/src/next_hop/report.rs
+++ b/wire/src/report.rs
@@ -1,8 +1,8 @@
 //! Load reports of next hops, in whichever of the protocol's forms they come.
 
-use crate::exchange::LoadReport;
 use crate::http::Response;
 use crate::json::{self, JsonError, Node};
+use millrudder_exchange::LoadReport;
 use tinyjson::JsonValue;
 
 const HEADER: &str = "endpoint-load-metrics";
@@ -37,12 +37,12 @@
     }
 }
 
-pub(super) fn of_response(response: &Response) -> Option<LoadReport> {
+pub fn of_response(response: &Response) -> Option<LoadReport> {
     response.headers.get(HEADER).and_then(read_text)
 }
 
 /// A probe's report is its body; an object or the header's text.
-pub(super) fn of_probe(response: &Response) -> Option<LoadReport> {
+pub fn of_probe(response: &Response) -> Option<LoadReport> {
     let header = of_response(response);
     header.or_else(|| {
         let document = json::parse(&response.body).ok();
@@ -56,7 +56,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use crate::random::garbage;
+    use millrudder_testing::garbage;
 
     const TEXT: &str = "TEXT inflight=7, queue=2, util=0.61";
 
