--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a developer does with this repository. CI calls `make lint`, `make test` and `make build`.
 
-.PHONY: build test lint run
+.PHONY: build test lint run demo bench
 
 build:
 	cargo build --release --locked
@@ -15,3 +15,13 @@
 # Needs NODE_CONFIG (and may take NODE_LISTEN, NODE_DISCOVERY, NODE_NAME): see the README.
 run: build
 	exec target/release/millrudder
+
+# Stand-in workers, a dispatcher with both fronts and a small load, in one process, until Ctrl-C.
+demo:
+	cargo run --release --locked -- demo
+
+# Jobs a second, added latency and memory, both fronts in one run; minutes, and nothing else should run. BEFORE may
+# name another build to compare with: make bench BEFORE="taskset -c 0 path/to/millrudder".
+bench: build
+	cargo build --release --locked -p millrudder-standins
+	taskset -c 1-3 target/release/millrudder-bench $(if $(BEFORE),--before "$(BEFORE)")
--- /dev/null
+++ b/admission/src/admission.rs
@@ -0,0 +1,122 @@
+//! Places and bytes together: a job gets both or neither.
+
+use crate::pool::Pool;
+
+/// Advice with a refusal lies between these (ms): sooner would only be refused again, later than a claim counts.
+const SOONEST_MS: f64 = 50.0;
+const LATEST_MS: f64 = 900.0;
+/// Before anything has ended, nothing is known of how fast places become free (ms).
+const FIRST_ADVICE_MS: f64 = 500.0;
+/// Of the mean time between two ends, the weight of the newest: about the last 32 count.
+const NEWEST: f64 = 1.0 / 32.0;
+
+/// How much there is to share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Jobs that may be here at once.
+    pub places: u64,
+    /// Bytes of their bodies.
+    pub bytes: u64,
+}
+
+/// One job's place and bytes. Has to be given back, once: it can be neither copied nor made elsewhere.
+#[derive(Debug)]
+#[must_use = "what is held has to be given back"]
+pub struct Held {
+    front: usize,
+    bytes: u64,
+}
+
+/// What was lacking.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lack {
+    Places,
+    Bytes,
+}
+
+/// No room now.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Refused {
+    pub lack: Lack,
+    /// When to come back: about when what is claimed before will have become free (ms from now).
+    pub retry_after: f64,
+}
+
+/// What one front holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Usage {
+    pub places: u64,
+    pub bytes: u64,
+    /// Places that it has a right to.
+    pub share: u64,
+}
+
+pub struct Admission {
+    places: Pool,
+    bytes: Pool,
+    last_end: Option<f64>,
+    /// Mean time between two ends of jobs (ms).
+    gap: Option<f64>,
+}
+
+impl Admission {
+    /// `weights`: one for each front, which is known by its place in this list.
+    pub fn new(capacity: Capacity, weights: &[u32]) -> Self {
+        Admission {
+            places: Pool::new(capacity.places, weights),
+            bytes: Pool::new(capacity.bytes, weights),
+            last_end: None,
+            gap: None,
+        }
+    }
+
+    /// Takes a place and so many bytes.
+    ///
+    /// # Errors
+    /// What is lacking, and when to come back. The refusal counts as a claim for [`crate::CLAIM_LIFE_MS`].
+    pub fn take(&mut self, front: usize, bytes: u64, now: f64) -> Result<Held, Refused> {
+        let lack = match () {
+            () if !self.places.has_room(front, 1, now) => Lack::Places,
+            () if !self.bytes.has_room(front, bytes, now) => Lack::Bytes,
+            () => {
+                self.places.take(front, 1);
+                self.bytes.take(front, bytes);
+                return Ok(Held { front, bytes });
+            }
+        };
+        let retry_after = self.advice(now);
+        match lack {
+            Lack::Places => self.places.claim(front, 1, now),
+            Lack::Bytes => self.bytes.claim(front, bytes, now),
+        }
+        Err(Refused { lack, retry_after })
+    }
+
+    pub fn give_back(&mut self, held: Held, now: f64) {
+        self.places.give_back(held.front, 1);
+        self.bytes.give_back(held.front, held.bytes);
+        if let Some(last) = self.last_end.replace(now) {
+            let gap = (now - last).max(0.0);
+            self.gap = Some(self.gap.map_or(gap, |mean| mean + (gap - mean) * NEWEST));
+        }
+    }
+
+    /// New weights, for the same fronts: what is held stays where it is.
+    pub fn set_weights(&mut self, weights: &[u32]) {
+        self.places.set_weights(weights);
+        self.bytes.set_weights(weights);
+    }
+
+    pub fn usage(&self, front: usize) -> Usage {
+        Usage {
+            places: self.places.used(front),
+            bytes: self.bytes.used(front),
+            share: self.places.share(front),
+        }
+    }
+
+    fn advice(&self, now: f64) -> f64 {
+        let ahead = self.places.claims(now) + 1;
+        self.gap.map_or(FIRST_ADVICE_MS, |gap| (gap * ahead as f64).clamp(SOONEST_MS, LATEST_MS))
+    }
+}
--- a/config/src/lib.rs
+++ b/config/src/lib.rs
@@ -1,11 +1,15 @@
 //! The one place that reads the environment and `NODE_CONFIG`, checks them and fills in defaults.
 
 mod reload;
+pub mod settings;
+mod shares;
 
 use millrudder as mr;
+use millrudder_exchange::intake::Class;
 use millrudder_wire::json::{self, JsonError, Node};
 use millrudder_wire::list::{read_list, List};
 pub use reload::Source;
+pub use shares::{GrpcBudget, Shares};
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
@@ -105,6 +109,16 @@
 }
 
 impl Config {
+    /// The classes as fronts know them.
+    pub fn classes(&self) -> Vec<Class> {
+        let class = |(name, class): (&String, &mr::Class)| Class {
+            name: name.clone(),
+            keyed: class.effect == mr::Effect::Deduplicated,
+            limit: class.deadline,
+        };
+        self.names.classes.iter().zip(&self.settings.classes).map(class).collect()
+    }
+
     /// The configuration at the start, and where to read it again.
     pub fn load() -> Result<(Self, Source), ConfigError> {
         let environment: HashMap<String, String> = VARIABLES
@@ -117,6 +131,14 @@
         Ok((config, Source::new(path, environment, &bytes)?))
     }
 
+    /// A configuration that names everything itself, without an environment.
+    ///
+    /// # Errors
+    /// As for a file.
+    pub fn from_json(bytes: &[u8]) -> Result<Self, ConfigError> {
+        Config::read(bytes, |_| None)
+    }
+
     /// What the environment names stands before the file: it is what the platform sets at each start.
     fn read(bytes: &[u8], environment: impl Fn(&str) -> Option<String>) -> Result<Self, ConfigError> {
         let document = json::parse(bytes)?;
--- /dev/null
+++ b/config/src/settings/mod.rs
@@ -0,0 +1,380 @@
+//! The operators' own settings: a YAML file, `deploy/millrudder.yaml` by custom, named by `--settings` or
+//! `MILLRUDDER_SETTINGS`. Without one every default below holds, which is the platform's deployment.
+//!
+//! Everything unknown, doubled, mistyped or without its unit is an error that names file, line and key.
+
+mod units;
+
+use millrudder_exchange::Front;
+use serde::Deserialize;
+use std::fmt;
+use std::path::{Path, PathBuf};
+pub use units::{Address, Count, Size, Span};
+
+/// The variable that names the file where no flag does.
+pub const VARIABLE: &str = "MILLRUDDER_SETTINGS";
+/// A file beyond this is none of ours (bytes).
+const FILE_LIMIT: u64 = 1024 * 1024;
+
+pub type Weight = Count<1, 1_000>;
+
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Settings {
+    pub fronts: Fronts,
+    pub admission: Admission,
+    pub log: Log,
+}
+
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Fronts {
+    pub http: Http,
+    /// Absent: the front is off.
+    pub grpc: Option<Grpc>,
+}
+
+/// The platform's HTTP/1.1 front.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Http {
+    /// Stands before the platform's address; absent: the platform's.
+    pub listen: Option<Address>,
+    /// Its share of the places beside the other fronts' weights.
+    pub weight: Weight,
+    pub limits: HttpLimits,
+}
+
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct HttpLimits {
+    /// Inbound connections, call-backs included; absent: what the budget of descriptors leaves.
+    pub connections: Option<Count<16, 100_000>>,
+}
+
+/// The gRPC front.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Grpc {
+    pub listen: Address,
+    #[serde(default = "one")]
+    pub weight: Weight,
+    #[serde(default)]
+    pub limits: GrpcLimits,
+}
+
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct GrpcLimits {
+    /// Client connections; they come out of the budget of descriptors.
+    pub connections: Count<1, 10_000>,
+    /// Calls at once on one connection (HTTP/2's SETTINGS_MAX_CONCURRENT_STREAMS).
+    pub streams: Count<1, 10_000>,
+    /// A call's headers, decoded (SETTINGS_MAX_HEADER_LIST_SIZE).
+    pub header_list: Size<1_024, 262_144>,
+    /// From connecting to a whole preface, and from a call's headers to its last byte.
+    pub request_time: Span<100, 60_000>,
+    /// For the client to take what has been answered.
+    pub answer_time: Span<100, 600_000>,
+    /// A connection without a call for so long is told to go away.
+    pub idle_time: Span<1_000, 86_400_000>,
+    /// Frames a second beyond those that calls bring with them: PING, SETTINGS, PRIORITY, empty DATA, unknown ones.
+    pub control_frames: Count<10, 100_000>,
+}
+
+/// What fronts share.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Admission {
+    /// Jobs here at once, over all fronts; absent: the places for jobs of the budget of descriptors.
+    pub jobs: Option<Count<1, 1_000_000>>,
+    /// Their bodies; absent: half of what the budget of memory gives to buffers.
+    pub bodies: Option<Size<65_536, 1_099_511_627_776>>,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Log {
+    pub format: LogFormat,
+    pub level: LogLevel,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "lowercase")]
+pub enum LogFormat {
+    #[default]
+    Text,
+    Json,
+}
+
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Eq, PartialOrd, Ord)]
+#[serde(rename_all = "lowercase")]
+pub enum LogLevel {
+    Error,
+    Warning,
+    #[default]
+    Info,
+    Debug,
+}
+
+fn one() -> Weight {
+    Weight::of(1)
+}
+
+impl Default for Http {
+    fn default() -> Self {
+        Http { listen: None, weight: one(), limits: HttpLimits::default() }
+    }
+}
+
+impl Default for GrpcLimits {
+    fn default() -> Self {
+        GrpcLimits {
+            connections: Count::of(64),
+            streams: Count::of(128),
+            header_list: Size::of_bytes(16 * 1024),
+            request_time: Span::of_ms(2_200),
+            answer_time: Span::of_ms(5_000),
+            idle_time: Span::of_ms(600_000),
+            control_frames: Count::of(200),
+        }
+    }
+}
+
+/// What is wrong with a settings file, and where.
+#[derive(Clone, Debug, PartialEq)]
+pub struct SettingsError {
+    file: PathBuf,
+    /// Line and column, from 1; none if the file could not be read at all.
+    place: Option<(u64, u64)>,
+    key: String,
+    problem: String,
+}
+
+impl fmt::Display for SettingsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.file.display())?;
+        if let Some((line, column)) = self.place {
+            write!(f, ":{line}:{column}")?;
+        }
+        if !self.key.is_empty() {
+            write!(f, ": key {}", self.key)?;
+        }
+        write!(f, ": {}", self.problem)
+    }
+}
+
+impl std::error::Error for SettingsError {}
+
+impl Settings {
+    /// Reads and checks a file. It blocks: not for coroutines.
+    ///
+    /// # Errors
+    /// The file cannot be read, is no YAML, or a key or value in it cannot be used.
+    pub fn load(file: &Path) -> Result<Self, SettingsError> {
+        let unread = |problem: String| SettingsError {
+            file: file.to_owned(),
+            place: None,
+            key: String::new(),
+            problem,
+        };
+        let size = std::fs::metadata(file).map_err(|e| unread(format!("cannot be read: {e}")))?.len();
+        if size > FILE_LIMIT {
+            return Err(unread(format!("{size} bytes are too many for settings, {FILE_LIMIT} are the most")));
+        }
+        let text = std::fs::read_to_string(file).map_err(|e| unread(format!("cannot be read: {e}")))?;
+        Settings::read(&text, file)
+    }
+
+    /// `file`: for messages.
+    ///
+    /// # Errors
+    /// As for [`Settings::load`].
+    pub fn read(text: &str, file: &Path) -> Result<Self, SettingsError> {
+        if text.lines().all(|line| line.trim().is_empty() || line.trim_start().starts_with('#')) {
+            return Ok(Settings::default());
+        }
+        let mut key = String::new();
+        let options = serde_saphyr::options! { with_snippet: false };
+        let read = serde_saphyr::with_deserializer_from_str_with_options(text, options, |de| {
+            serde_path_to_error::deserialize(de).map_err(|error| {
+                key = error.path().to_string();
+                error.into_inner()
+            })
+        });
+        read.map_err(|error| {
+            let place = error.location().filter(|l| l.line() > 0).map(|l| (l.line(), l.column()));
+            let (key, problem) = explain(&key, &error);
+            SettingsError { file: file.to_owned(), place, key, problem }
+        })
+    }
+
+    /// The fronts in use, each with its weight.
+    pub fn weights(&self) -> Vec<(Front, u32)> {
+        let http = (Front::Http, self.fronts.http.weight.get() as u32);
+        let grpc = self.fronts.grpc.as_ref().map(|grpc| (Front::Grpc, grpc.weight.get() as u32));
+        std::iter::once(http).chain(grpc).collect()
+    }
+
+    /// Keys that differ and wait for the next start; the others are applied while running.
+    pub fn waiting(&self, newer: &Settings) -> Vec<&'static str> {
+        let (old, new) = (&self.fronts, &newer.fronts);
+        let grpc = |fronts: &Fronts| fronts.grpc.as_ref().map(|g| (g.listen, g.limits.clone()));
+        let differing = [
+            ("fronts.http.listen", old.http.listen != new.http.listen),
+            ("fronts.http.limits", old.http.limits != new.http.limits),
+            ("fronts.grpc", grpc(old) != grpc(new)),
+            ("admission", self.admission != newer.admission),
+            ("log.format", self.log.format != newer.log.format),
+        ];
+        differing.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
+    }
+}
+
+/// The key and the problem in the operators' words.
+fn explain(path: &str, error: &serde_saphyr::Error) -> (String, String) {
+    use serde_saphyr::Error;
+    let path = if path == "." { "" } else { path };
+    let within = |key: &str| match path.rsplit_once('.') {
+        _ if path.is_empty() => key.to_owned(),
+        // Depending on where it is met, the path ends with the key itself.
+        Some((parent, last)) if last == key || last == "?" => format!("{parent}.{key}"),
+        None if path == key || path == "?" => key.to_owned(),
+        _ => format!("{path}.{key}"),
+    };
+    match error.without_snippet() {
+        Error::SerdeUnknownField { field, expected, .. } => {
+            let near = match nearest(field, expected) {
+                Some(near) => format!("did you mean {near}?"),
+                None => format!("known here: {}", expected.join(", ")),
+            };
+            (within(field), format!("unknown key; {near}"))
+        }
+        Error::SerdeUnknownVariant { variant, expected, .. } => {
+            let near =
+                nearest(variant, expected).map_or(String::new(), |near| format!(", did you mean {near}?"));
+            (path.to_owned(), format!("{variant:?} is none of {}{near}", expected.join(", ")))
+        }
+        Error::SerdeMissingField { field, .. } => (within(field), "missing".to_owned()),
+        Error::DuplicateMappingKey { key: Some(key), .. } => (within(key), "given twice".to_owned()),
+        other => {
+            let text = other.to_string();
+            let at = text.rfind(" at line ").unwrap_or(text.len());
+            (path.to_owned(), text[..at].lines().next().unwrap_or_default().to_owned())
+        }
+    }
+}
+
+/// The known word that was most likely meant, if one is near enough.
+fn nearest<'a>(word: &str, known: &[&'a str]) -> Option<&'a str> {
+    let far = |other: &&str| strsim::damerau_levenshtein(&word.to_lowercase(), &other.to_lowercase());
+    known.iter().copied().min_by_key(far).filter(|near| far(near) <= 1 + near.len() / 4)
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn read(text: &str) -> Result<Settings, String> {
+        Settings::read(text, Path::new("m.yaml")).map_err(|e| e.to_string())
+    }
+
+    const WHOLE: &str = "\
+fronts:
+  http:
+    weight: 3
+    limits: {connections: 200}
+  grpc:
+    listen: 127.0.0.1:7071
+    weight: 2
+    limits:
+      streams: 64
+      header_list: 8 KiB
+      request_time: 1500 ms
+      answer_time: 2.5 s
+      idle_time: 5 min
+admission:
+  jobs: 400
+  bodies: 16 MiB
+log: {format: json, level: warning}
+";
+
+    #[test]
+    fn values_carry_their_units() {
+        let settings = read(WHOLE).unwrap();
+        let grpc = settings.fronts.grpc.as_ref().unwrap();
+        assert_eq!(
+            (grpc.listen.0.port(), grpc.weight.get(), settings.fronts.http.weight.get()),
+            (7071, 2, 3)
+        );
+        assert_eq!((grpc.limits.streams.get(), grpc.limits.header_list.bytes()), (64, 8192));
+        let times = [grpc.limits.request_time.ms(), grpc.limits.answer_time.ms(), grpc.limits.idle_time.ms()];
+        assert_eq!(times, [1_500.0, 2_500.0, 300_000.0]);
+        assert_eq!(grpc.limits.connections, GrpcLimits::default().connections, "what is left out is default");
+        assert_eq!(settings.admission.bodies.map(Size::bytes), Some(16 << 20));
+        assert_eq!((settings.log.format, settings.log.level), (LogFormat::Json, LogLevel::Warning));
+    }
+
+    #[test]
+    fn nothing_set_is_the_platforms_deployment() {
+        for text in ["", "# nothing yet\n\n", "fronts: {}\n", "log: {}"] {
+            assert_eq!(read(text), Ok(Settings::default()), "{text:?}");
+        }
+        assert!(Settings::default().fronts.grpc.is_none());
+    }
+
+    #[test]
+    fn an_error_names_file_line_key_and_what_was_meant() {
+        for (from, to, expected) in [
+            ("listen:", "lisen:", "m.yaml:6:5: key fronts.grpc.lisen: unknown key; did you mean listen?"),
+            ("admission:", "admision:", "m.yaml:14:1: key admision: unknown key; did you mean admission?"),
+            (
+                "streams: 64",
+                "zzz: 64",
+                "m.yaml:9:7: key fronts.grpc.limits.zzz: unknown key; known here: conn",
+            ),
+            ("1500 ms", "1500", "m.yaml:11:21: key fronts.grpc.limits.request_time: \"1500\" has no unit"),
+            ("1500 ms", "1500 mss", "unknown unit \"mss\", did you mean ms?"),
+            (
+                "1500 ms",
+                "1500 s",
+                "key fronts.grpc.limits.request_time: \"1500 s\" is outside 100 ms to 1 min",
+            ),
+            ("8 KiB", "8 kb", "key fronts.grpc.limits.header_list: \"8 kb\": unknown unit \"kb\""),
+            ("8 KiB", "8 GiB", "is outside 1 KiB to 256 KiB"),
+            ("weight: 3", "weight: 0", "m.yaml:3:13: key fronts.http.weight: 0 is outside 1 to 1000"),
+            ("weight: 3", "weight: much", "m.yaml:3:13: key fronts.http.weight: "),
+            (
+                "127.0.0.1:7071",
+                "localhost",
+                "key fronts.grpc.listen: \"localhost\" is not an address with a port",
+            ),
+            ("    listen: 127.0.0.1:7071\n", "", "key fronts.grpc.listen: missing"),
+            ("json", "jsn", "key log.format: \"jsn\" is none of text, json, did you mean json?"),
+            ("weight: 2", "weight: 2\n    weight: 4", "key fronts.grpc.weight: given twice"),
+            ("fronts:", "fronts: [", "m.yaml:"),
+        ] {
+            let error = read(&WHOLE.replacen(from, to, 1)).unwrap_err();
+            assert!(error.contains(expected), "{expected:?} in {error:?}");
+        }
+    }
+
+    #[test]
+    fn weights_and_level_change_while_running_and_the_rest_waits() {
+        let old = read(WHOLE).unwrap();
+        let live = read(&WHOLE.replace("weight: 2", "weight: 5").replace("warning", "debug")).unwrap();
+        assert_eq!(old.waiting(&live), [""; 0]);
+        let later = WHOLE.replace("7071", "7072").replace("jobs: 400", "jobs: 9").replace("json", "text");
+        assert_eq!(old.waiting(&read(&later).unwrap()), ["fronts.grpc", "admission", "log.format"]);
+    }
+
+    #[test]
+    fn garbage_is_an_error_not_a_panic() {
+        millrudder_testing::garbage(21, WHOLE.as_bytes(), |bytes| {
+            let _ = std::str::from_utf8(bytes).map(read);
+        });
+        let deep = format!("fronts: {}", "[".repeat(50_000));
+        assert!(read(&deep).is_err());
+        assert!(read("a: &a [1]\nb: &b [*a,*a]\nc: [*b,*b]\n").is_err(), "aliases do not multiply");
+    }
+}
--- /dev/null
+++ b/config/src/settings/units.rs
@@ -0,0 +1,159 @@
+//! Values with units and ranges, as the operators write them: `5 s`, `64 KiB`, `128`.
+
+use serde::de::{Deserialize, Deserializer, Error};
+use std::fmt;
+use std::net::SocketAddr;
+
+const SPANS: [(&str, f64); 5] = [("us", 0.001), ("ms", 1.0), ("s", 1e3), ("min", 6e4), ("h", 3.6e6)];
+const SIZES: [(&str, u64); 4] = [("B", 1), ("KiB", 1 << 10), ("MiB", 1 << 20), ("GiB", 1 << 30)];
+
+/// A time between `LEAST` and `MOST` milliseconds.
+#[derive(Clone, Copy, PartialEq)]
+pub struct Span<const LEAST: u64, const MOST: u64>(f64);
+
+impl<const LEAST: u64, const MOST: u64> Span<LEAST, MOST> {
+    /// For defaults, which are within their ranges by the tests.
+    pub const fn of_ms(ms: u64) -> Self {
+        assert!(LEAST <= ms && ms <= MOST);
+        Span(ms as f64)
+    }
+
+    pub fn ms(self) -> f64 {
+        self.0
+    }
+}
+
+/// A number of bytes between `LEAST` and `MOST`.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Size<const LEAST: u64, const MOST: u64>(u64);
+
+impl<const LEAST: u64, const MOST: u64> Size<LEAST, MOST> {
+    pub const fn of_bytes(bytes: u64) -> Self {
+        assert!(LEAST <= bytes && bytes <= MOST);
+        Size(bytes)
+    }
+
+    pub fn bytes(self) -> u64 {
+        self.0
+    }
+}
+
+/// A whole number between `LEAST` and `MOST`.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub struct Count<const LEAST: u64, const MOST: u64>(u64);
+
+impl<const LEAST: u64, const MOST: u64> Count<LEAST, MOST> {
+    pub const fn of(n: u64) -> Self {
+        assert!(LEAST <= n && n <= MOST);
+        Count(n)
+    }
+
+    pub fn get(self) -> u64 {
+        self.0
+    }
+}
+
+/// An address with its port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Address(pub SocketAddr);
+
+impl<const LEAST: u64, const MOST: u64> fmt::Debug for Span<LEAST, MOST> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ms", self.0)
+    }
+}
+
+impl<const LEAST: u64, const MOST: u64> fmt::Debug for Size<LEAST, MOST> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} B", self.0)
+    }
+}
+
+impl<const LEAST: u64, const MOST: u64> fmt::Debug for Count<LEAST, MOST> {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// A number and what stands behind it.
+fn split(text: &str) -> (&str, &str) {
+    let text = text.trim();
+    let end = text.find(|c: char| !(c.is_ascii_digit() || c == '.')).unwrap_or(text.len());
+    (&text[..end], text[end..].trim_start())
+}
+
+/// The number in terms of the smallest unit, or what is wrong.
+fn read(text: &str, units: &[(&str, f64)], what: &str) -> Result<f64, String> {
+    let (number, unit) = split(text);
+    let names: Vec<&str> = units.iter().map(|(name, _)| *name).collect();
+    let wanted = || format!("{what} is wanted: a number and one of {}", names.join(", "));
+    let Ok(number) = number.parse::<f64>() else {
+        return Err(format!("{text:?}: {}", wanted()));
+    };
+    if unit.is_empty() {
+        return Err(format!("{text:?} has no unit: {}", wanted()));
+    }
+    match units.iter().find(|(name, _)| *name == unit) {
+        Some((_, scale)) => Ok(number * scale),
+        None => match super::nearest(unit, &names) {
+            Some(near) => Err(format!("{text:?}: unknown unit {unit:?}, did you mean {near}?")),
+            None => Err(format!("{text:?}: unknown unit {unit:?}, {}", wanted())),
+        },
+    }
+}
+
+fn show_span(ms: u64) -> String {
+    let fits = |(_, scale): &&(&str, f64)| ms as f64 / scale >= 1.0 && (ms as f64 / scale).fract() == 0.0;
+    let (name, scale) = SPANS.iter().rev().find(fits).unwrap_or(&SPANS[1]);
+    format!("{} {name}", ms as f64 / scale)
+}
+
+fn show_size(bytes: u64) -> String {
+    let (name, scale) =
+        SIZES.iter().rev().find(|(_, s)| bytes >= *s && bytes.is_multiple_of(*s)).unwrap_or(&SIZES[0]);
+    format!("{} {name}", bytes / scale)
+}
+
+impl<'de, const LEAST: u64, const MOST: u64> Deserialize<'de> for Span<LEAST, MOST> {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        let ms = read(&text, &SPANS, "a time").map_err(D::Error::custom)?;
+        if ms < LEAST as f64 || ms > MOST as f64 {
+            let (least, most) = (show_span(LEAST), show_span(MOST));
+            return Err(D::Error::custom(format!("{text:?} is outside {least} to {most}")));
+        }
+        Ok(Span(ms))
+    }
+}
+
+impl<'de, const LEAST: u64, const MOST: u64> Deserialize<'de> for Size<LEAST, MOST> {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        let units = SIZES.map(|(name, scale)| (name, scale as f64));
+        let bytes = read(&text, &units, "a size").map_err(D::Error::custom)?;
+        if bytes < LEAST as f64 || bytes > MOST as f64 {
+            let (least, most) = (show_size(LEAST), show_size(MOST));
+            return Err(D::Error::custom(format!("{text:?} is outside {least} to {most}")));
+        }
+        Ok(Size(bytes as u64))
+    }
+}
+
+impl<'de, const LEAST: u64, const MOST: u64> Deserialize<'de> for Count<LEAST, MOST> {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let n = u64::deserialize(from)?;
+        if !(LEAST..=MOST).contains(&n) {
+            return Err(D::Error::custom(format!("{n} is outside {LEAST} to {MOST}")));
+        }
+        Ok(Count(n))
+    }
+}
+
+impl<'de> Deserialize<'de> for Address {
+    fn deserialize<D: Deserializer<'de>>(from: D) -> Result<Self, D::Error> {
+        let text = String::deserialize(from)?;
+        let wrong =
+            |_| D::Error::custom(format!("{text:?} is not an address with a port, like 127.0.0.1:7071"));
+        text.parse().map(Address).map_err(wrong)
+    }
+}
--- a/core/src/dispatch/jobs.rs
+++ b/core/src/dispatch/jobs.rs
@@ -43,6 +43,11 @@
         self.0.take()
     }
 
+    /// Where the answer will go.
+    pub fn owed(&self) -> Option<&Reply> {
+        self.0.as_ref()
+    }
+
     /// Answered, or the client has gone.
     pub fn is_settled(&self) -> bool {
         self.0.is_none()
@@ -191,7 +196,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use millrudder_exchange::{Answer, Failure, Verbatim};
+    use millrudder_exchange::{Answer, Failure, Front, Verbatim};
 
     fn entry() -> Entry {
         let verbatim = Verbatim {
@@ -202,6 +207,7 @@
             content_type: None,
         };
         let job = Job {
+            front: Front::Http,
             trace_id: "t1".to_owned(),
             class: "c".to_owned(),
             slots: 1.0,
--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -16,7 +16,7 @@
 use millrudder_exchange::shutdown::Stopping;
 use millrudder_exchange::{
     Answer, AttemptEnd, AttemptId, Exchange, Failure, HopId, Job, JobNews, JobState, LoadReport, MapNews,
-    Message, Reply, Ticket,
+    Message, Progress, Reply, Ticket,
 };
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -144,6 +144,7 @@
         self.counters.taken.add();
         let request = translate::request(&self.names, ticket, &job);
         self.timers.arm(job.deadline, Due::Deadline(ticket));
+        reply.note(|progress| progress.accepted = true);
         self.jobs.insert(ticket, Entry::new(job, reply));
         self.feed(mr::Event::Request(request));
     }
@@ -169,10 +170,17 @@
         match news.state {
             JobState::Started => {
                 if self.jobs.note_start(attempt) {
+                    self.tell(id, |progress| {
+                        progress.starts += 1;
+                        progress.share = 0.0;
+                    });
                     self.feed(mr::Event::Started { id, attempt: number });
                 }
             }
-            JobState::Running { share } => self.feed(mr::Event::Progress { id, attempt: number, share }),
+            JobState::Running { share } => {
+                self.tell(id, |progress| progress.share = share.clamp(0.0, 1.0));
+                self.feed(mr::Event::Progress { id, attempt: number, share });
+            }
             JobState::Done { result } => {
                 self.answer(id, Answer::Served { result });
                 self.settle(attempt, mr::Outcome::Ok, news.load.as_ref());
@@ -232,6 +240,13 @@
         });
     }
 
+    /// Whoever follows the job sees how far it has come.
+    fn tell(&mut self, ticket: Ticket, change: impl FnOnce(&mut Progress)) {
+        if let Some(reply) = self.jobs.get_mut(ticket).and_then(|entry| entry.reply.owed()) {
+            reply.note(change);
+        }
+    }
+
     /// Gives the one answer; false if it was given before or the client has gone.
     fn answer(&mut self, ticket: Ticket, answer: Answer) -> bool {
         let Some(reply) = self.jobs.get_mut(ticket).and_then(|entry| entry.reply.take_owed()) else {
--- a/core/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -133,7 +133,7 @@
 mod tests {
     use super::*;
     use may::sync::mpsc::Receiver;
-    use millrudder_exchange::{AttemptEnd, Message, Verbatim};
+    use millrudder_exchange::{AttemptEnd, Front, Message, Verbatim};
     use std::io::{Read, Write};
     use std::net::{TcpListener, TcpStream};
 
@@ -156,7 +156,15 @@
         };
         let deadline = clock.now() + 600_000.0;
         let (trace_id, class) = ("9b1f".to_owned(), "c".to_owned());
-        let job = Arc::new(Job { trace_id, class, slots: 1.0, memory: 0.0, deadline, verbatim });
+        let job = Arc::new(Job {
+            front: Front::Http,
+            trace_id,
+            class,
+            slots: 1.0,
+            memory: 0.0,
+            deadline,
+            verbatim,
+        });
         hops.deliver(ATTEMPT, hop, job.clone(), deadline);
         let mut peer = listener.accept().unwrap().0;
         assert!(read_to(&mut peer, "body").starts_with("POST /api HTTP/1.1"));
--- /dev/null
+++ b/dispatcher/src/demo.rs
@@ -0,0 +1,169 @@
+//! `millrudder demo`: stand-ins, a dispatcher and a small load in one process.
+
+use crate::cli::Demo;
+use crate::serve::{self, Setup};
+use crate::{logging, signals};
+use millrudder_config::settings::{Log, LogLevel, Settings};
+use millrudder_config::Config;
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::{Exchange, Message};
+use millrudder_standins::load::{Kind, Load, Protocol, Seen};
+use millrudder_standins::{settings as node, Fleet, Plan};
+use std::path::Path;
+use std::process::ExitCode;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{mpsc, Arc};
+use std::time::{Duration, Instant};
+
+const LIVE_EVERY: Duration = Duration::from_secs(1);
+/// A counter waits this long for its answer.
+const DEADLINE: Duration = Duration::from_secs(5);
+const BODY: usize = 200;
+
+pub fn run(demo: &Demo) -> ExitCode {
+    match start(demo) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(problem) => {
+            eprintln!("demo: {problem}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(demo: &Demo) -> Result<(), String> {
+    // The figures below are what a person came to see: only warnings beside them.
+    let (log, guard, threshold) = logging::start(Log { level: LogLevel::Warning, ..Log::default() });
+    let signals = signals::catch().map_err(|e| format!("signals: {e}"))?;
+    let plan = Plan { workers: usize::from(demo.workers), seed: demo.seed, ..Plan::default() };
+    let fleet = Fleet::start(plan).map_err(|e| format!("stand-ins: {e}"))?;
+    let discovery = fleet.attach(demo.http).map_err(|e| format!("stand-ins: {e}"))?;
+    let text = node::node_config(demo.http, discovery, demo.seed).to_string();
+    let config = Config::from_json(text.as_bytes()).map_err(|e| e.to_string())?;
+    let yaml = format!("fronts: {{grpc: {{listen: '{}'}}}}", demo.grpc);
+    let settings = Settings::read(&yaml, Path::new("demo")).map_err(|e| e.to_string())?;
+    let counters = Arc::new(Counters::default());
+    serve::start_coroutines();
+
+    println!("{} workers (stand-ins), discovery {discovery}", demo.workers);
+    println!("HTTP/1.1  http://{}/api  (also /ready and /counters)", demo.http);
+    println!("gRPC      {}  millrudder.v1.Jobs (reflection and health are on)", demo.grpc);
+    let over = Arc::new(AtomicBool::new(false));
+    let (live, lived) = (Live::new(demo, fleet.handle(), over.clone()), mpsc::channel());
+    let setup = Setup { config, settings, files: None, signals, threshold, counters, log };
+    let outcome = serve::serve(setup, |exchange| {
+        let exchange = exchange.clone();
+        std::thread::spawn(move || drop(lived.0.send(live.run(&exchange))));
+    });
+    over.store(true, Ordering::Release);
+    outcome?;
+    if let Ok(summary) = lived.1.recv_timeout(DEADLINE) {
+        summary.print(&fleet);
+    }
+    drop(guard);
+    Ok(())
+}
+
+/// The load and the figures while it runs.
+struct Live {
+    runtime: tokio::runtime::Handle,
+    kinds: Vec<Kind>,
+    rate: f64,
+    seed: u64,
+    until: Option<Duration>,
+    over: Arc<AtomicBool>,
+}
+
+struct Summary(Vec<(&'static str, Seen)>);
+
+fn name(protocol: Protocol) -> &'static str {
+    match protocol {
+        Protocol::Http => "HTTP/1.1",
+        Protocol::Grpc => "gRPC",
+    }
+}
+
+impl Live {
+    fn new(demo: &Demo, runtime: tokio::runtime::Handle, over: Arc<AtomicBool>) -> Self {
+        let kind = |protocol, to, name: &str| Kind {
+            protocol,
+            to,
+            deadline: DEADLINE,
+            body: BODY,
+            name: name.to_owned(),
+        };
+        Live {
+            runtime,
+            kinds: vec![kind(Protocol::Http, demo.http, "h"), kind(Protocol::Grpc, demo.grpc, "g")],
+            rate: demo.rate / 2.0,
+            seed: demo.seed,
+            until: (demo.seconds > 0).then(|| Duration::from_secs(demo.seconds)),
+            over,
+        }
+    }
+
+    fn run(self, exchange: &Exchange) -> Summary {
+        let began = Instant::now();
+        let _entered = self.runtime.enter();
+        let loads: Vec<(&'static str, Load)> = match self.rate {
+            rate if rate > 0.0 => {
+                let open = |(i, kind): (usize, &Kind)| {
+                    (name(kind.protocol), Load::open(kind, rate, self.seed + i as u64))
+                };
+                self.kinds.iter().enumerate().map(open).collect()
+            }
+            _ => Vec::new(),
+        };
+        let mut next = began + LIVE_EVERY;
+        let mut before = vec![0; loads.len()];
+        while !self.over.load(Ordering::Acquire) && self.until.is_none_or(|until| began.elapsed() < until) {
+            std::thread::sleep(Duration::from_millis(20));
+            if Instant::now() >= next && !loads.is_empty() {
+                next += LIVE_EVERY;
+                print_live(&loads, &mut before, began.elapsed());
+            }
+        }
+        for (_, load) in &loads {
+            self.runtime.block_on(load.stop());
+        }
+        exchange.put(Message::Stop);
+        Summary(loads.iter().map(|(name, load)| (*name, load.seen())).collect())
+    }
+}
+
+fn print_live(loads: &[(&'static str, Load)], before: &mut [u64], at: Duration) {
+    let parts = loads.iter().zip(before).map(|((name, load), before)| {
+        let seen = load.seen();
+        let rate = seen.served - std::mem::replace(before, seen.served);
+        format!("{name} {rate}/s, p50 {:.0} ms, p99 {:.0} ms", seen.ms(0.5), seen.ms(0.99))
+    });
+    println!("{:>4} s  {}", at.as_secs(), parts.collect::<Vec<_>>().join("   "));
+}
+
+impl Summary {
+    fn print(&self, fleet: &Fleet) {
+        if self.0.is_empty() {
+            return;
+        }
+        println!("\nfront     asked  served  refused  failed  late   p50 ms   p99 ms  p99.9 ms");
+        for (name, seen) in &self.0 {
+            println!(
+                "{name:<8} {:>6} {:>7} {:>8} {:>7} {:>5} {:>8.1} {:>8.1} {:>9.1}",
+                seen.asked,
+                seen.served,
+                seen.refused,
+                seen.failed,
+                seen.late,
+                seen.ms(0.5),
+                seen.ms(0.99),
+                seen.ms(0.999)
+            );
+        }
+        let books = fleet.books();
+        println!(
+            "workers: {} jobs accepted, {} keys run twice, {} fallen over",
+            books.accepted,
+            books.doubled(),
+            books.fallen
+        );
+    }
+}
--- a/dispatcher/src/logging.rs
+++ b/dispatcher/src/logging.rs
@@ -1,18 +1,78 @@
 //! The log: slog to standard error through a thread of its own, so that a slow reader of the log cannot block
 //! the coroutines. What does not fit into its queue is dropped and counted by slog-async.
+//!
+//! One schema for every event, whatever the format: when, level, what happened, and named figures.
 
-use slog::{Drain, Logger};
-use std::sync::Mutex;
+use millrudder_config::settings::{Log, LogFormat, LogLevel};
+use slog::{Drain, Level, Logger, Never, OwnedKVList, Record, SendSyncRefUnwindSafeDrain};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 
 const QUEUE: usize = 512;
 
+/// Which events are written; can be turned while running.
+#[derive(Clone)]
+pub struct Threshold(Arc<AtomicUsize>);
+
+impl Threshold {
+    fn new(level: LogLevel) -> Self {
+        Threshold(Arc::new(AtomicUsize::new(of(level).as_usize())))
+    }
+
+    pub fn set(&self, level: LogLevel) {
+        self.0.store(of(level).as_usize(), Ordering::Relaxed);
+    }
+}
+
+fn of(level: LogLevel) -> Level {
+    match level {
+        LogLevel::Error => Level::Error,
+        LogLevel::Warning => Level::Warning,
+        LogLevel::Info => Level::Info,
+        LogLevel::Debug => Level::Debug,
+    }
+}
+
+struct Above<D> {
+    drain: D,
+    threshold: Threshold,
+}
+
+impl<D: Drain<Ok = (), Err = Never>> Drain for Above<D> {
+    type Ok = ();
+    type Err = Never;
+
+    fn log(&self, record: &Record, values: &OwnedKVList) -> Result<(), Never> {
+        if record.level().as_usize() <= self.threshold.0.load(Ordering::Relaxed) {
+            self.drain.log(record, values)?;
+        }
+        Ok(())
+    }
+}
+
 /// The guard writes out what is queued when it is dropped.
-pub fn start() -> (Logger, slog_async::AsyncGuard) {
-    let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
-    let format = slog_term::FullFormat::new(decorator).build().fuse();
-    let (drain, guard) = slog_async::Async::new(format)
+pub fn start(log: Log) -> (Logger, slog_async::AsyncGuard, Threshold) {
+    match log.format {
+        LogFormat::Text => {
+            let decorator = slog_term::PlainSyncDecorator::new(std::io::stderr());
+            queued(slog_term::FullFormat::new(decorator).build().fuse(), log.level)
+        }
+        LogFormat::Json => {
+            let drain = slog_json::Json::new(std::io::stderr()).add_default_keys().build();
+            queued(Mutex::new(drain).fuse(), log.level)
+        }
+    }
+}
+
+fn queued<D>(drain: D, level: LogLevel) -> (Logger, slog_async::AsyncGuard, Threshold)
+where
+    D: SendSyncRefUnwindSafeDrain<Ok = (), Err = Never> + Send + 'static,
+{
+    let threshold = Threshold::new(level);
+    let (drain, guard) = slog_async::Async::new(drain)
         .chan_size(QUEUE)
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
-    (Logger::root(Mutex::new(drain).fuse(), slog::o!()), guard)
+    let above = Above { drain: Mutex::new(drain).fuse(), threshold: threshold.clone() };
+    (Logger::root(above, slog::o!()), guard, threshold)
 }
--- /dev/null
+++ b/dispatcher/src/reload.rs
@@ -0,0 +1,60 @@
+//! SIGHUP: both files are read and checked again; if either cannot be used, neither changes anything.
+
+use crate::logging::Threshold;
+use millrudder_config::settings::Settings;
+use millrudder_config::Source;
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::{Exchange, Gate, Message};
+use slog::Logger;
+use std::path::PathBuf;
+use std::sync::{Mutex, PoisonError};
+
+/// What a reload reads, and what of it can change while running.
+pub struct Reload {
+    pub source: Source,
+    pub settings: Option<PathBuf>,
+    /// As they were applied last.
+    pub running: Mutex<Settings>,
+    pub gate: Gate,
+    pub threshold: Threshold,
+}
+
+impl Reload {
+    /// It blocks: not for coroutines.
+    pub fn run(&self, exchange: &Exchange, counters: &Counters, log: &Logger) {
+        let settings = self.settings.as_deref().map(Settings::load).transpose();
+        match (self.source.reload(), settings) {
+            (Ok(platform), Ok(settings)) => {
+                counters.reloads_good.add();
+                slog::info!(log, "configuration read again"; "discovery" => %platform.discovery);
+                let mut kept = platform.kept;
+                kept.extend(settings.iter().flat_map(|newer| self.apply(newer)));
+                if !kept.is_empty() {
+                    slog::warn!(log, "not changed while running: {}", kept.join(", "));
+                }
+                exchange.put(Message::Discovery(platform.discovery));
+            }
+            (platform, settings) => {
+                counters.reloads_bad.add();
+                for error in platform
+                    .err()
+                    .map(|e| e.to_string())
+                    .into_iter()
+                    .chain(settings.err().map(|e| e.to_string()))
+                {
+                    slog::error!(log, "configuration not changed: {}", error);
+                }
+            }
+        }
+    }
+
+    /// Applies what can change; names what waits for the next start.
+    fn apply(&self, newer: &Settings) -> Vec<String> {
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        self.threshold.set(newer.log.level);
+        self.gate.set_weights(&newer.weights());
+        // What waits is compared with what the program started with.
+        running.log.level = newer.log.level;
+        running.waiting(newer).into_iter().map(str::to_owned).collect()
+    }
+}
--- /dev/null
+++ b/dispatcher/src/serve.rs
@@ -0,0 +1,132 @@
+//! Puts the parts together, runs until a stop is over, and ends in order.
+
+use crate::logging::Threshold;
+use crate::reload::Reload;
+use crate::signals;
+use millrudder_admission::Capacity;
+use millrudder_config::settings::Settings;
+use millrudder_config::{Config, Source};
+use millrudder_core::dispatch::Dispatch;
+use millrudder_core::next_hop::{self, NextHops};
+use millrudder_core::transport_map::TransportMap;
+use millrudder_exchange::clock::{span, Clock};
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::shutdown::Stopping;
+use millrudder_exchange::{Core, Exchange, Gate};
+use millrudder_front_grpc::GrpcFront;
+use millrudder_front_http::SenderSide;
+use millrudder_wire::STACK_WORDS;
+use signal_hook::iterator::Signals;
+use slog::Logger;
+use std::path::PathBuf;
+use std::sync::{Arc, Mutex};
+
+/// A 202 on its way comes within a few round trips; a next hop that is slower than this is cut off.
+const CALL_OFF_GRACE_MS: f64 = 25.0;
+/// How long answers may take to be written at the end.
+const LAST_WRITES: usize = 40;
+
+/// What a dispatcher is started from.
+pub struct Setup {
+    pub config: Config,
+    pub settings: Settings,
+    /// The files to read again on SIGHUP; none for a demo.
+    pub files: Option<(Source, Option<PathBuf>)>,
+    pub signals: Signals,
+    pub threshold: Threshold,
+    pub counters: Arc<Counters>,
+    pub log: Logger,
+}
+
+/// One worker: there is one core, and coroutines of one thread need no order among threads.
+pub fn start_coroutines() {
+    may::config().set_workers(1).set_stack_size(STACK_WORDS).set_worker_pin(false);
+}
+
+/// `running` is called once all fronts listen.
+///
+/// # Errors
+/// What could not be started, in words.
+pub fn serve(setup: Setup, running: impl FnOnce(&Exchange)) -> Result<(), String> {
+    let Setup { config, settings, files, signals, threshold, counters, log } = setup;
+    let clock = Clock::start();
+    let longest = config.settings.classes.iter().map(|c| c.deadline).fold(0.0, f64::max);
+    let stopping = Stopping::new(longest);
+    let (exchange, inbox) = Exchange::new();
+    let shares = config.budget.share_out(&settings);
+    let capacity = Capacity { places: shares.places, bytes: shares.bodies };
+    let gate = Gate::new(capacity, &shares.weights, clock);
+    let reload = files.map(|(source, file)| Reload {
+        source,
+        settings: file,
+        running: Mutex::new(settings.clone()),
+        gate: gate.clone(),
+        threshold,
+    });
+    signals::listen(signals, reload, exchange.clone(), counters.clone(), log.clone())
+        .map_err(|e| format!("signals: {e}"))?;
+
+    let limits = next_hop::Limits {
+        connections: config.budget.next_hops,
+        connect_timeout: config.settings.limits.connect_timeout,
+        conn_idle: config.conn_idle,
+        call_off_grace: CALL_OFF_GRACE_MS,
+    };
+    let next_hops = NextHops::new(limits, exchange.clone(), counters.clone(), clock);
+    let generation = config.known.as_ref().map(|list| list.generation);
+    let map = TransportMap::follow(
+        config.discovery,
+        generation,
+        exchange.clone(),
+        counters.clone(),
+        clock,
+        log.clone(),
+    );
+    let core = Core {
+        exchange: exchange.clone(),
+        gate,
+        counters: counters.clone(),
+        stopping: stopping.clone(),
+        clock,
+        classes: config.classes(),
+        advice_allowed: config.settings.limits.retry_after,
+        log: log.clone(),
+    };
+    let sender = SenderSide::new(shares.http, core.clone());
+    let dispatch = Dispatch::new(&config, exchange.clone(), next_hops, map, counters, stopping, clock);
+    let known = config.known.map(|list| list.news);
+
+    // The module knows the last list before the first client can come.
+    let dispatching = may::go!(move || dispatch.run(&inbox, known));
+    let listen = settings.fronts.http.listen.map_or(config.listen, |address| address.0);
+    sender.open(listen).map_err(|e| format!("listen on {listen}: {e}"))?;
+    let grpc = match (settings.fronts.grpc, shares.grpc) {
+        (Some(grpc), Some(budget)) => {
+            let address = grpc.listen.0;
+            let opened = GrpcFront::open(address, grpc.limits, budget, core);
+            Some(opened.map_err(|e| format!("listen on {address}: {e}"))?)
+        }
+        _ => None,
+    };
+    slog::info!(log, "serving"; "name" => &config.name, "listen" => %listen);
+    if let Some(grpc) = &grpc {
+        slog::info!(log, "serving gRPC"; "listen" => %grpc.address());
+    }
+    running(&exchange);
+    dispatching.join().map_err(|_| "the dispatch coroutine has failed".to_owned())?;
+    finish(&sender, grpc);
+    Ok(())
+}
+
+/// Nothing is owed; what has been answered is still to be written out.
+fn finish(sender: &SenderSide, grpc: Option<GrpcFront>) {
+    sender.end_idle();
+    for _ in 0..LAST_WRITES {
+        if sender.busy() + grpc.as_ref().map_or(0, GrpcFront::busy) == 0 {
+            break;
+        }
+        std::thread::sleep(span(5.0));
+    }
+    std::thread::sleep(span(50.0));
+    grpc.into_iter().for_each(GrpcFront::finish);
+}
--- /dev/null
+++ b/dispatcher/tests/program/mod.rs
@@ -0,0 +1,119 @@
+//! The started program in front of a stand-in fleet, with both fronts.
+
+use millrudder_standins::load::{Kind, Protocol};
+use millrudder_standins::{settings, Fleet, Plan};
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::time::{Duration, Instant};
+
+pub const WAIT: Duration = Duration::from_secs(60);
+
+pub struct Program {
+    pub fleet: Fleet,
+    pub http: SocketAddr,
+    pub grpc: SocketAddr,
+    child: Child,
+    log: Receiver<String>,
+    folder: PathBuf,
+}
+
+/// An address on loopback that no other test uses: this process's own host, a port that is free there.
+fn address() -> SocketAddr {
+    let pid = std::process::id();
+    let host = format!("127.{}.{}.{}", 128 + pid / 65_536 % 64, pid / 256 % 256, pid % 256);
+    TcpListener::bind((host.as_str(), 0)).unwrap().local_addr().unwrap()
+}
+
+impl Program {
+    /// `settings`: the operators' file, with GRPC for the gRPC front's address.
+    pub fn start(plan: Plan, settings_text: &str) -> Self {
+        static STARTED: AtomicU32 = AtomicU32::new(0);
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let folder = std::env::temp_dir().join(format!("millrudder-two-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&folder).unwrap();
+        let (http, grpc) = (address(), address());
+        let fleet = Fleet::start(plan).unwrap();
+        let discovery = fleet.attach(http).unwrap();
+        let config = settings::node_config(http, discovery, plan.seed).to_string();
+        std::fs::write(folder.join("config.json"), config).unwrap();
+        std::fs::write(folder.join("millrudder.yaml"), settings_text.replace("GRPC", &grpc.to_string()))
+            .unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_millrudder"))
+            .env("NODE_CONFIG", folder.join("config.json"))
+            .env_remove("NODE_LISTEN")
+            .env_remove("NODE_DISCOVERY")
+            .env_remove("NODE_NAME")
+            .arg("--settings")
+            .arg(folder.join("millrudder.yaml"))
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (lines, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        std::thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|l| lines.send(l)));
+        let program = Program { fleet, http, grpc, child, log, folder };
+        assert!(program.log_shows("serving gRPC"));
+        program.until_counted("map_changes", |n| n > 0);
+        program
+    }
+
+    pub fn log_shows(&self, words: &str) -> bool {
+        let end = Instant::now() + WAIT;
+        while let Ok(line) = self.log.recv_timeout(end.saturating_duration_since(Instant::now())) {
+            if line.contains(words) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub fn counter(&self, name: &str) -> u64 {
+        use std::io::{Read, Write};
+        let mut stream = std::net::TcpStream::connect(self.http).unwrap();
+        stream.write_all(b"GET /counters HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+        let mut text = String::new();
+        stream.read_to_string(&mut text).unwrap();
+        let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
+        line.unwrap_or_else(|| panic!("{name} in {text}")).parse().unwrap()
+    }
+
+    pub fn until_counted(&self, name: &str, is: impl Fn(u64) -> bool) {
+        let end = Instant::now() + WAIT;
+        while !is(self.counter(name)) {
+            assert!(Instant::now() < end, "{name} is {}", self.counter(name));
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
+    pub fn kind(&self, protocol: Protocol, name: &str) -> Kind {
+        let to = if protocol == Protocol::Http { self.http } else { self.grpc };
+        Kind { protocol, to, deadline: Duration::from_secs(5), body: 100, name: name.to_owned() }
+    }
+
+    pub fn change_settings(&self, change: impl Fn(String) -> String) {
+        let path = self.folder.join("millrudder.yaml");
+        std::fs::write(&path, change(std::fs::read_to_string(&path).unwrap())).unwrap();
+        self.signal("HUP");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    }
+
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+}
+
+impl Drop for Program {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
--- /dev/null
+++ b/dispatcher/tests/two_fronts.rs
@@ -0,0 +1,216 @@
+//! Both fronts of the started program before a stand-in fleet: deploys, surges, one id on both, the stop, settings.
+
+mod program;
+
+use millrudder_admission::fairness;
+use millrudder_front_grpc::proto::jobs_client::JobsClient;
+use millrudder_front_grpc::proto::SubmitRequest;
+use millrudder_standins::load::{Load, Protocol};
+use millrudder_standins::Plan;
+use program::Program;
+use std::io::{Read, Write};
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const BOTH: &str = "fronts: {grpc: {listen: 'GRPC'}}\n";
+
+#[test]
+fn a_rolling_deploy_under_traffic_on_both_ports_keeps_the_rules() {
+    let plan = Plan { workers: 10, seed: 11, work_ms: 120.0, cold_ms: 2_000.0, ..Plan::default() };
+    let program = Program::start(plan, BOTH);
+    let fleet = &program.fleet;
+    let runtime = fleet.handle();
+    let _entered = runtime.enter();
+    let loads = [Protocol::Http, Protocol::Grpc].map(|protocol| {
+        let kind = program.kind(protocol, if protocol == Protocol::Http { "h" } else { "g" });
+        Load::open(&kind, 60.0, 12)
+    });
+    std::thread::sleep(Duration::from_millis(500));
+    // Half of the fleet, two at a time: the successors come up cold.
+    for batch in 0..3 {
+        let old = [2 * batch, 2 * batch + 1];
+        old.iter().for_each(|number| fleet.drain(*number));
+        old.iter().for_each(|_| assert!(fleet.join(true).is_ok()));
+        std::thread::sleep(Duration::from_millis(900));
+        let end = Instant::now() + program::WAIT;
+        while old.iter().any(|number| fleet.in_flight(*number) > 0) {
+            assert!(Instant::now() < end, "a draining worker finishes what it has");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        old.iter().for_each(|number| fleet.leave(*number));
+    }
+    loads.iter().for_each(|load| runtime.block_on(load.stop()));
+    let (books, seen) = (fleet.books(), loads.map(|load| load.seen()));
+    assert_eq!((books.fallen, books.after_drain, books.doubled()), (0, 0, 0), "{books:?}");
+    assert!(books.worst_cold > 0.0 && books.worst_cold <= 1.0, "{}", books.worst_cold);
+    for seen in &seen {
+        assert_eq!(seen.asked, seen.answers, "each job has one answer");
+        assert!(seen.served as f64 >= 0.97 * seen.asked as f64, "{seen:?}");
+    }
+    // What clients were told and what was run agree: every served job ran, whoever answered.
+    let served: u64 = seen.iter().map(|s| s.served).sum();
+    assert!(books.runs.len() as u64 >= served, "{} runs, {served} served", books.runs.len());
+    assert_eq!(
+        program.counter("taken") + program.counter("turned_away"),
+        seen.iter().map(|s| s.asked).sum::<u64>()
+    );
+}
+
+#[test]
+fn a_surge_on_one_port_leaves_the_other_as_it_was_and_on_both_is_shared_by_weight() {
+    // Enough workers that the module refuses nothing: the door alone decides.
+    let plan = Plan { workers: 14, seed: 13, work_ms: 60.0, tells_start: false, ..Plan::default() };
+    let settings = "fronts: {http: {weight: 3}, grpc: {listen: 'GRPC', weight: 1}}\nadmission: {jobs: 48}\n";
+    let program = Program::start(plan, settings);
+    let runtime = program.fleet.handle();
+    let _entered = runtime.enter();
+    // HTTP/1.1 borrows all it can; gRPC stays far within its 12 places.
+    let surge = Load::closed(&program.kind(Protocol::Http, "surge"), 160, 1);
+    program.until_counted("turned_away", |n| n > 100);
+    let quiet = Load::open(&program.kind(Protocol::Grpc, "quiet"), 8.0, 14);
+    std::thread::sleep(Duration::from_secs(2));
+    runtime.block_on(quiet.stop());
+    let seen = quiet.seen();
+    assert_eq!((seen.refused, seen.failed, seen.late), (0, 0, 0), "{seen:?}");
+    assert!(seen.served >= 4, "{seen:?}");
+    // Both ask for far more than there is: what is served goes by weight.
+    let other = Load::closed(&program.kind(Protocol::Grpc, "other"), 160, 4);
+    std::thread::sleep(Duration::from_millis(1_500));
+    let _ = (surge.take(), other.take());
+    std::thread::sleep(Duration::from_secs(3));
+    let (http, grpc) = (surge.take(), other.take());
+    runtime.block_on(surge.stop());
+    runtime.block_on(other.stop());
+    let served = [http.served as f64, grpc.served as f64];
+    let index = fairness(&served, &[3.0, 1.0]);
+    assert!(index > 0.95, "{index}: {served:?}");
+}
+
+async fn channel(program: &Program) -> tonic::transport::Channel {
+    let endpoint = tonic::transport::Endpoint::from_shared(format!("http://{}", program.grpc)).unwrap();
+    endpoint.connect().await.unwrap()
+}
+
+async fn submit(program: &Program, id: &str) -> Result<Vec<u8>, tonic::Status> {
+    let mut client = JobsClient::new(channel(program).await);
+    let request = SubmitRequest {
+        id: id.to_owned(),
+        job_class: "copy-issue".to_owned(),
+        idempotency_key: format!("key-{id}"),
+        ..SubmitRequest::default()
+    };
+    client.submit(request).await.map(|reply| reply.into_inner().result)
+}
+
+fn http_job(program: &Program, id: &str) -> std::net::TcpStream {
+    let mut stream = std::net::TcpStream::connect(program.http).unwrap();
+    stream.set_read_timeout(Some(program::WAIT)).unwrap();
+    let job = format!(
+        "POST /api HTTP/1.1\r\nX-Trace-Id: {id}\r\nX-Qos: copy-issue\r\nX-Expires-In: 5000m\r\n\
+         Idempotency-Key: key-{id}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+    );
+    stream.write_all(job.as_bytes()).unwrap();
+    stream
+}
+
+fn answer(mut stream: std::net::TcpStream) -> String {
+    let mut text = String::new();
+    stream.read_to_string(&mut text).unwrap();
+    text
+}
+
+#[test]
+fn one_id_on_both_ports_is_one_job() {
+    let plan = Plan { workers: 2, seed: 15, work_ms: 1_500.0, ..Plan::default() };
+    let program = Program::start(plan, BOTH);
+    let runtime = program.fleet.handle();
+    let first = http_job(&program, "same");
+    program.until_counted("taken", |n| n == 1);
+    let second = runtime.block_on(submit(&program, "same")).unwrap_err();
+    assert_eq!(second.code(), tonic::Code::AlreadyExists);
+    assert!(answer(first).ends_with("done same"));
+    assert_eq!(program.fleet.books().runs.len(), 1);
+    // Afterwards the id is free again, and its key is remembered by the cell that ran it.
+    assert_eq!(runtime.block_on(submit(&program, "other")).unwrap(), b"done other");
+}
+
+#[test]
+fn sigterm_answers_what_is_under_way_on_both_ports() {
+    let plan = Plan { workers: 3, seed: 16, work_ms: 900.0, ..Plan::default() };
+    let mut program = Program::start(plan, BOTH);
+    let runtime = program.fleet.handle();
+    let http = http_job(&program, "h1");
+    let channel = runtime.block_on(async {
+        tonic::transport::Endpoint::from_shared(format!("http://{}", program.grpc))
+            .unwrap()
+            .connect()
+            .await
+            .unwrap()
+    });
+    let mut client = JobsClient::new(channel);
+    let request = |id: &str| SubmitRequest {
+        id: id.to_owned(),
+        job_class: "copy-issue".to_owned(),
+        idempotency_key: format!("key-{id}"),
+        ..SubmitRequest::default()
+    };
+    let (first, mut kept) = (request("g1"), client.clone());
+    let grpc = runtime.spawn(async move { client.submit(first).await });
+    program.until_counted("taken", |n| n == 2);
+    program.signal("TERM");
+    assert!(program.log_shows("told to stop"));
+    // A kept connection is still served.
+    let second = request("g2");
+    let after = runtime.spawn(async move { kept.submit(second).await });
+    assert!(answer(http).ends_with("done h1"));
+    assert_eq!(runtime.block_on(grpc).unwrap().unwrap().into_inner().result, b"done g1");
+    assert_eq!(runtime.block_on(after).unwrap().unwrap().into_inner().result, b"done g2");
+    assert_eq!(program.exit_code(), Some(0));
+}
+
+#[test]
+fn sighup_applies_weights_and_refuses_a_bad_file_whole() {
+    let program = Program::start(Plan { workers: 1, seed: 17, ..Plan::default() }, BOTH);
+    program.change_settings(|text| text.replace("'}}", "', weight: 7}}"));
+    program.until_counted("reloads_good", |n| n == 1);
+    program.change_settings(|text| text.replace("weight", "wieght"));
+    assert!(program.log_shows("key fronts.grpc.wieght: unknown key; did you mean weight?"));
+    program.until_counted("reloads_bad", |n| n == 1);
+    program.change_settings(|text| text.replace("wieght: 7", "limits: {streams: 5}"));
+    assert!(program.log_shows("not changed while running: fronts.grpc"));
+    program.until_counted("reloads_good", |n| n == 2);
+}
+
+#[test]
+fn check_tells_good_files_from_bad_ones() {
+    let folder = std::env::temp_dir().join(format!("millrudder-check-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let (config, settings) = (folder.join("c.json"), folder.join("m.yaml"));
+    let address = "127.0.0.1:1".parse().unwrap();
+    std::fs::write(&config, millrudder_standins::settings::node_config(address, address, 1).to_string())
+        .unwrap();
+    let check = |yaml: &str| {
+        std::fs::write(&settings, yaml).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_millrudder"));
+        command.args(["check", "--settings"]).arg(&settings).env("NODE_CONFIG", &config);
+        let output = command.output().unwrap();
+        let text =
+            String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr);
+        (output.status.code(), text)
+    };
+    let (code, text) = check("fronts: {grpc: {listen: '127.0.0.1:2'}}\n");
+    assert!(code == Some(0) && text.contains("gRPC: 64 connections"), "{text}");
+    let (code, text) = check("fronts:\n  grpc:\n    listen: '127.0.0.1:2'\n    limits: {idle_time: 5}\n");
+    assert!(code == Some(2) && text.contains("m.yaml:4:25: key fronts.grpc.limits.idle_time"), "{text}");
+    std::fs::write(&config, "{}").unwrap();
+    let (code, text) = check("");
+    assert!(code == Some(2) && text.contains("configuration: NODE_CONFIG: key"), "{text}");
+    std::fs::remove_dir_all(&folder).unwrap();
+    let shipped = concat!(env!("CARGO_MANIFEST_DIR"), "/../deploy/millrudder.yaml");
+    let shipped = millrudder_config::settings::Settings::load(std::path::Path::new(shipped));
+    assert_eq!(
+        shipped,
+        Ok(millrudder_config::settings::Settings::default()),
+        "the shipped file changes nothing"
+    );
+}
--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -92,6 +92,31 @@
     reloads_good,
     /// Files that were refused on SIGHUP.
     reloads_bad,
+    /// Jobs that the gRPC front has submitted.
+    grpc_jobs,
+    grpc_connections,
+    /// Connections closed at once because every other one had a job here.
+    grpc_connections_refused,
+    /// Connections that the peer broke, or that broke HTTP/2's rules.
+    grpc_broken,
+    /// Calls that their clients cancelled or left.
+    grpc_cancelled,
+    /// Streams over the bound on calls at once.
+    grpc_streams_refused,
+    /// Prefaces, header blocks and calls that did not come whole in time.
+    grpc_too_slow,
+    /// Answers, or whole connections, whose peers did not take what was written.
+    grpc_stalled,
+    /// Connections ended for too many PINGs ...
+    grpc_flood_ping,
+    /// ... SETTINGS ...
+    grpc_flood_settings,
+    /// ... calls reset as soon as they were made ...
+    grpc_flood_reset,
+    /// ... CONTINUATIONs of one header block ...
+    grpc_flood_continuation,
+    /// ... and other frames that bring nothing.
+    grpc_flood_other,
 }
 
 impl Counters {
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -1,11 +1,18 @@
-//! The bottom of the workspace: where fronts and the core meet (`exchange`), and what all of them share without
-//! knowing each other: the clock, the counters, the planned stop.
+//! The bottom of the workspace: where fronts and the core meet (`meeting`), the rules that every front keeps
+//! (`intake`), the door that they share (`gate`), and the clock, the counters and the planned stop.
 
+mod front;
+mod gate;
 mod meeting;
+mod progress;
 
 pub mod clock;
 pub mod counters;
+pub mod intake;
 pub mod rate;
 pub mod shutdown;
 
+pub use front::Core;
+pub use gate::{Gate, Permit};
 pub use meeting::*;
+pub use progress::Progress;
--- a/exchange/src/meeting.rs
+++ b/exchange/src/meeting.rs
@@ -1,6 +1,7 @@
 //! Where the sender side and the next hops meet. Owned messages only, and none of HTTP's types: a second front
 //! (another protocol, a gateway to another site) can submit jobs through the same object.
 
+use crate::progress::{Followed, Progress};
 use may::sync::mpsc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -10,6 +11,22 @@
 /// A worker, numbered by the transport map.
 pub type HopId = u32;
 
+/// A way by which jobs come in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Front {
+    Http,
+    Grpc,
+}
+
+impl Front {
+    pub fn name(self) -> &'static str {
+        match self {
+            Front::Http => "http",
+            Front::Grpc => "grpc",
+        }
+    }
+}
+
 /// What passes on to a next hop as the client gave it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Verbatim {
@@ -23,6 +40,7 @@
 /// One job as a front took it in.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Job {
+    pub front: Front,
     pub trace_id: String,
     pub class: String,
     pub slots: f64,
@@ -63,12 +81,32 @@
 
 struct ReplySlot {
     answer: Mutex<Option<Answer>>,
+    /// None where nobody follows the job.
+    progress: Option<Followed>,
     wake: Box<dyn Fn() + Send + Sync>,
 }
 
 impl Reply {
     pub fn new(wake: impl Fn() + Send + Sync + 'static) -> Self {
-        Reply(Arc::new(ReplySlot { answer: Mutex::new(None), wake: Box::new(wake) }))
+        Reply(Arc::new(ReplySlot { answer: Mutex::new(None), progress: None, wake: Box::new(wake) }))
+    }
+
+    /// `wake` is also called when the job has come further.
+    pub fn followed(wake: impl Fn() + Send + Sync + 'static) -> Self {
+        let progress = Some(Followed::default());
+        Reply(Arc::new(ReplySlot { answer: Mutex::new(None), progress, wake: Box::new(wake) }))
+    }
+
+    /// Notes how far the job has come, for whoever follows it.
+    pub fn note(&self, change: impl FnOnce(&mut Progress)) {
+        if let Some(followed) = &self.0.progress {
+            followed.change(change);
+            (self.0.wake)();
+        }
+    }
+
+    pub fn progress(&self) -> Progress {
+        self.0.progress.as_ref().map(Followed::now).unwrap_or_default()
     }
 
     pub fn give(&self, answer: Answer) {
--- a/exchange/src/shutdown.rs
+++ b/exchange/src/shutdown.rs
@@ -1,6 +1,6 @@
 //! A planned stop: how long the dispatcher goes on after it was told to.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Jobs are taken on for at least this long (ms): new connections may come for 0.4 s after SIGTERM, and requests
@@ -21,13 +21,15 @@
 pub struct Stopping {
     since: Arc<Mutex<Option<f64>>>,
     no_clients: Arc<AtomicBool>,
+    /// Connections of clients on fronts other than the one that calls `note_no_clients`.
+    elsewhere: Arc<AtomicUsize>,
     longest: f64,
 }
 
 impl Stopping {
     pub fn new(longest_deadline: f64) -> Self {
         let longest = longest_deadline.min(LONGEST_MS);
-        Stopping { since: Arc::default(), no_clients: Arc::default(), longest }
+        Stopping { since: Arc::default(), no_clients: Arc::default(), elsewhere: Arc::default(), longest }
     }
 
     /// True at the first call.
@@ -46,11 +48,21 @@
 
     /// No connection is left on which a job could come; none comes anew once the front has left.
     pub fn note_no_clients(&self, now: f64) {
-        if self.since().is_some_and(|since| now >= since + GRACE_MS) {
+        let elsewhere = self.elsewhere.load(Ordering::Acquire);
+        if elsewhere == 0 && self.since().is_some_and(|since| now >= since + GRACE_MS) {
             self.no_clients.store(true, Ordering::Release);
         }
     }
 
+    /// A client's connection on another front has opened.
+    pub fn client_came(&self) {
+        self.elsewhere.fetch_add(1, Ordering::AcqRel);
+    }
+
+    pub fn client_left(&self) {
+        self.elsewhere.fetch_sub(1, Ordering::AcqRel);
+    }
+
     /// The time is over in which jobs are still taken on.
     pub fn grace_is_over(&self, now: f64) -> bool {
         let grace = (self.longest + KILL_MARGIN_MS - LAST_JOB_MS).max(GRACE_MS);
@@ -89,6 +101,10 @@
         assert!(stopping.last_moment() < 3_700.0);
         stopping.note_no_clients(799.0);
         assert!(!stopping.grace_is_over(800.0), "the front may still send new ones");
+        stopping.client_came();
+        stopping.note_no_clients(800.0);
+        assert!(!stopping.grace_is_over(800.0), "one is left on another front");
+        stopping.client_left();
         stopping.note_no_clients(800.0);
         assert!(stopping.grace_is_over(800.0));
     }
--- /dev/null
+++ b/fronts/grpc/src/call.rs
@@ -0,0 +1,277 @@
+//! One call: its message is taken in whole and in time, handed to its service, and what comes back is written for
+//! as long as the client takes it.
+
+use crate::door::Pass;
+use crate::intake::Invalid;
+use crate::service::{Arrival, MESSAGE_LIMIT};
+use crate::{status, Shared};
+use bytes::{Bytes, BytesMut};
+use h2::server::SendResponse;
+use h2::{Reason, RecvStream, SendStream};
+use http::{Request, Response};
+use http_body::{Body as _, Frame};
+use http_body_util::{BodyExt, Full};
+use millrudder_exchange::clock::span;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::task::{ready, Context, Poll};
+use tonic::body::Body;
+use tonic::Status;
+use tower_service::Service;
+
+/// Calls for health and reflection that one connection may hold.
+const MOST_OTHERS: usize = 8;
+const GRPC: &str = "application/grpc";
+/// Flag and length before a message (gRPC over HTTP/2, "Length-Prefixed-Message").
+const PREFIX: usize = 5;
+
+pub const JOBS: &str = "millrudder.v1.Jobs";
+pub const HEALTH: &str = "grpc.health.v1.Health";
+pub const REFLECTION: &str = "grpc.reflection.v1.ServerReflection";
+pub const OLD_REFLECTION: &str = "grpc.reflection.v1alpha.ServerReflection";
+
+pub async fn serve(
+    request: Request<RecvStream>,
+    mut respond: SendResponse<Bytes>,
+    shared: Arc<Shared>,
+    pass: Arc<Pass>,
+) {
+    let began = shared.clock.now();
+    let is_job = service_of(&request) == JOBS;
+    let mut guard = Guard::new(&shared, &pass, is_job);
+    let answered = tokio::select! {
+        biased;
+        // The client has cancelled, or is gone: dropping the work withdraws its job.
+        _ = poll_fn(|cx| respond.poll_reset(cx)) => {
+            shared.counters.grpc_cancelled.add();
+            return;
+        }
+        answered = answer(request, began, &shared, guard.crowd) => answered,
+    };
+    guard.answered = write(answered, respond, &shared).await;
+}
+
+/// Books a call on its connection for as long as it lives.
+struct Guard<'a> {
+    shared: &'a Shared,
+    pass: &'a Pass,
+    is_job: bool,
+    crowd: usize,
+    answered: bool,
+}
+
+impl<'a> Guard<'a> {
+    fn new(shared: &'a Shared, pass: &'a Pass, is_job: bool) -> Self {
+        let crowd = if is_job {
+            pass.jobs(1);
+            0
+        } else {
+            pass.others(1, shared.clock.now())
+        };
+        Guard { shared, pass, is_job, crowd, answered: false }
+    }
+}
+
+impl Drop for Guard<'_> {
+    fn drop(&mut self) {
+        let now = self.shared.clock.now();
+        if self.is_job {
+            self.pass.job_ended(self.answered, now);
+        } else {
+            self.pass.others(-1, now);
+        }
+    }
+}
+
+fn service_of<T>(request: &Request<T>) -> &str {
+    request.uri().path().split('/').nth(1).unwrap_or_default()
+}
+
+async fn answer(request: Request<RecvStream>, began: f64, shared: &Shared, crowd: usize) -> Response<Body> {
+    let content = request.headers().get(http::header::CONTENT_TYPE).map(|v| v.as_bytes());
+    if request.method() != http::Method::POST || !content.is_some_and(|c| c.starts_with(GRPC.as_bytes())) {
+        shared.counters.rejected_unknown.add();
+        let (mut response, status) = (Response::new(Body::empty()), http::StatusCode::UNSUPPORTED_MEDIA_TYPE);
+        *response.status_mut() = status;
+        return response;
+    }
+    if crowd > MOST_OTHERS {
+        return Status::resource_exhausted("too many calls beside jobs on this connection").into_http();
+    }
+    let service = service_of(&request);
+    if service == JOBS {
+        return job(request, began, shared).await;
+    }
+    let Some((_, other)) = shared.others.iter().find(|(name, _)| *name == service) else {
+        shared.counters.rejected_unknown.add();
+        return Status::unimplemented("unknown service").into_http();
+    };
+    other(request.map(RecvBody::boxed)).await
+}
+
+/// The message of a job is taken in before anything else: half a call holds no place.
+async fn job(request: Request<RecvStream>, began: f64, shared: &Shared) -> Response<Body> {
+    let (mut parts, mut body) = request.into_parts();
+    let taken = tokio::time::timeout(span(shared.limits.request_time.ms()), take(&mut body, shared)).await;
+    match taken {
+        Ok(Ok(message)) => {
+            parts.extensions.insert(Arrival { began });
+            let body = Body::new(Full::new(message));
+            shared
+                .jobs
+                .clone()
+                .call(Request::from_parts(parts, body))
+                .await
+                .unwrap_or_else(|never| match never {})
+        }
+        Ok(Err(status)) => status.into_http(),
+        Err(_) => {
+            shared.counters.grpc_too_slow.add();
+            Status::deadline_exceeded("the call did not come whole in time").into_http()
+        }
+    }
+}
+
+/// Bytes of calls that have not come whole, booked on the front's budget.
+struct Receiving<'a> {
+    shared: &'a Shared,
+    bytes: usize,
+}
+
+impl Receiving<'_> {
+    fn add(&mut self, bytes: usize) -> bool {
+        self.bytes += bytes;
+        let before = self.shared.receiving.fetch_add(bytes, Ordering::AcqRel);
+        before + bytes <= self.shared.buffers
+    }
+}
+
+impl Drop for Receiving<'_> {
+    fn drop(&mut self) {
+        self.shared.receiving.fetch_sub(self.bytes, Ordering::AcqRel);
+    }
+}
+
+async fn take(body: &mut RecvStream, shared: &Shared) -> Result<Bytes, Status> {
+    let mut receiving = Receiving { shared, bytes: 0 };
+    let mut first = Bytes::new();
+    let mut message: Option<BytesMut> = None;
+    while let Some(data) = body.data().await {
+        let data = data.map_err(|_| Status::cancelled("broken off"))?;
+        let _ = body.flow_control().release_capacity(data.len());
+        if receiving.bytes + data.len() > MESSAGE_LIMIT + PREFIX {
+            shared.counters.rejected_too_large.add();
+            let why = format!("the message is over {MESSAGE_LIMIT} bytes");
+            return Err(status::invalid(&Invalid { field: "body", why }));
+        }
+        if !receiving.add(data.len()) {
+            shared.counters.rejected_no_memory.add();
+            return Err(status::refused("no memory for this call now", None));
+        }
+        match &mut message {
+            None if first.is_empty() => first = data,
+            None => {
+                let mut whole = BytesMut::from(&first[..]);
+                whole.extend_from_slice(&data);
+                message = Some(whole);
+            }
+            Some(whole) => whole.extend_from_slice(&data),
+        }
+    }
+    Ok(message.map_or(first, BytesMut::freeze))
+}
+
+/// Writes a response; true if all of it was taken.
+async fn write(response: Response<Body>, mut respond: SendResponse<Bytes>, shared: &Shared) -> bool {
+    let (parts, mut body) = response.into_parts();
+    let only_head = body.is_end_stream();
+    let head = Response::from_parts(parts, ());
+    let Ok(mut stream) = respond.send_response(head, only_head) else { return false };
+    if only_head {
+        return true;
+    }
+    loop {
+        let frame = tokio::select! {
+            biased;
+            _ = poll_fn(|cx| stream.poll_reset(cx)) => {
+                shared.counters.grpc_cancelled.add();
+                return false;
+            }
+            frame = body.frame() => frame,
+        };
+        let sent = match frame {
+            Some(Ok(frame)) => match frame.into_data() {
+                Ok(data) => send(&mut stream, data, shared).await,
+                Err(frame) => match frame.into_trailers() {
+                    Ok(trailers) => return stream.send_trailers(trailers).is_ok(),
+                    Err(_) => true,
+                },
+            },
+            None => return stream.send_data(Bytes::new(), true).is_ok(),
+            Some(Err(_)) => {
+                stream.send_reset(Reason::INTERNAL_ERROR);
+                false
+            }
+        };
+        if !sent {
+            return false;
+        }
+    }
+}
+
+/// Sends as the client makes room for it; one that makes none is cut off.
+async fn send(stream: &mut SendStream<Bytes>, mut data: Bytes, shared: &Shared) -> bool {
+    let all = async {
+        while !data.is_empty() {
+            stream.reserve_capacity(data.len());
+            match poll_fn(|cx| stream.poll_capacity(cx)).await {
+                Some(Ok(room)) => {
+                    let part = data.split_to(room.min(data.len()));
+                    if stream.send_data(part, false).is_err() {
+                        return false;
+                    }
+                }
+                _ => return false,
+            }
+        }
+        true
+    };
+    match tokio::time::timeout(span(shared.limits.answer_time.ms()), all).await {
+        Ok(sent) => sent,
+        Err(_) => {
+            shared.counters.grpc_stalled.add();
+            stream.send_reset(Reason::CANCEL);
+            false
+        }
+    }
+}
+
+/// A call's bytes as they come, for services whose clients go on sending.
+struct RecvBody(RecvStream);
+
+impl RecvBody {
+    fn boxed(stream: RecvStream) -> Body {
+        Body::new(RecvBody(stream))
+    }
+}
+
+impl http_body::Body for RecvBody {
+    type Data = Bytes;
+    type Error = h2::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, h2::Error>>> {
+        match ready!(self.0.poll_data(cx)) {
+            Some(Ok(data)) => {
+                let _ = self.0.flow_control().release_capacity(data.len());
+                Poll::Ready(Some(Ok(Frame::data(data))))
+            }
+            Some(Err(error)) => Poll::Ready(Some(Err(error))),
+            None => Poll::Ready(None),
+        }
+    }
+}
--- /dev/null
+++ b/fronts/grpc/src/intake.rs
@@ -0,0 +1,166 @@
+//! A call's message to a job: the rules that every front keeps, and the field that breaks one.
+
+use crate::proto::SubmitRequest;
+use millrudder_exchange::intake::{
+    is_figure, is_id, is_plain, is_target, Class, BODY_LIMIT, ID_LIMIT, JOB_METHOD, JOB_PATH, TARGET_LIMIT,
+    VALUE_LIMIT,
+};
+use millrudder_exchange::{Front, Job, Verbatim};
+
+/// Figures that a job may carry.
+const MOST_PROPS: usize = 32;
+
+/// A field that cannot be used, and why.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Invalid {
+    pub field: &'static str,
+    pub why: String,
+}
+
+fn invalid<T>(field: &'static str, why: impl Into<String>) -> Result<T, Invalid> {
+    Err(Invalid { field, why: why.into() })
+}
+
+/// `began`: when the call's headers came, on the clock; `timeout`: what its client waits (ms), if it says.
+///
+/// # Errors
+/// The first field that cannot be used.
+pub fn job(
+    request: SubmitRequest,
+    began: f64,
+    timeout: Option<f64>,
+    classes: &[Class],
+) -> Result<Job, Invalid> {
+    let trace_id = match request.id {
+        id if id.is_empty() => uuid::Uuid::new_v4().simple().to_string(),
+        id if is_id(&id) => id,
+        _ => return invalid("id", format!("1 to {ID_LIMIT} of A-Z a-z 0-9 - _ . ~ are wanted")),
+    };
+    // Of a class without settings neither worth nor what may be repeated is known.
+    let Some(class) = classes.iter().find(|known| known.name == request.job_class) else {
+        return invalid("job_class", "unknown class");
+    };
+    let key = plain("idempotency_key", request.idempotency_key)?;
+    if class.keyed && key.is_none() {
+        return invalid("idempotency_key", format!("class {} needs one", class.name));
+    }
+    plain("object", request.object)?;
+    if request.body.len() > BODY_LIMIT {
+        return invalid("body", format!("{} bytes, {BODY_LIMIT} are the most", request.body.len()));
+    }
+    if request.props.len() > MOST_PROPS {
+        return invalid("props", format!("{} figures, {MOST_PROPS} are the most", request.props.len()));
+    }
+    if let Some((name, value)) = request.props.iter().find(|(_, value)| !is_figure(**value)) {
+        return invalid("props", format!("{name:?} is {value}, a finite number from 0 up is wanted"));
+    }
+    if !request.method.is_empty() && request.method != JOB_METHOD {
+        return invalid("method", format!("{JOB_METHOD} is wanted"));
+    }
+    let target = match request.target {
+        target if target.is_empty() => JOB_PATH.to_owned(),
+        target if target.len() > TARGET_LIMIT => {
+            return invalid("target", format!("over {TARGET_LIMIT} characters"));
+        }
+        target if is_target(&target) && target.split('?').next() == Some(JOB_PATH) => target,
+        _ => return invalid("target", format!("{JOB_PATH} with any query is wanted, in printable ASCII")),
+    };
+    let prop = |name: &str| request.props.get(name).copied();
+    Ok(Job {
+        front: Front::Grpc,
+        trace_id,
+        class: class.name.clone(),
+        slots: prop("slots").unwrap_or(1.0),
+        memory: prop("memory").unwrap_or(0.0),
+        deadline: began + timeout.unwrap_or(class.limit),
+        verbatim: Verbatim {
+            method: JOB_METHOD.to_owned(),
+            target,
+            body: request.body,
+            idempotency_key: key,
+            content_type: None,
+        },
+    })
+}
+
+fn plain(field: &'static str, value: String) -> Result<Option<String>, Invalid> {
+    match value {
+        value if value.is_empty() => Ok(None),
+        value if value.len() <= VALUE_LIMIT && is_plain(&value) => Ok(Some(value)),
+        _ => invalid(field, format!("at most {VALUE_LIMIT} printable ASCII characters are wanted")),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::collections::HashMap;
+
+    fn classes() -> Vec<Class> {
+        let class = |name: &str, keyed| Class { name: name.to_owned(), keyed, limit: 5_000.0 };
+        vec![class("copy-issue", true), class("look-up", false)]
+    }
+
+    fn request() -> SubmitRequest {
+        SubmitRequest {
+            id: "9b1f".to_owned(),
+            job_class: "copy-issue".to_owned(),
+            idempotency_key: "5c0f".to_owned(),
+            body: b"body".to_vec(),
+            props: HashMap::from([("slots".to_owned(), 2.0), ("memory".to_owned(), 1.433)]),
+            target: "/api?q=1".to_owned(),
+            ..SubmitRequest::default()
+        }
+    }
+
+    #[test]
+    fn a_call_becomes_the_job_that_the_same_http_request_would() {
+        let made = job(request(), 1_000.0, Some(480.0), &classes()).unwrap();
+        assert_eq!(
+            (made.trace_id.as_str(), made.class.as_str(), made.front),
+            ("9b1f", "copy-issue", Front::Grpc)
+        );
+        assert_eq!((made.slots, made.memory, made.deadline), (2.0, 1.433, 1_480.0));
+        let verbatim = &made.verbatim;
+        assert_eq!((verbatim.method.as_str(), verbatim.target.as_str()), ("POST", "/api?q=1"));
+        assert_eq!(
+            (verbatim.body.as_slice(), verbatim.idempotency_key.as_deref()),
+            (&b"body"[..], Some("5c0f"))
+        );
+        let bare = SubmitRequest { job_class: "look-up".to_owned(), ..SubmitRequest::default() };
+        let (first, second) =
+            (job(bare.clone(), 0.0, None, &classes()).unwrap(), job(bare, 0.0, None, &classes()).unwrap());
+        assert_eq!((first.deadline, first.slots, first.verbatim.target.as_str()), (5_000.0, 1.0, "/api"));
+        assert!(
+            is_id(&first.trace_id) && first.trace_id != second.trace_id,
+            "one is made, each time another"
+        );
+    }
+
+    #[test]
+    fn the_field_that_breaks_a_rule_is_named() {
+        type Change = fn(&mut SubmitRequest);
+        let cases: [(&str, Change); 14] = [
+            ("id", |r| r.id = "../status".to_owned()),
+            ("id", |r| r.id = "..".to_owned()),
+            ("id", |r| r.id = "x".repeat(129)),
+            ("job_class", |r| r.job_class = "other".to_owned()),
+            ("job_class", |r| r.job_class.clear()),
+            ("idempotency_key", |r| r.idempotency_key.clear()),
+            ("idempotency_key", |r| r.idempotency_key = "a\r\nX-Evil: 1".to_owned()),
+            ("object", |r| r.object = "x".repeat(513)),
+            ("body", |r| r.body = vec![0; BODY_LIMIT + 1]),
+            ("props", |r| r.props = HashMap::from([("slots".to_owned(), f64::NAN)])),
+            ("props", |r| r.props = HashMap::from([("slots".to_owned(), -1.0)])),
+            // Either would reach what next hops serve beside jobs: a call-off of somebody else's job, say.
+            ("method", |r| r.method = "DELETE".to_owned()),
+            ("target", |r| r.target = "/jobs/9b1f".to_owned()),
+            ("target", |r| r.target = "/api HTTP/1.1\r\nX: 1".to_owned()),
+        ];
+        for (field, change) in cases {
+            let mut request = request();
+            change(&mut request);
+            assert_eq!(job(request, 0.0, None, &classes()).unwrap_err().field, field);
+        }
+    }
+}
--- /dev/null
+++ b/fronts/grpc/src/service.rs
@@ -0,0 +1,203 @@
+//! The service `millrudder.v1.Jobs`: calls to jobs, answers to replies.
+
+use crate::proto::job_event::{Accepted, Done, Ended, Event, Progress as Share, Started};
+use crate::proto::jobs_server::Jobs;
+use crate::proto::{JobEvent, SubmitReply, SubmitRequest};
+use crate::{intake, status, timeout};
+use futures_util::stream::{self, Stream};
+use millrudder_exchange::intake::BODY_LIMIT;
+use millrudder_exchange::{Answer, Core, Front, Permit, Progress, Reply, Ticket};
+use std::pin::Pin;
+use std::sync::Arc;
+use tokio::sync::Notify;
+use tonic::{Request, Response, Status};
+
+/// A message with the largest body, its other fields at their bounds.
+pub const MESSAGE_LIMIT: usize = BODY_LIMIT + 16 * 1024;
+
+/// When a call's headers came, on the clock: its client's time runs from there.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub began: f64,
+}
+
+#[derive(Clone)]
+pub struct JobsService(pub Arc<Core>);
+
+/// A job that is here for a call. Dropped before its answer, it is withdrawn.
+struct Pending {
+    core: Arc<Core>,
+    ticket: Ticket,
+    reply: Reply,
+    wake: Arc<Notify>,
+    permit: Option<Permit>,
+    answered: bool,
+}
+
+impl Pending {
+    /// Waits for news of the job: its answer, or progress beyond `seen` where it is followed.
+    async fn news(&mut self, seen: Progress) -> News {
+        loop {
+            if let Some(answer) = self.reply.take() {
+                self.answered = true;
+                // A client that is slow to read holds no place for a job.
+                self.permit = None;
+                return News::Answer(answer);
+            }
+            let progress = self.reply.progress();
+            if progress != seen {
+                return News::Progress(progress);
+            }
+            self.wake.notified().await;
+        }
+    }
+}
+
+enum News {
+    Answer(Answer),
+    Progress(Progress),
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if !self.answered {
+            self.core.exchange.withdraw(self.ticket);
+        }
+    }
+}
+
+impl JobsService {
+    /// Lets a job in, or says why not.
+    fn submit(&self, request: Request<SubmitRequest>, followed: bool) -> Result<(Pending, String), Status> {
+        let core = &self.0;
+        let timeout = match request.metadata().get("grpc-timeout") {
+            None => None,
+            Some(value) => match timeout::read(value.as_bytes()) {
+                Some(ms) => Some(ms),
+                None => {
+                    core.counters.rejected_headers.add();
+                    let why = "up to 8 digits and one of H M S m u n are wanted".to_owned();
+                    return Err(status::invalid(&intake::Invalid { field: "grpc-timeout", why }));
+                }
+            },
+        };
+        let began = request.extensions().get::<Arrival>().map_or_else(|| core.clock.now(), |a| a.began);
+        let job = intake::job(request.into_inner(), began, timeout, &core.classes).map_err(|invalid| {
+            core.counters.rejected_headers.add();
+            status::invalid(&invalid)
+        })?;
+        if core.stopping.grace_is_over(core.clock.now()) {
+            core.counters.turned_away.add();
+            return Err(status::refused("the dispatcher stops", None));
+        }
+        let permit = core.gate.enter(Front::Grpc, job.verbatim.body.len()).map_err(|refused| {
+            core.counters.turned_away.add();
+            let advice = Some(refused.retry_after).filter(|_| core.advice_allowed);
+            status::refused("no room now, try again", advice)
+        })?;
+        let wake = Arc::new(Notify::new());
+        let waker = wake.clone();
+        let wake_up = move || waker.notify_one();
+        let reply = if followed { Reply::followed(wake_up) } else { Reply::new(wake_up) };
+        let id = job.trace_id.clone();
+        core.counters.grpc_jobs.add();
+        let ticket = core.exchange.submit(job, reply.clone());
+        let core = core.clone();
+        Ok((Pending { core, ticket, reply, wake, permit: Some(permit), answered: false }, id))
+    }
+}
+
+#[tonic::async_trait]
+impl Jobs for JobsService {
+    async fn submit(&self, request: Request<SubmitRequest>) -> Result<Response<SubmitReply>, Status> {
+        let (mut pending, _) = JobsService::submit(self, request, false)?;
+        loop {
+            if let News::Answer(answer) = pending.news(Progress::default()).await {
+                let result = status::of_answer(answer, self.0.advice_allowed)?;
+                return Ok(Response::new(SubmitReply { result }));
+            }
+        }
+    }
+
+    type FollowStream = Pin<Box<dyn Stream<Item = Result<JobEvent, Status>> + Send>>;
+
+    async fn follow(&self, request: Request<SubmitRequest>) -> Result<Response<Self::FollowStream>, Status> {
+        let (pending, id) = JobsService::submit(self, request, true)?;
+        let events = Events { pending, id, seen: Progress::default(), state: State::Open };
+        Ok(Response::new(Box::pin(stream::unfold(events, |mut events| async {
+            let next = events.next().await?;
+            Some((next, events))
+        }))))
+    }
+}
+
+/// A followed job as a stream: any number of events, exactly one final one, and the status.
+struct Events {
+    pending: Pending,
+    id: String,
+    seen: Progress,
+    state: State,
+}
+
+enum State {
+    Open,
+    /// The final event has gone out; the call still ends with this.
+    Ending(Status),
+    Over,
+}
+
+fn event(event: Event) -> JobEvent {
+    JobEvent { event: Some(event) }
+}
+
+impl Events {
+    async fn next(&mut self) -> Option<Result<JobEvent, Status>> {
+        match std::mem::replace(&mut self.state, State::Over) {
+            State::Over => return None,
+            State::Ending(status) => return Some(Err(status)),
+            State::Open => {}
+        }
+        loop {
+            match self.pending.news(self.seen).await {
+                News::Answer(answer) => return Some(Ok(self.last(answer))),
+                News::Progress(now) => {
+                    if let Some(event) = self.step(now) {
+                        self.state = State::Open;
+                        return Some(Ok(event));
+                    }
+                }
+            }
+        }
+    }
+
+    /// The next thing to tell between what was told and what is.
+    fn step(&mut self, now: Progress) -> Option<JobEvent> {
+        if now.accepted && !self.seen.accepted {
+            self.seen.accepted = true;
+            return Some(event(Event::Accepted(Accepted { id: self.id.clone() })));
+        }
+        if now.starts > self.seen.starts {
+            // Starts that came while the client did not read are told as one, the newest.
+            self.seen = Progress { starts: now.starts, share: 0.0, ..self.seen };
+            return Some(event(Event::Started(Started { attempt: now.starts })));
+        }
+        let told = self.seen.share;
+        self.seen.share = now.share;
+        (now.share > told).then(|| event(Event::Progress(Share { share: now.share })))
+    }
+
+    fn last(&mut self, answer: Answer) -> JobEvent {
+        match status::of_answer(answer, self.pending.core.advice_allowed) {
+            Ok(result) => event(Event::Done(Done { result })),
+            Err(status) => {
+                let ended = Ended {
+                    code: status.code() as i32,
+                    message: status.message().to_owned(),
+                    retry_after_ms: status::advice(&status),
+                };
+                self.state = State::Ending(status);
+                event(Event::Ended(ended))
+            }
+        }
+    }
+}
--- /dev/null
+++ b/fronts/grpc/src/timeout.rs
@@ -0,0 +1,48 @@
+//! `grpc-timeout`: at most 8 digits and a unit (gRPC over HTTP/2, "Requests").
+
+use millrudder_exchange::intake::LONGEST_WAIT_MS;
+
+const MOST_DIGITS: usize = 8;
+
+/// The header's value in milliseconds, at most a day; none if it is no timeout.
+pub fn read(value: &[u8]) -> Option<f64> {
+    let (unit, digits) = value.split_last()?;
+    if digits.is_empty() || digits.len() > MOST_DIGITS || !digits.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    let number: f64 = std::str::from_utf8(digits).ok()?.parse().ok()?;
+    let ms = match unit {
+        b'H' => number * 3_600_000.0,
+        b'M' => number * 60_000.0,
+        b'S' => number * 1_000.0,
+        b'm' => number,
+        b'u' => number / 1_000.0,
+        b'n' => number / 1_000_000.0,
+        _ => return None,
+    };
+    Some(ms.min(LONGEST_WAIT_MS))
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn units_are_grpcs() {
+        for (text, ms) in [
+            ("5S", 5_000.0),
+            ("480m", 480.0),
+            ("1500u", 1.5),
+            ("2M", 120_000.0),
+            ("1000000n", 1.0),
+            ("0m", 0.0),
+        ] {
+            assert_eq!(read(text.as_bytes()), Some(ms), "{text}");
+        }
+        assert_eq!(read(b"99999999H"), Some(LONGEST_WAIT_MS));
+        for bad in ["", "5", "S", "5s", "-5S", "+5S", "1.5S", "123456789m", "5 S", "\u{0661}S"] {
+            assert_eq!(read(bad.as_bytes()), None, "{bad}");
+        }
+        millrudder_testing::garbage(22, b"4800m", |bytes| assert!(read(bytes).is_none_or(|ms| ms >= 0.0)));
+    }
+}
--- /dev/null
+++ b/fronts/grpc/tests/grpc/peers.rs
@@ -0,0 +1,199 @@
+//! Peers that cost more than they bring: each is ended or refused in time, has its counter, and leaves the front
+//! serving others.
+
+use crate::rig::{call, frame, headers, kind, request, served, until, Raw, Rig, END_HEADERS, SUBMIT};
+use millrudder_exchange::Front;
+
+/// The front still serves a usual client.
+fn serves(rig: &Rig) {
+    let mut raw = Raw::connect(rig, &[]);
+    raw.send(&call(1, &prost::Message::encode_to_vec(&request("usual"))));
+    rig.job().2.give(served("made"));
+    let (_, data) = raw.until(kind::DATA);
+    assert!(data.ends_with(b"made"));
+}
+
+#[test]
+fn floods_end_their_connection_each_under_its_name() {
+    let rig = Rig::start("control_frames: 20, streams: 20", 8);
+    let ping = frame(kind::PING, 0, 0, &[0; 8]);
+    let settings = frame(kind::SETTINGS, 0, 0, &[]);
+    let empty = frame(kind::DATA, 0, 1, &[]);
+    let priority = frame(2, 0, 3, &[0, 0, 0, 0, 1]);
+    for (flood, counter) in [
+        (ping, "grpc_flood_ping 1"),
+        (settings, "grpc_flood_settings 1"),
+        (priority, "grpc_flood_other 1"),
+        (empty, "grpc_flood_other 2"),
+    ] {
+        let mut raw = Raw::connect(&rig, &[]);
+        raw.send(&frame(kind::HEADERS, END_HEADERS, 1, &headers(SUBMIT)));
+        raw.send(&flood.repeat(100));
+        assert!(raw.is_ended());
+        rig.until_counted(counter);
+    }
+    // Calls made and cancelled at once, again and again.
+    let mut raw = Raw::connect(&rig, &[]);
+    for n in 0..100 {
+        let stream = 2 * n + 1;
+        raw.send(&frame(kind::HEADERS, END_HEADERS, stream, &headers(SUBMIT)));
+        raw.send(&frame(kind::RST_STREAM, 0, stream, &[0, 0, 0, 8]));
+    }
+    assert!(raw.is_ended());
+    rig.until_counted("grpc_flood_reset 1");
+    // A header block without end.
+    let mut raw = Raw::connect(&rig, &[]);
+    raw.send(&frame(kind::HEADERS, 0, 1, &headers(SUBMIT)));
+    raw.send(&frame(kind::CONTINUATION, 0, 1, &[0, 1, b'a', 1, b'b']).repeat(100));
+    assert!(raw.is_ended());
+    rig.until_counted("grpc_flood_continuation 1");
+    assert!(rig.nothing_came());
+    serves(&rig);
+}
+
+#[test]
+fn what_does_not_come_in_time_is_ended() {
+    let rig = Rig::start("request_time: 150 ms", 8);
+    let mut silent = Raw::silent(&rig);
+    let mut half = Raw::silent(&rig);
+    half.send(&crate::rig::PREFACE[..10]);
+    assert!(silent.is_ended() && half.is_ended());
+    rig.until_counted("grpc_too_slow 2");
+    // A header block that is begun and not ended.
+    let mut raw = Raw::connect(&rig, &[]);
+    raw.send(&frame(kind::HEADERS, 0, 1, &headers(SUBMIT)));
+    assert!(raw.is_ended());
+    rig.until_counted("grpc_too_slow 3");
+    // A call whose body does not come: it is answered, its connection stays, and it never held a place.
+    let mut raw = Raw::connect(&rig, &[]);
+    raw.send(&frame(kind::HEADERS, END_HEADERS, 1, &headers(SUBMIT)));
+    raw.send(&frame(kind::DATA, 0, 1, &[0, 0, 0]));
+    assert_eq!(raw.until(kind::HEADERS).0, 1);
+    rig.until_counted("grpc_too_slow 4");
+    assert!(rig.nothing_came() && rig.gate.usage(Front::Grpc).places == 0);
+    raw.send(&call(3, &prost::Message::encode_to_vec(&request("a"))));
+    rig.job().2.give(served("made"));
+    assert!(raw.until(kind::DATA).1.ends_with(b"made"));
+}
+
+#[test]
+fn a_reader_with_a_closed_window_is_cut_off_and_holds_no_place() {
+    let rig = Rig::start("answer_time: 150 ms", 8);
+    // SETTINGS_INITIAL_WINDOW_SIZE 0.
+    let mut raw = Raw::connect(&rig, &[0, 4, 0, 0, 0, 0]);
+    raw.send(&call(1, &prost::Message::encode_to_vec(&request("a"))));
+    rig.job().2.give(served(&"x".repeat(50_000)));
+    assert_eq!(raw.until(kind::RST_STREAM).0, 1);
+    rig.until_counted("grpc_stalled 1");
+    until("no place is held", || rig.gate.usage(Front::Grpc).places == 0);
+    serves(&rig);
+}
+
+#[test]
+fn a_reader_that_stops_reading_its_socket_is_cut_off() {
+    let rig = Rig::start("answer_time: 200 ms, streams: 64, control_frames: 100000", 8);
+    // A window of 2 GiB for each call and for the connection, and nothing is read: the socket's buffers fill up.
+    let mut raw = Raw::connect(&rig, &[0, 4, 0x7f, 0xff, 0xff, 0xff]);
+    raw.send(&frame(8, 0, 0, &[0x7f, 0x00, 0x00, 0x00]));
+    let message = prost::Message::encode_to_vec(&request(""));
+    let big = "x".repeat(4_000_000);
+    for stream in 0..16 {
+        raw.send(&call(2 * stream + 1, &message));
+        rig.job().2.give(served(&big));
+    }
+    until("it is cut off", || !rig.counted("grpc_stalled 0"));
+    serves(&rig);
+}
+
+#[test]
+fn calls_over_the_bound_and_headers_over_theirs_are_refused() {
+    let rig = Rig::start("streams: 2, header_list: 1 KiB", 8);
+    let mut raw = Raw::connect(&rig, &[]);
+    let message = prost::Message::encode_to_vec(&request(""));
+    for stream in [1, 3, 5] {
+        raw.send(&call(stream, &message));
+    }
+    let (stream, code) = raw.until(kind::RST_STREAM);
+    assert_eq!((stream, code.as_slice()), (5, &[0, 0, 0, 7][..]), "REFUSED_STREAM: harmless to try again");
+    rig.until_counted("grpc_streams_refused 1");
+    (0..2).for_each(|_| rig.job().2.give(served("made")));
+    let mut raw = Raw::connect(&rig, &[]);
+    let mut block = headers(SUBMIT);
+    for _ in 0..20 {
+        block.extend([0, 1, b'a', 100]);
+        block.extend([b'b'; 100]);
+    }
+    raw.send(&frame(kind::HEADERS, END_HEADERS, 1, &block));
+    raw.send(&frame(kind::DATA, 1, 1, &[0, 0, 0, 0, 0]));
+    // 431 or a reset, as h2 sees fit; never a job.
+    let answered = loop {
+        match raw.frame() {
+            Some((kind::HEADERS | kind::RST_STREAM | kind::GOAWAY, ..)) | None => break true,
+            Some(_) => {}
+        }
+    };
+    assert!(answered && rig.nothing_came());
+    serves(&rig);
+}
+
+#[test]
+fn connections_are_bounded_and_strangers_leave_first() {
+    let rig = Rig::start("", 2);
+    let message = prost::Message::encode_to_vec(&request(""));
+    let mut first = Raw::connect(&rig, &[]);
+    first.send(&call(1, &message));
+    let (_, _, first_reply) = rig.job();
+    // Two that say nothing: each makes room for the next.
+    let (mut silent, mut second) = (Raw::connect(&rig, &[]), Raw::connect(&rig, &[]));
+    assert!(silent.is_ended());
+    rig.until_counted("connections_evicted 1");
+    second.send(&call(1, &message));
+    let (_, _, second_reply) = rig.job();
+    // All have jobs here: whoever comes is told so by a close, and they are served.
+    assert!(Raw::connect(&rig, &[]).is_ended());
+    rig.until_counted("grpc_connections_refused 1");
+    first_reply.give(served("made"));
+    second_reply.give(served("made"));
+    assert!(first.until(kind::DATA).1.ends_with(b"made") && second.until(kind::DATA).1.ends_with(b"made"));
+}
+
+#[test]
+fn what_is_no_grpc_is_refused() {
+    let rig = Rig::start("", 4);
+    let mut raw = Raw::connect(&rig, &[]);
+    // GET / by indexed fields: no content type, wrong method.
+    raw.send(&frame(kind::HEADERS, END_HEADERS | 1, 1, &[0x82, 0x86, 0x84, 0x41, 1, b'x']));
+    assert_eq!(raw.until(kind::HEADERS).0, 1);
+    raw.send(&frame(kind::HEADERS, END_HEADERS | 1, 3, &headers("/millrudder.v2.Jobs/Submit")));
+    assert_eq!(raw.until(kind::HEADERS).0, 3);
+    rig.until_counted("rejected_unknown 2");
+    let mut http1 = Raw::silent(&rig);
+    http1.send(b"POST /api HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+    assert!(http1.is_ended());
+    serves(&rig);
+}
+
+#[test]
+fn cuts_and_garbage_from_fixed_seeds_leave_it_standing() {
+    let rig = Rig::start("request_time: 100 ms", 16);
+    let message = prost::Message::encode_to_vec(&request("a"));
+    let session = [crate::rig::PREFACE, &frame(kind::SETTINGS, 0, 0, &[]), &call(1, &message)].concat();
+    millrudder_testing::garbage(25, &session, |bytes| {
+        let mut raw = Raw::silent(&rig);
+        raw.send(bytes);
+    });
+    // Some of the spoilt ones were whole calls all the same; all of them are withdrawn again.
+    until("no place is held", || rig.gate.usage(Front::Grpc).places == 0);
+    let mut served_whole = 0;
+    millrudder_testing::cuts(26, &session, |parts| {
+        if served_whole == 40 {
+            return;
+        }
+        while !rig.nothing_came() {}
+        let mut raw = Raw::silent(&rig);
+        parts.iter().for_each(|part| assert!(raw.send(part)));
+        rig.job().2.give(served("made"));
+        assert!(raw.until(kind::DATA).1.ends_with(b"made"));
+        served_whole += 1;
+    });
+}
--- /dev/null
+++ b/fronts/grpc/tests/grpc/rig.rs
@@ -0,0 +1,238 @@
+//! The front between a scripted core and clients: tonic's, and one that writes frames by hand.
+
+use millrudder_admission::Capacity;
+use millrudder_config::settings::Settings;
+use millrudder_config::GrpcBudget;
+use millrudder_exchange::clock::Clock;
+use millrudder_exchange::counters::Counters;
+use millrudder_exchange::intake::Class;
+use millrudder_exchange::shutdown::Stopping;
+use millrudder_exchange::{Answer, Core, Exchange, Front, Gate, Job, Message, Reply, Ticket};
+use millrudder_front_grpc::proto::jobs_client::JobsClient;
+use millrudder_front_grpc::proto::SubmitRequest;
+use millrudder_front_grpc::GrpcFront;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tonic::transport::{Channel, Endpoint};
+
+/// Long enough for a loaded machine; reached only where something hangs.
+pub const WAIT: Duration = Duration::from_secs(20);
+
+/// What reaches the scripted core.
+pub enum Seen {
+    Job(Ticket, Arc<Job>, Reply),
+    Withdrawn(Ticket),
+}
+
+pub struct Rig {
+    pub address: SocketAddr,
+    pub counters: Arc<Counters>,
+    pub gate: Gate,
+    pub stopping: Stopping,
+    pub clock: Clock,
+    seen: Receiver<Seen>,
+    _front: GrpcFront,
+}
+
+impl Rig {
+    /// `limits`: the settings' `fronts.grpc.limits`, in YAML's flow style.
+    pub fn start(limits: &str, connections: usize) -> Self {
+        let yaml = format!("fronts: {{grpc: {{listen: '127.0.0.1:0', limits: {{{limits}}}}}}}");
+        let settings = Settings::read(&yaml, Path::new("test")).unwrap();
+        let (exchange, inbox) = Exchange::new();
+        let (sender, seen) = channel();
+        std::thread::spawn(move || {
+            while let Ok(message) = inbox.recv() {
+                let sent = match message {
+                    Message::Submitted { ticket, job, reply } => sender.send(Seen::Job(ticket, job, reply)),
+                    Message::Withdrawn { ticket } => sender.send(Seen::Withdrawn(ticket)),
+                    _ => Ok(()),
+                };
+                if sent.is_err() {
+                    return;
+                }
+            }
+        });
+        let (clock, counters) = (Clock::start(), Arc::new(Counters::default()));
+        let stopping = Stopping::new(5_000.0);
+        let capacity = Capacity { places: 16, bytes: 1 << 20 };
+        let gate = Gate::new(capacity, &[(Front::Grpc, 1)], clock);
+        let core = Core {
+            exchange,
+            gate: gate.clone(),
+            counters: counters.clone(),
+            stopping: stopping.clone(),
+            clock,
+            classes: vec![Class { name: "copy-issue".to_owned(), keyed: true, limit: 5_000.0 }],
+            advice_allowed: true,
+            log: slog::Logger::root(slog::Discard, slog::o!()),
+        };
+        let grpc = settings.fronts.grpc.unwrap();
+        let budget = GrpcBudget { connections, buffers: 1 << 20 };
+        let front = GrpcFront::open(grpc.listen.0, grpc.limits, budget, core).unwrap();
+        Rig { address: front.address(), counters, gate, stopping, clock, seen, _front: front }
+    }
+
+    pub fn next(&self) -> Seen {
+        self.seen.recv_timeout(WAIT).expect("something reaches the core")
+    }
+
+    pub fn job(&self) -> (Ticket, Arc<Job>, Reply) {
+        match self.next() {
+            Seen::Job(ticket, job, reply) => (ticket, job, reply),
+            Seen::Withdrawn(ticket) => panic!("{ticket} is withdrawn"),
+        }
+    }
+
+    pub fn withdrawn(&self) -> Ticket {
+        match self.next() {
+            Seen::Withdrawn(ticket) => ticket,
+            Seen::Job(_, job, _) => panic!("{job:?}"),
+        }
+    }
+
+    pub fn nothing_came(&self) -> bool {
+        self.seen.try_recv().is_err()
+    }
+
+    pub fn counted(&self, line: &str) -> bool {
+        self.counters.print().lines().any(|l| l == line)
+    }
+
+    pub fn until_counted(&self, line: &str) {
+        until(line, || self.counted(line));
+    }
+
+    pub async fn client(&self) -> JobsClient<Channel> {
+        let endpoint = Endpoint::from_shared(format!("http://{}", self.address)).unwrap();
+        JobsClient::new(endpoint.connect().await.unwrap())
+    }
+}
+
+pub fn until(what: &str, is: impl Fn() -> bool) {
+    let end = Instant::now() + WAIT;
+    while !is() {
+        assert!(Instant::now() < end, "{what}");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub fn request(id: &str) -> SubmitRequest {
+    SubmitRequest {
+        id: id.to_owned(),
+        job_class: "copy-issue".to_owned(),
+        idempotency_key: "5c0f".to_owned(),
+        body: b"body".to_vec(),
+        ..SubmitRequest::default()
+    }
+}
+
+pub fn served(text: &str) -> Answer {
+    Answer::Served { result: text.as_bytes().to_vec() }
+}
+
+/// A client that writes frames as it likes.
+pub struct Raw(pub TcpStream);
+
+pub mod kind {
+    pub const DATA: u8 = 0;
+    pub const HEADERS: u8 = 1;
+    pub const RST_STREAM: u8 = 3;
+    pub const SETTINGS: u8 = 4;
+    pub const PING: u8 = 6;
+    pub const GOAWAY: u8 = 7;
+    pub const CONTINUATION: u8 = 9;
+}
+pub const END_STREAM: u8 = 1;
+pub const END_HEADERS: u8 = 4;
+
+pub fn frame(kind: u8, flags: u8, stream: u32, payload: &[u8]) -> Vec<u8> {
+    let mut bytes = (payload.len() as u32).to_be_bytes()[1..].to_vec();
+    bytes.extend([kind, flags]);
+    bytes.extend(stream.to_be_bytes());
+    bytes.extend(payload);
+    bytes
+}
+
+/// Headers as literals without indexing (RFC 7541, section 6.2.2).
+pub fn headers(path: &str) -> Vec<u8> {
+    let mut block = Vec::new();
+    for (name, value) in [
+        (":method", "POST"),
+        (":scheme", "http"),
+        (":path", path),
+        (":authority", "x"),
+        ("te", "trailers"),
+        ("content-type", "application/grpc"),
+    ] {
+        block.extend([0, name.len() as u8]);
+        block.extend(name.as_bytes());
+        block.push(value.len() as u8);
+        block.extend(value.as_bytes());
+    }
+    block
+}
+
+pub const SUBMIT: &str = "/millrudder.v1.Jobs/Submit";
+pub const PREFACE: &[u8] = b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+
+/// A whole call as two frames: headers, message.
+pub fn call(stream: u32, message: &[u8]) -> Vec<u8> {
+    let mut body = vec![0];
+    body.extend((message.len() as u32).to_be_bytes());
+    body.extend(message);
+    [
+        frame(kind::HEADERS, END_HEADERS, stream, &headers(SUBMIT)),
+        frame(kind::DATA, END_STREAM, stream, &body),
+    ]
+    .concat()
+}
+
+impl Raw {
+    /// `settings`: the payload of the first SETTINGS frame.
+    pub fn connect(rig: &Rig, settings: &[u8]) -> Self {
+        let mut raw = Raw::silent(rig);
+        raw.send(&[PREFACE, &frame(kind::SETTINGS, 0, 0, settings)].concat());
+        raw
+    }
+
+    pub fn silent(rig: &Rig) -> Self {
+        let stream = TcpStream::connect(rig.address).unwrap();
+        stream.set_read_timeout(Some(WAIT)).unwrap();
+        Raw(stream)
+    }
+
+    /// The front may close at any time: that is for `is_ended` to see.
+    pub fn send(&mut self, bytes: &[u8]) -> bool {
+        self.0.write_all(bytes).is_ok()
+    }
+
+    /// The next frame: kind, stream, payload; none once the front has closed.
+    pub fn frame(&mut self) -> Option<(u8, u32, Vec<u8>)> {
+        let mut head = [0; 9];
+        self.0.read_exact(&mut head).ok()?;
+        let mut payload = vec![0; u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize];
+        self.0.read_exact(&mut payload).ok()?;
+        Some((head[3], u32::from_be_bytes([head[5], head[6], head[7], head[8]]), payload))
+    }
+
+    /// Waits for a frame of this kind.
+    pub fn until(&mut self, wanted: u8) -> (u32, Vec<u8>) {
+        loop {
+            let (kind, stream, payload) = self.frame().expect("the connection is open");
+            if kind == wanted {
+                return (stream, payload);
+            }
+        }
+    }
+
+    /// The front closes this connection.
+    pub fn is_ended(&mut self) -> bool {
+        while self.frame().is_some() {}
+        true
+    }
+}
--- a/fronts/http/src/connection.rs
+++ b/fronts/http/src/connection.rs
@@ -4,7 +4,7 @@
 use super::intake::{self, Intake, Refusal};
 use super::{answer, call_back, Shared};
 use may::net::TcpStream;
-use millrudder_exchange::{Answer, Failure, Job, Reply};
+use millrudder_exchange::{Answer, Failure, Front, Job, Reply};
 use millrudder_wire::http::{self, Decoder, Request};
 use millrudder_wire::socket::{Got, Socket};
 use std::io;
@@ -163,16 +163,27 @@
             let retry_after = (!self.shared.stopping.has_begun()).then_some(CROWDED_RETRY_MS);
             return self.reply(false, |close| answer::of_job(&Answer::Defer { retry_after }, close));
         }
+        let permit = match self.shared.gate.enter(Front::Http, job.verbatim.body.len()) {
+            Ok(permit) => permit,
+            Err(refused) => {
+                self.shared.counters.turned_away.add();
+                let answer = Answer::Defer { retry_after: Some(refused.retry_after) };
+                return self.reply(keep, |close| answer::of_job(&answer, close));
+            }
+        };
         self.doing(Doing::Waiting);
         self.shared.doors.holds(&self.pass, self.decoder.held() + job.verbatim.body.len());
         let waker = self.socket.waker();
         let reply = Reply::new(move || waker.wakeup());
         let ticket = self.shared.exchange.submit(job, reply.clone());
         loop {
-            match reply.take() {
-                Some(Answer::Failed(Failure::Repeated)) => return self.refuse(&Refusal::Repeated),
-                Some(answer) => return self.give(&answer, keep),
-                None => {}
+            if let Some(answer) = reply.take() {
+                // A client that is slow to read holds no place for a job.
+                drop(permit);
+                return match answer {
+                    Answer::Failed(Failure::Repeated) => self.refuse(&Refusal::Repeated),
+                    answer => self.give(&answer, keep),
+                };
             }
             match self.read_ahead() {
                 Ok(Got::Bytes(_)) => {}
--- a/fronts/http/src/intake.rs
+++ b/fronts/http/src/intake.rs
@@ -1,7 +1,11 @@
 //! A request as it came to what it asks for. Whatever is wrong with it is named in the refusal.
 
 use millrudder_exchange::counters::Counters;
-use millrudder_exchange::{Job, Verbatim};
+use millrudder_exchange::intake::{
+    is_figure, is_id, is_plain, is_target, Class, JOB_METHOD, JOB_PATH, LONGEST_WAIT_MS, TARGET_LIMIT,
+    VALUE_LIMIT,
+};
+use millrudder_exchange::{Front, Job, Verbatim};
 use millrudder_wire::http::{FrameError, Request};
 use std::fmt;
 
@@ -88,35 +92,25 @@
 const PROPS: &str = "X-Props";
 const KEY: &str = "Idempotency-Key";
 const CONTENT_TYPE: &str = "Content-Type";
-/// An id becomes part of a path at the next hop.
-const ID_LIMIT: usize = 128;
-/// What passes on of a target and of a header: a next hop need not take more.
-const TARGET_LIMIT: usize = 2_048;
-const VALUE_LIMIT: usize = 512;
-
-/// A class of jobs, as far as intake knows it.
-#[derive(Clone, Debug)]
-pub struct Class {
-    pub name: String,
-    /// Its jobs carry a key by which next hops drop repeats.
-    pub keyed: bool,
-}
-
 /// `began`: when the request's first byte came; `classes`: those that the settings name.
 pub fn route(request: Request, began: f64, classes: &[Class]) -> Result<Intake, Refusal> {
     match (request.path(), request.method.as_str()) {
-        ("/api", "POST") => job(request, began, classes).map(|job| Intake::Job(Box::new(job))),
+        (JOB_PATH, JOB_METHOD) => job(request, began, classes).map(|job| Intake::Job(Box::new(job))),
         ("/_jobs/news", "POST") => Ok(Intake::News(request.body)),
         ("/ready", "GET") => Ok(Intake::Ready),
         ("/counters", "GET") => Ok(Intake::Counters),
-        ("/api" | "/_jobs/news", _) => Err(Refusal::WrongMethod("POST")),
+        (JOB_PATH | "/_jobs/news", _) => Err(Refusal::WrongMethod("POST")),
         ("/ready" | "/counters", _) => Err(Refusal::WrongMethod("GET")),
         _ => Err(Refusal::UnknownPath),
     }
 }
 
 fn job(request: Request, began: f64, classes: &[Class]) -> Result<Job, Refusal> {
-    check_target(&request.target)?;
+    match request.target.len() {
+        length if length > TARGET_LIMIT => return Err(Refusal::LongTarget),
+        _ if !is_target(&request.target) => return Err(Refusal::BadTarget),
+        _ => {}
+    }
     let headers = &request.headers;
     let single = |name| match headers.all(name).count() {
         0 | 1 => Ok(headers.get(name).filter(|value| !value.is_empty())),
@@ -145,26 +139,7 @@
     let (content_type, class) = (passed_on(CONTENT_TYPE)?, class.name.clone());
     let Request { method, target, body, .. } = request;
     let verbatim = Verbatim { method, target, body, idempotency_key, content_type };
-    Ok(Job { trace_id, class, slots, memory, deadline: began + expires, verbatim })
-}
-
-/// What passes on must mean the same to any next hop: printable ASCII, and no fragment.
-fn check_target(target: &str) -> Result<(), Refusal> {
-    if target.len() > TARGET_LIMIT {
-        return Err(Refusal::LongTarget);
-    }
-    let clean = target.bytes().all(|b| b.is_ascii_graphic() && b != b'#');
-    clean.then_some(()).ok_or(Refusal::BadTarget)
-}
-
-fn is_plain(value: &str) -> bool {
-    value.bytes().all(|b| b.is_ascii_graphic() || b == b' ')
-}
-
-/// Only dots would name another path.
-fn is_id(id: &str) -> bool {
-    let known = |b: u8| b.is_ascii_alphanumeric() || b"-_.~".contains(&b);
-    id.len() <= ID_LIMIT && id.bytes().all(known) && id.bytes().any(|b| b != b'.')
+    Ok(Job { front: Front::Http, trace_id, class, slots, memory, deadline: began + expires, verbatim })
 }
 
 /// A number and its unit: `480m` are milliseconds, `480u` microseconds.
@@ -175,8 +150,7 @@
     };
     let digits = !number.is_empty() && number.bytes().all(|b| b.is_ascii_digit() || b == b'.');
     let value: f64 = number.parse().ok().filter(|_| digits)?;
-    // Longer than a day is no span that a client waits.
-    (value * scale <= 86_400_000.0).then_some(value * scale)
+    (value * scale <= LONGEST_WAIT_MS).then_some(value * scale)
 }
 
 /// One figure of `name=value,name=value`.
@@ -184,7 +158,7 @@
     let found = props.split(',').filter_map(|p| p.split_once('=')).find(|(n, _)| n.trim() == name);
     match found.map(|(_, value)| value.trim().parse::<f64>()) {
         None => Ok(None),
-        Some(Ok(value)) if value.is_finite() && value >= 0.0 => Ok(Some(value)),
+        Some(Ok(value)) if is_figure(value) => Ok(Some(value)),
         Some(_) => Err(()),
     }
 }
--- a/fronts/http/src/lib.rs
+++ b/fronts/http/src/lib.rs
@@ -12,15 +12,14 @@
 
 use connection::Connection;
 use doors::Doors;
-use intake::Class;
 use may::net::{TcpListener, TcpStream};
-use millrudder as mr;
-use millrudder_config::Config;
+use millrudder_config::Budget;
 use millrudder_exchange::clock::{span, Clock};
 use millrudder_exchange::counters::Counters;
+use millrudder_exchange::intake::Class;
 use millrudder_exchange::rate::Limiter;
 use millrudder_exchange::shutdown::Stopping;
-use millrudder_exchange::Exchange;
+use millrudder_exchange::{Core, Exchange, Gate};
 use slog::Logger;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,6 +42,7 @@
     clock: Clock,
     doors: Doors,
     classes: Vec<Class>,
+    gate: Gate,
     log: Logger,
     /// For the log of bad call-backs, so that a broken next hop cannot flood it.
     bad_news: Limiter,
@@ -52,23 +52,13 @@
 pub struct SenderSide(Arc<Shared>);
 
 impl SenderSide {
-    pub fn new(
-        config: &Config,
-        exchange: Exchange,
-        counters: Arc<Counters>,
-        stopping: Stopping,
-        clock: Clock,
-        log: Logger,
-    ) -> Self {
-        let doors = Doors::new(config.budget);
-        let class = |(name, class): (&String, &mr::Class)| Class {
-            name: name.clone(),
-            keyed: class.effect == mr::Effect::Deduplicated,
-        };
-        let classes = config.names.classes.iter().zip(&config.settings.classes).map(class).collect();
+    pub fn new(budget: Budget, core: Core) -> Self {
+        let doors = Doors::new(budget);
         let (bad_news, bad_accepts) = (Limiter::default(), Limiter::default());
+        let Core { exchange, gate, counters, stopping, clock, classes, log, .. } = core;
         SenderSide(Arc::new(Shared {
             exchange,
+            gate,
             counters,
             stopping,
             clock,
--- a/fronts/http/src/tests.rs
+++ b/fronts/http/src/tests.rs
@@ -1,8 +1,9 @@
 use super::answer;
 use super::call_back;
 use super::doors::{first_to_leave, Doing, Doors, Standing, State};
-use super::intake::{route, Class, Intake, Refusal};
+use super::intake::{route, Intake, Refusal};
 use millrudder_config::Budget;
+use millrudder_exchange::intake::Class;
 use millrudder_exchange::{Answer, Failure, Job, JobState};
 use millrudder_testing::garbage;
 use millrudder_wire::http::{Decoder, Request, Response};
@@ -22,7 +23,7 @@
     Idempotency-Key: 5c0f\r\nX-Props: slots=1,memory=1.433";
 
 fn job(head: &str) -> Result<Job, Refusal> {
-    let class = Class { name: "copy-issue".to_owned(), keyed: true };
+    let class = Class { name: "copy-issue".to_owned(), keyed: true, limit: 5_000.0 };
     match route(request(head, "body"), 1000.0, &[class])? {
         Intake::Job(job) => Ok(*job),
         other => panic!("not a job: {other:?}"),
