--- a/config/src/settings/mod.rs
+++ b/config/src/settings/mod.rs
@@ -23,6 +23,7 @@
 pub struct Settings {
     pub fronts: Fronts,
     pub admission: Admission,
+    pub upgrade: Upgrade,
     pub log: Log,
 }
 
@@ -92,6 +93,14 @@
     pub bodies: Option<Size<65_536, 1_099_511_627_776>>,
 }
 
+/// Handing over to a new process.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Upgrade {
+    /// Where the control socket is; absent: there is none.
+    pub control: Option<PathBuf>,
+}
+
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields, default)]
 pub struct Log {
@@ -225,6 +234,7 @@
             ("fronts.http.limits", old.http.limits != new.http.limits),
             ("fronts.grpc", grpc(old) != grpc(new)),
             ("admission", self.admission != newer.admission),
+            ("upgrade", self.upgrade != newer.upgrade),
             ("log.format", self.log.format != newer.log.format),
         ];
         differing.into_iter().filter(|(_, differs)| *differs).map(|(key, _)| key).collect()
--- /dev/null
+++ b/control/src/client.rs
@@ -0,0 +1,54 @@
+//! The asking side.
+
+use crate::messages::{to_line, Answer, Question, LINE_LIMIT};
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use std::{error, fmt};
+
+const PATIENCE: Duration = Duration::from_secs(2);
+
+#[derive(Debug)]
+pub enum AskError {
+    /// Nobody listens there, or it cannot be reached.
+    Unreachable(PathBuf, io::Error),
+    /// It was reached and did not answer.
+    Silent(io::Error),
+    /// What came is no answer that this version knows.
+    Unknown(String),
+}
+
+impl fmt::Display for AskError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            AskError::Unreachable(path, error) => write!(f, "{}: {error}", path.display()),
+            AskError::Silent(error) => write!(f, "no answer: {error}"),
+            AskError::Unknown(text) => write!(f, "no answer that is known here: {text}"),
+        }
+    }
+}
+
+impl error::Error for AskError {}
+
+/// Asks one question.
+///
+/// # Errors
+/// It could not be asked, or was not answered.
+pub fn ask(path: &Path, question: Question) -> Result<Answer, AskError> {
+    let stream = UnixStream::connect(path).map_err(|e| AskError::Unreachable(path.to_owned(), e))?;
+    let line = exchange(stream, question).map_err(AskError::Silent)?;
+    serde_json::from_str(&line).map_err(|_| AskError::Unknown(line))
+}
+
+fn exchange(mut stream: UnixStream, question: Question) -> io::Result<String> {
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.set_write_timeout(Some(PATIENCE))?;
+    stream.write_all(&to_line(&question))?;
+    let mut line = String::new();
+    BufReader::new(stream.take(LINE_LIMIT as u64)).read_line(&mut line)?;
+    if line.is_empty() {
+        return Err(io::ErrorKind::UnexpectedEof.into());
+    }
+    Ok(line.trim_end().to_owned())
+}
--- /dev/null
+++ b/control/src/server.rs
@@ -0,0 +1,143 @@
+//! The dispatcher's side.
+
+use crate::messages::{to_line, Answer, Question, LINE_LIMIT};
+use nix::sys::socket::{getsockopt, sockopt::PeerCredentials};
+use nix::unistd::{geteuid, Uid};
+use std::io::{self, ErrorKind, Read, Write};
+use std::os::unix::fs::{FileTypeExt, PermissionsExt};
+use std::os::unix::net::{UnixListener, UnixStream};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// Questions under way at once; who comes beyond is closed on. People ask, and few at a time.
+pub const MOST_CONNECTIONS: usize = 4;
+/// For a whole question, and for the answer to be taken.
+const PATIENCE: Duration = Duration::from_millis(500);
+/// After a failed accept (no descriptor is free, say) the next try waits: retrying at once would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(10);
+/// Only the dispatcher's own user may open the socket's file.
+const MODE: u32 = 0o600;
+
+type Answers = dyn Fn(Question) -> Answer + Send + Sync;
+
+/// The socket's file; removed when this is dropped.
+pub struct Control {
+    path: PathBuf,
+}
+
+impl Control {
+    /// Listens, and answers on threads of its own for as long as the program runs.
+    ///
+    /// # Errors
+    /// Another process listens there, something else than a socket is there, or the folder cannot be written.
+    pub fn open(
+        path: &Path,
+        answers: impl Fn(Question) -> Answer + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        clear(path)?;
+        let listener = UnixListener::bind(path)?;
+        std::fs::set_permissions(path, std::fs::Permissions::from_mode(MODE))?;
+        let answers: Arc<Answers> = Arc::new(answers);
+        std::thread::Builder::new().name("control".to_owned()).spawn(move || accept(&listener, &answers))?;
+        Ok(Control { path: path.to_owned() })
+    }
+}
+
+impl Drop for Control {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_file(&self.path);
+    }
+}
+
+/// Removes what a process left that has died; nothing else.
+fn clear(path: &Path) -> io::Result<()> {
+    let found = match std::fs::symlink_metadata(path) {
+        Ok(found) => found,
+        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(()),
+        Err(error) => return Err(error),
+    };
+    if !found.file_type().is_socket() {
+        return Err(io::Error::new(ErrorKind::AlreadyExists, "something else than a socket is there"));
+    }
+    match UnixStream::connect(path) {
+        Ok(_) => Err(io::Error::new(ErrorKind::AddrInUse, "another process listens there")),
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => std::fs::remove_file(path),
+        Err(error) => Err(error),
+    }
+}
+
+fn accept(listener: &UnixListener, answers: &Arc<Answers>) {
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let Ok((stream, _)) = listener.accept() else {
+            std::thread::sleep(ACCEPT_PAUSE);
+            continue;
+        };
+        if open.fetch_add(1, Ordering::AcqRel) >= MOST_CONNECTIONS {
+            open.fetch_sub(1, Ordering::AcqRel);
+            continue;
+        }
+        let place = Place(open.clone());
+        let answers = answers.clone();
+        let run = move || {
+            let _place = place;
+            let _ = serve(stream, answers.as_ref());
+        };
+        // Without a thread the connection is closed, and its place is free again.
+        let _ = std::thread::Builder::new().name("control".to_owned()).spawn(run);
+    }
+}
+
+struct Place(Arc<AtomicUsize>);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+fn serve(mut stream: UnixStream, answers: &Answers) -> io::Result<()> {
+    stream.set_write_timeout(Some(PATIENCE))?;
+    let peer = getsockopt(&stream, PeerCredentials)?;
+    let answer = match is_ours(Uid::from_raw(peer.uid())) {
+        // The file's mode says so already; a socket that was handed on does not.
+        false => Answer::Refused("another user's".to_owned()),
+        true => match read_line(&mut stream)? {
+            line if line.len() > LINE_LIMIT => Answer::Refused(format!("over {LINE_LIMIT} bytes")),
+            line => match serde_json::from_slice(&line) {
+                Ok(question) => answers(question),
+                Err(error) => Answer::Refused(format!("no question: {error}")),
+            },
+        },
+    };
+    stream.write_all(&to_line(&answer))
+}
+
+fn is_ours(peer: Uid) -> bool {
+    peer == geteuid() || peer.is_root()
+}
+
+/// A line, whole in time; longer than the limit if it is too long.
+fn read_line(stream: &mut UnixStream) -> io::Result<Vec<u8>> {
+    let (end, mut line, mut part) = (Instant::now() + PATIENCE, Vec::new(), [0; 512]);
+    loop {
+        let left = end.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return Err(ErrorKind::TimedOut.into());
+        }
+        stream.set_read_timeout(Some(left))?;
+        match stream.read(&mut part)? {
+            0 => return Err(ErrorKind::UnexpectedEof.into()),
+            n => line.extend_from_slice(&part[..n]),
+        }
+        if let Some(at) = line.iter().position(|b| *b == b'\n') {
+            line.truncate(at);
+            return Ok(line);
+        }
+        if line.len() > LINE_LIMIT {
+            return Ok(line);
+        }
+    }
+}
--- /dev/null
+++ b/control/tests/control.rs
@@ -0,0 +1,129 @@
+//! The socket between its own client and bad ones.
+
+use millrudder_control::{ask, Answer, AskError, Control, Question, Status, LINE_LIMIT, MOST_CONNECTIONS};
+use std::io::{Read, Write};
+use std::os::unix::fs::PermissionsExt;
+use std::os::unix::net::UnixStream;
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new() -> Self {
+        static MADE: AtomicU32 = AtomicU32::new(0);
+        let number = MADE.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("millrudder-control-{}-{number}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        Folder(path)
+    }
+
+    fn socket(&self) -> PathBuf {
+        self.0.join("control")
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn status() -> Status {
+    Status {
+        process: 7,
+        version: "0.1.0".to_owned(),
+        phase: "serving".to_owned(),
+        jobs_owed: 3,
+        age_ms: 1_000,
+    }
+}
+
+fn open(path: &Path) -> std::io::Result<Control> {
+    Control::open(path, |Question::Status| Answer::Status(status()))
+}
+
+/// Bad clients may hold all places for as long as they are given.
+fn answered_in_the_end(path: &Path) {
+    let end = Instant::now() + Duration::from_secs(20);
+    while !ask(path, Question::Status).is_ok_and(|answer| answer == Answer::Status(status())) {
+        assert!(Instant::now() < end, "an answer");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+fn say(path: &Path, bytes: &[u8]) -> String {
+    let mut stream = UnixStream::connect(path).unwrap();
+    // It may close while we still write.
+    let _ = stream.write_all(bytes);
+    let mut text = String::new();
+    let _ = stream.read_to_string(&mut text);
+    text
+}
+
+#[test]
+fn its_own_user_is_answered_and_no_other_can_open_it() {
+    let folder = Folder::new();
+    let control = open(&folder.socket()).unwrap();
+    assert_eq!(ask(&folder.socket(), Question::Status).unwrap(), Answer::Status(status()));
+    let mode = std::fs::metadata(folder.socket()).unwrap().permissions().mode();
+    assert_eq!(mode & 0o777, 0o600);
+    drop(control);
+    assert!(matches!(ask(&folder.socket(), Question::Status), Err(AskError::Unreachable(..))));
+}
+
+#[test]
+fn what_a_dead_process_left_is_cleared_and_nothing_else() {
+    let folder = Folder::new();
+    let (path, other) = (folder.socket(), folder.0.join("file"));
+    drop(std::os::unix::net::UnixListener::bind(&path).unwrap());
+    let _control = open(&path).unwrap();
+    let second = open(&path).err().unwrap();
+    assert_eq!(second.kind(), std::io::ErrorKind::AddrInUse);
+    std::fs::write(&other, "mine").unwrap();
+    assert!(open(&other).is_err() && std::fs::read_to_string(&other).unwrap() == "mine");
+}
+
+#[test]
+fn bad_input_is_refused_in_words() {
+    let folder = Folder::new();
+    let _control = open(&folder.socket()).unwrap();
+    for (bytes, words) in [
+        (&b"nonsense\n"[..], "no question"),
+        (b"{\"ask\":\"upgrade\"}\n", "no question"),
+        (b"\n", "no question"),
+        (&[b'x'; 2 * LINE_LIMIT], "over 4096 bytes"),
+    ] {
+        let answer = say(&folder.socket(), bytes);
+        assert!(answer.contains(words), "{answer:?}");
+    }
+    // A newer client's further fields are passed over.
+    assert!(say(&folder.socket(), b"{\"ask\":\"status\",\"mood\":1}\n").contains("jobs_owed"));
+    millrudder_testing::garbage(33, b"{\"ask\":\"status\"}\n", |bytes| {
+        let mut stream = UnixStream::connect(folder.socket()).unwrap();
+        let _ = stream.write_all(bytes);
+    });
+    answered_in_the_end(&folder.socket());
+}
+
+#[test]
+fn a_thousand_connections_that_say_nothing_are_bounded_and_pass() {
+    let folder = Folder::new();
+    let _control = open(&folder.socket()).unwrap();
+    // Only so many are kept; the rest is closed on at once.
+    let mut silent: Vec<UnixStream> = Vec::new();
+    for _ in 0..1_000 {
+        let stream = UnixStream::connect(folder.socket()).unwrap();
+        silent.push(stream);
+        if silent.len() > 100 {
+            silent.remove(0);
+        }
+    }
+    let closed = silent.iter_mut().filter(|stream| {
+        stream.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+        matches!((&**stream).read(&mut [0]), Ok(0))
+    });
+    assert!(closed.count() + MOST_CONNECTIONS >= 100);
+    answered_in_the_end(&folder.socket());
+}
--- a/dispatcher/src/cli.rs
+++ b/dispatcher/src/cli.rs
@@ -27,10 +27,19 @@
     Serve,
     /// Check both configuration files, say what is wrong and where; exits with 2 if anything is.
     Check,
+    /// Ask a running dispatcher how it is, over its control socket.
+    Status(Status),
     /// Stand-in workers, a dispatcher and a small load on loopback, in this one process, until Ctrl-C.
     Demo(Demo),
 }
 
+#[derive(Debug, Args)]
+pub struct Status {
+    /// The socket that the dispatcher's settings name at `upgrade.control`.
+    #[arg(long, value_name = "PATH")]
+    pub control: PathBuf,
+}
+
 #[derive(Debug, Args)]
 pub struct Demo {
     /// Where the HTTP/1.1 front listens.
--- a/dispatcher/src/main.rs
+++ b/dispatcher/src/main.rs
@@ -11,6 +11,7 @@
 mod reload;
 mod serve;
 mod signals;
+mod status;
 
 use clap::Parser;
 use cli::{Cli, Command, Files};
@@ -28,6 +29,7 @@
     let cli = if bare { Cli { files: Files { settings: None }, command: None } } else { Cli::parse() };
     match cli.command {
         None | Some(Command::Serve) => serve_files(&cli.files),
+        Some(Command::Status(status)) => status::run(&status),
         Some(Command::Check) => check::run(&cli.files),
         Some(Command::Demo(demo)) => demo::run(&demo),
     }
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::logging::Threshold;
 use crate::reload::Reload;
-use crate::signals;
+use crate::{signals, status};
 use millrudder_admission::Capacity;
 use millrudder_config::settings::Settings;
 use millrudder_config::{Config, Source};
@@ -92,6 +92,7 @@
         advice_allowed: config.settings.limits.retry_after,
         log: log.clone(),
     };
+    let control = settings.upgrade.control.as_deref().map(|path| status::open(path, &core)).transpose()?;
     let sender = SenderSide::new(shares.http, core.clone());
     let dispatch = Dispatch::new(&config, exchange.clone(), next_hops, map, counters, stopping, clock);
     let known = config.known.map(|list| list.news);
@@ -115,6 +116,7 @@
     running(&exchange);
     dispatching.join().map_err(|_| "the dispatch coroutine has failed".to_owned())?;
     finish(&sender, grpc);
+    drop(control);
     Ok(())
 }
 
--- a/dispatcher/tests/two_fronts.rs
+++ b/dispatcher/tests/two_fronts.rs
@@ -227,6 +227,35 @@
     program.until_counted("reloads_good", |n| n == 2);
 }
 
+#[test]
+fn status_is_told_over_the_control_socket_until_the_process_ends() {
+    let path = std::env::temp_dir().join(format!("millrudder-status-{}", std::process::id()));
+    let settings = format!("{BOTH}upgrade: {{control: '{}'}}\n", path.display());
+    let mut program =
+        Program::start(Plan { workers: 2, seed: 19, work_ms: 1_000.0, ..Plan::default() }, &settings);
+    let job = http_job(&program, "owed");
+    program.until_counted("taken", |n| n == 1);
+    let status = || {
+        let output = Command::new(env!("CARGO_BIN_EXE_millrudder"))
+            .args(["status", "--control"])
+            .arg(&path)
+            .output()
+            .unwrap();
+        (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
+    };
+    let (code, text) = status();
+    assert!(code == Some(0) && text.contains("serving") && text.contains("jobs owed  1"), "{text}");
+    program.signal("TERM");
+    assert!(program.log_shows("told to stop"));
+    let end = Instant::now() + program::WAIT;
+    while !status().1.contains("stopping") {
+        assert!(Instant::now() < end, "the phase follows the signal");
+    }
+    assert!(answer(job).ends_with("done owed"));
+    assert_eq!((program.exit_code(), status().0), (Some(0), Some(1)));
+    assert!(!path.exists());
+}
+
 #[test]
 fn check_tells_good_files_from_bad_ones() {
     let folder = std::env::temp_dir().join(format!("millrudder-check-{}", std::process::id()));
--- /dev/null
+++ b/handover/src/messages.rs
@@ -0,0 +1,89 @@
+//! What the two processes say to each other. Maps by field name: a newer side may add fields, which an older one
+//! passes over.
+
+use serde::{Deserialize, Serialize};
+
+/// Of this protocol. Two sides agree if each is at least the other's `least`.
+pub const VERSION: u32 = 1;
+
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum Message {
+    /// Taker: who it is.
+    Hello { version: u32, least: u32, program: String },
+    /// Giver: it may go on.
+    Offer { version: u32 },
+    /// Taker: its settings can be used.
+    Checked,
+    /// Giver: all that passes over; descriptors come with it.
+    State(State),
+    /// Taker: loaded, able to accept at once.
+    Ready,
+    /// Giver: it has stopped accepting; the place is the taker's. The ids are the giver's jobs under way.
+    Commit { under_way: Vec<String> },
+    /// Taker: it accepts.
+    Committed,
+    /// Taker, during probation: what became of its jobs so far.
+    Report(Probation),
+    /// Giver: probation is over, it drains.
+    Confirm,
+    /// Giver: the place is to come back.
+    TakeBack,
+    /// Taker: it has stopped accepting.
+    GivenBack { under_way: Vec<String> },
+    /// Either: it gives up, before the place has passed.
+    Abort { reason: String },
+    /// A call-back that reached the wrong process, for its owner.
+    CallBack(Call),
+    /// A job of the giver's has ended: its id is free.
+    Ended { id: String },
+}
+
+/// What passes over, by parts that each side may or may not know.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct State {
+    /// Names of the listeners, in the order of their descriptors.
+    pub listeners: Vec<String>,
+    /// The transport map as discovery gave it, and the position of the watch.
+    pub map: Option<String>,
+    pub generation: Option<u64>,
+    /// What the decision module has learnt, in its own versioned form.
+    pub learnt: Vec<u8>,
+}
+
+/// A call-back's body as the next hop sent it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Call {
+    pub number: u64,
+    pub body: Vec<u8>,
+}
+
+/// The taker's answers since it accepts.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Probation {
+    pub served: u64,
+    /// Errors of its own making; a worker's failure is none.
+    pub failed: u64,
+}
+
+impl Probation {
+    /// With fewer answers nothing is judged.
+    pub const LEAST: u64 = 20;
+    /// Of so many answers one may fail.
+    pub const FAILED_PART: u64 = 5;
+
+    pub fn is_bad(self) -> bool {
+        let answers = self.served + self.failed;
+        answers >= Self::LEAST && self.failed * Self::FAILED_PART > answers
+    }
+}
+
+/// How the handover ended for one process.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// The new one serves.
+    HandedOver,
+    /// The old one serves, and why.
+    FellBack(String),
+}
--- /dev/null
+++ b/handover/src/wire.rs
@@ -0,0 +1,128 @@
+//! Messages as bytes: a length of 4 bytes, big endian, then CBOR (RFC 8949). CBOR and not postcard, because a map
+//! by names lets an older side pass over what a newer one adds; it costs some bytes, a few times an upgrade.
+
+use crate::Message;
+use std::fmt;
+
+/// The largest message: the state of 10,000 workers at some 200 bytes each, with room.
+pub const FRAME_LIMIT: usize = 8 * 1024 * 1024;
+const HEAD: usize = 4;
+/// CBOR may nest; nothing of ours does so deeper than this.
+const MOST_NESTING: usize = 16;
+
+#[derive(Debug, PartialEq, Eq)]
+pub enum WireError {
+    /// A length over [`FRAME_LIMIT`].
+    TooLarge(usize),
+    /// No message that this version knows.
+    Malformed(String),
+}
+
+impl fmt::Display for WireError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            WireError::TooLarge(length) => write!(f, "{length} bytes are over the limit of {FRAME_LIMIT}"),
+            WireError::Malformed(what) => write!(f, "no message: {what}"),
+        }
+    }
+}
+
+impl std::error::Error for WireError {}
+
+/// # Errors
+/// The message is larger than the other side would take.
+pub fn encode(message: &Message) -> Result<Vec<u8>, WireError> {
+    let mut bytes = vec![0; HEAD];
+    ciborium::into_writer(message, &mut bytes).map_err(|e| WireError::Malformed(e.to_string()))?;
+    let length = bytes.len() - HEAD;
+    if length > FRAME_LIMIT {
+        return Err(WireError::TooLarge(length));
+    }
+    bytes[..HEAD].copy_from_slice(&(length as u32).to_be_bytes());
+    Ok(bytes)
+}
+
+/// Messages out of bytes as they come.
+#[derive(Default)]
+pub struct Decoder {
+    held: Vec<u8>,
+}
+
+impl Decoder {
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.held.extend_from_slice(bytes);
+    }
+
+    /// The next whole message, if there is one.
+    ///
+    /// # Errors
+    /// What has come is none; the connection is of no further use.
+    pub fn next_message(&mut self) -> Result<Option<Message>, WireError> {
+        let Some(head) = self.held.first_chunk::<HEAD>() else { return Ok(None) };
+        let length = u32::from_be_bytes(*head) as usize;
+        if length > FRAME_LIMIT {
+            return Err(WireError::TooLarge(length));
+        }
+        if self.held.len() < HEAD + length {
+            return Ok(None);
+        }
+        let body: Vec<u8> = self.held.drain(..HEAD + length).skip(HEAD).collect();
+        let read = ciborium::de::from_reader_with_recursion_limit(body.as_slice(), MOST_NESTING);
+        read.map(Some).map_err(|e| WireError::Malformed(e.to_string()))
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::{Call, Probation, State};
+    use ciborium::value::Value;
+    use millrudder_testing::{cuts, garbage};
+
+    fn messages() -> Vec<Message> {
+        vec![
+            Message::Hello { version: 1, least: 1, program: "millrudder 0.1".to_owned() },
+            Message::State(State { generation: Some(41), learnt: vec![1, 2, 3], ..State::default() }),
+            Message::Commit { under_way: vec!["9b1f".to_owned()] },
+            Message::Report(Probation { served: 3, failed: 1 }),
+            Message::CallBack(Call { number: 7, body: b"{}".to_vec() }),
+            Message::Committed,
+        ]
+    }
+
+    #[test]
+    fn messages_pass_whole_however_they_are_cut() {
+        let bytes: Vec<u8> = messages().iter().flat_map(|m| encode(m).unwrap()).collect();
+        cuts(31, &bytes, |parts| {
+            let (mut decoder, mut got) = (Decoder::default(), Vec::new());
+            for part in parts {
+                decoder.push(part);
+                while let Some(message) = decoder.next_message().unwrap() {
+                    got.push(message);
+                }
+            }
+            assert_eq!(got, messages());
+        });
+        garbage(32, &bytes, |bytes| {
+            let mut decoder = Decoder::default();
+            decoder.push(bytes);
+            while let Ok(Some(_)) = decoder.next_message() {}
+        });
+        let mut huge = Decoder::default();
+        huge.push(&[0xff; 8]);
+        assert_eq!(huge.next_message(), Err(WireError::TooLarge(0xffff_ffff)));
+    }
+
+    #[test]
+    fn fields_that_a_newer_side_adds_are_passed_over_and_those_it_leaves_out_have_defaults() {
+        let text = |s: &str| Value::Text(s.to_owned());
+        let report = Value::Map(vec![(text("served"), Value::from(3)), (text("mood"), text("good"))]);
+        let mut bytes = Vec::new();
+        ciborium::into_writer(&Value::Map(vec![(text("Report"), report)]), &mut bytes).unwrap();
+        let mut decoder = Decoder::default();
+        decoder.push(&(bytes.len() as u32).to_be_bytes());
+        decoder.push(&bytes);
+        let expected = Message::Report(Probation { served: 3, failed: 0 });
+        assert_eq!(decoder.next_message(), Ok(Some(expected)));
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,4 +26,5 @@
 mod state;
 
 pub use interface::*;
+pub use rules::memory::{FlightMemory, KindMemory, Mean, Memory, MemoryError, WorkerMemory, MEMORY_VERSION};
 pub use rules::{whittle_index, Balancer};
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -4,6 +4,8 @@
 //! Ordinary path: `handle(Request)` -> `place` -> `pick`, which takes the able, ready worker whose Whittle
 //! index at its present count of our jobs is highest. The rest keeps the four rules and handles failures.
 
+pub(crate) mod memory;
+
 use crate::interface::*;
 use crate::state::*;
 use fastrand::Rng;
--- /dev/null
+++ b/tests/memory.rs
@@ -0,0 +1,170 @@
+//! A successor with its predecessor's memory decides as that one would have; without it, it does not.
+
+use millrudder::*;
+
+fn settings() -> Settings {
+    let class =
+        Class { aim: 200.0, deadline: 5000.0, worth: 1.0, effect: Effect::AtMostOnce, ..Class::default() };
+    Settings {
+        replicas: 1,
+        classes: vec![class],
+        limits: Limits { max_attempts: 3, ..Limits::default() },
+        rules: Rules { cold_from: 0.3, cold: 8000.0, fall_multiple: 2.5, fall: 2000.0, ..Rules::default() },
+        ..Settings::default()
+    }
+}
+
+fn list(workers: u32, ready_at: Option<f64>) -> Event {
+    let entry = |worker| Entry {
+        worker,
+        zone: None,
+        kind: Some(0),
+        cell: 0,
+        mode: Mode::Ready,
+        weight: 1.0,
+        ready_at: if worker == 0 { ready_at } else { None },
+    };
+    Event::List { kind: ListKind::Replace, entries: (0..workers).map(entry).collect() }
+}
+
+fn started(workers: u32, now: f64) -> Balancer {
+    let mut balancer = Balancer::new(settings(), 7);
+    balancer.handle(now, list(workers, None), &mut Vec::new());
+    balancer
+}
+
+/// Sends a job; which worker got it.
+fn ask(balancer: &mut Balancer, id: u64, now: f64) -> Option<u32> {
+    let mut out = Vec::new();
+    let request = Request { id, class: Some(0), slots: 1.0, deadline: now + 5000.0, ..Request::default() };
+    balancer.handle(now, Event::Request(request), &mut out);
+    out.iter().find_map(|action| match action {
+        Action::Send { worker, .. } => Some(*worker),
+        _ => None,
+    })
+}
+
+fn end(balancer: &mut Balancer, id: u64, worker: u32, outcome: Outcome, now: f64) {
+    let event = Event::Outcome {
+        id,
+        attempt: 0,
+        worker,
+        outcome,
+        latency: 50.0,
+        closed: outcome == Outcome::Ok,
+        load: None,
+    };
+    balancer.handle(now, event, &mut Vec::new());
+}
+
+/// Worker 2 takes 20 ms for a job, the others 200 ms; gives the balancer and the time.
+fn experienced() -> (Balancer, f64) {
+    let (mut balancer, mut now) = (started(4, 1000.0), 1000.0);
+    for id in 0..200 {
+        now += 250.0;
+        let worker = ask(&mut balancer, id, now).expect("idle workers");
+        balancer.handle(now, Event::Started { id, attempt: 0 }, &mut Vec::new());
+        let took = if worker == 2 { 20.0 } else { 200.0 };
+        end(&mut balancer, id, worker, Outcome::Ok, now + took);
+    }
+    (balancer, now + 250.0)
+}
+
+#[test]
+fn a_successor_knows_the_fast_worker_at_its_first_request() {
+    let (mut old, now) = experienced();
+    let mut new = started(4, now);
+    new.import(&old.export()).unwrap();
+    assert_eq!(ask(&mut old, 1000, now), Some(2));
+    assert_eq!(ask(&mut new, 0, now), Some(2), "the one that was fast");
+    // Without the memory all are alike, and the draw decides.
+    let blind = |seed| {
+        let mut fresh = Balancer::new(settings(), seed);
+        fresh.handle(now, list(4, None), &mut Vec::new());
+        ask(&mut fresh, 0, now)
+    };
+    assert!((0..16).filter(|seed| blind(*seed) == Some(2)).count() < 12);
+}
+
+#[test]
+fn jobs_of_the_predecessor_count_at_their_workers_until_they_end() {
+    let (mut old, now) = experienced();
+    let busy: Vec<_> = (1000..1012).map(|id| (id, ask(&mut old, id, now).unwrap())).collect();
+    let mut new = started(4, now);
+    new.import(&old.export()).unwrap();
+    let mut idle = started(4, now);
+    idle.import(&Memory { workers: Vec::new(), ..old.export() }).unwrap();
+    // With the old one's jobs counted, the next goes where both together have the highest index.
+    let next = ask(&mut new, 1, now);
+    assert_eq!(next, ask(&mut old, 2000, now));
+    assert_ne!(next, ask(&mut idle, 1, now), "alone, it would have taken the fast one");
+    end(&mut new, 1, next.unwrap(), Outcome::Ok, now + 1.0);
+    let mut out = Vec::new();
+    for (id, worker) in &busy {
+        assert!(new.foreign_ended(*worker, *id, 0, &mut out));
+        assert!(!new.foreign_ended(*worker, *id, 0, &mut out), "once");
+    }
+    assert_eq!(ask(&mut new, 2, now + 1.0), Some(2), "idle again, the fast one is best");
+    // A predecessor that dies takes its jobs with it.
+    let mut orphan = started(4, now);
+    orphan.import(&old.export()).unwrap();
+    orphan.foreign_gone(&mut out);
+    assert_eq!(ask(&mut orphan, 1, now), Some(2));
+}
+
+#[test]
+fn who_was_set_aside_stays_so_and_a_restarted_worker_is_taken_as_new() {
+    let (mut old, mut now) = experienced();
+    for id in 1000..1008 {
+        now += 1.0;
+        if let Some(worker) = ask(&mut old, id, now) {
+            let outcome = if worker == 2 { Outcome::Failed } else { Outcome::Ok };
+            end(&mut old, id, worker, outcome, now);
+        }
+    }
+    let memory = old.export();
+    assert!(memory.workers[2].hold_until > now);
+    let mut new = started(4, now);
+    new.import(&memory).unwrap();
+    assert_ne!(ask(&mut new, 1, now), Some(2), "set aside");
+    assert_eq!(new.export().workers[2].hold_until, memory.workers[2].hold_until);
+    // Worker 0 has started anew since: nothing of the old process holds.
+    let mut later = Balancer::new(settings(), 7);
+    later.handle(now, list(4, Some(now)), &mut Vec::new());
+    later.import(&memory).unwrap();
+    assert_eq!(later.export().workers[0].speed, (0.0, 0.0));
+    assert_ne!(later.export().workers[1].speed, (0.0, 0.0));
+}
+
+#[test]
+fn an_export_of_an_import_is_the_same() {
+    let (old, now) = experienced();
+    let mut new = started(4, now);
+    new.import(&old.export()).unwrap();
+    assert_eq!(Memory { at: 0.0, ..new.export() }, Memory { at: 0.0, ..old.export() });
+}
+
+#[test]
+fn what_cannot_be_used_is_refused_whole() {
+    let (old, now) = experienced();
+    let good = old.export();
+    let mut bad = vec![
+        (Memory { version: 2, ..good.clone() }, MemoryError::Version(2)),
+        (Memory { class_time: Vec::new(), ..good.clone() }, MemoryError::Size),
+        (Memory { price: f64::NAN, ..good.clone() }, MemoryError::Number),
+        (Memory { arrivals: (-1.0, 0.0), ..good.clone() }, MemoryError::Number),
+    ];
+    let mut worker = good.clone();
+    worker.workers[1].errors = 7.0;
+    bad.push((worker, MemoryError::Number));
+    let mut flight = good.clone();
+    let odd = FlightMemory { request: 1, attempt: 0, slots: f64::INFINITY, work: 0.0, sent: 0.0 };
+    flight.workers[1].flights.push(odd);
+    bad.push((flight, MemoryError::Number));
+    for (memory, error) in bad {
+        let mut new = started(4, now);
+        let before = new.export();
+        assert_eq!(new.import(&memory), Err(error));
+        assert_eq!(new.export(), before);
+    }
+}
