Spread a fleet's calls for the list from the first on, back off by its size

At fault: Balancer::on_list, Unavailable, called again within 2.5 s at the most whatever the number of callers, and the first call of every process at its start. A discovery that answers one after another then has a queue longer than its callers' patience for good. Changed: the first call is spread over the time that the fleet's calls take, later ones over twice as long after each failure, with full jitter from the seed, up to ask_within.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -80,6 +80,12 @@
 const UNPROVEN: f64 = 2.0;
 /// So many of our jobs reset at a worker at once, with none left, are its process that died.
 const CRASH: u32 = 3;
+/// What one dispatcher's call for the list takes of discovery at the most (ms), and how many rounds of the
+/// fleet's calls one of us waits after failures; as shares of `ask_within`, the first wait and the longest.
+const LIST_CALL_MS: f64 = 20.0;
+const LIST_FLEETS: f64 = 8.0;
+const LIST_AGAIN: f64 = 1.0 / 128.0;
+const LIST_MOST: f64 = 0.25;
 /// Workers kept that no list names any more.
 const KEPT: usize = 1000;
 /// How long a turn at a cold worker lasts, as a share of the budget's window; the largest job then, in means.
@@ -169,7 +175,9 @@
         if self.began.is_none() {
             self.began = Some(self.now);
             self.arrivals_at = self.now;
-            out.extend(self.settings.list_by_ask.then_some(Action::Watch));
+            if self.settings.list_by_ask {
+                self.ask(out);
+            }
         }
         match event {
             Event::List { kind, entries } => self.on_list(kind, entries, out),
@@ -199,15 +207,23 @@
         }
     }
 
+    /// Discovery answers one call after another. Where a fleet's come at once and soon again, each waits till
+    /// it is given up, and nobody is answered any more: calls are spread over the time that the fleet's take,
+    /// twice as long after each failure, with full jitter. Within `ask_within` no change counts as told.
+    fn ask(&mut self, out: &mut Vec<Action>) {
+        let most = self.settings.rules.ask_within;
+        let fleet = LIST_CALL_MS * f64::from(self.settings.replicas.saturating_sub(1));
+        let least = if self.list_failures == 0 { 0.0 } else { LIST_AGAIN * most };
+        let wait = fleet.max(least) * f64::from(1u32 << self.list_failures.min(9));
+        let longest = (LIST_MOST * most).max(LIST_FLEETS * fleet).min(most);
+        let delay = wait.min(longest) * self.rng.0.f64();
+        out.push(if delay > 0.0 { Action::Timer { token: TIMER_LIST, delay } } else { Action::Watch });
+    }
+
     fn on_list(&mut self, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
         if kind == ListKind::Unavailable {
-            // Ask again, later each time (an overrun service is not fed), well inside `ask_within`.
-            let longest = (self.settings.rules.ask_within / 4.0).max(self.settings.period);
-            let wait = (longest / 16.0 * f64::from(1u32 << self.list_failures.min(4))).min(longest);
             self.list_failures += 1;
-            let delay = wait * (0.5 + 0.5 * self.rng.0.f64());
-            out.push(Action::Timer { token: TIMER_LIST, delay });
-            return;
+            return self.ask(out);
         }
         self.list_failures = 0;
         let (stays, first) = (self.settings.rules.dropped_stay_open, self.workers.is_empty());
@@ -516,19 +532,6 @@
         }
     }
 
-    /// How long after its start a job is heard of.
-    fn note_delay(&self) -> f64 {
-        if self.settings.tells_start {
-            0.0
-        } else {
-            self.progress()
-        }
-    }
-
-    fn progress(&self) -> f64 {
-        positive(Some(self.settings.progress)).unwrap_or(f64::INFINITY)
-    }
-
     /// Longer than jobs wait for their start.
     fn long_wait(&self) -> f64 {
         self.mean_time() + LOST_STARTS * self.waits.rate().unwrap_or(self.mean_time())
@@ -735,16 +738,6 @@
         self.end(id);
     }
 
-    fn end(&mut self, id: RequestId) {
-        if let Some(pending) = self.pending.get_mut(&id) {
-            pending.ended = true;
-            pending.held = false;
-            if pending.attempts.iter().all(|a| a.outcome.is_some()) {
-                self.pending.remove(&id);
-            }
-        }
-    }
-
     fn on_note(&mut self, id: RequestId, attempt: usize) {
         let Some(at) = self.pending.get(&id).and_then(|p| p.attempts.get(attempt)) else { return };
         let (mean_time, now, mut late) = (self.mean_time(), self.now, 0.0);
--- a/src/rules/records.rs
+++ b/src/rules/records.rs
@@ -1,7 +1,7 @@
 //! How a dispatcher's records begin, are found, and go over to new settings. Nothing here decides.
 
-use super::{Balancer, PRICE_LEAST, RETRY_BURST, TENANT_BURST};
-use crate::interface::{Settings, WorkerId};
+use super::{positive, Balancer, PRICE_LEAST, RETRY_BURST, TENANT_BURST};
+use crate::interface::{RequestId, Settings, WorkerId};
 use crate::state::{Dice, Speed, Worker};
 use fastrand::Rng;
 
@@ -42,4 +42,27 @@
     pub(super) fn worker(&self, id: WorkerId) -> Option<&Worker> {
         self.find(id).map(|i| &self.workers[i])
     }
+
+    /// How long after its start a job is heard of.
+    pub(super) fn note_delay(&self) -> f64 {
+        if self.settings.tells_start {
+            0.0
+        } else {
+            self.progress()
+        }
+    }
+
+    pub(super) fn progress(&self) -> f64 {
+        positive(Some(self.settings.progress)).unwrap_or(f64::INFINITY)
+    }
+
+    pub(super) fn end(&mut self, id: RequestId) {
+        if let Some(pending) = self.pending.get_mut(&id) {
+            pending.ended = true;
+            pending.held = false;
+            if pending.attempts.iter().all(|a| a.outcome.is_some()) {
+                self.pending.remove(&id);
+            }
+        }
+    }
 }
