Keep each of many dispatchers to a part of the fleet, rest the unreachable, probe nothing

Workers that had gone were tried again after 0.8 s, before our next job would have gone there at all.

At fault: Balancer::pick (the whole fleet, for everybody), scout and blind (probes where little is heard, which is everywhere at this size), settle (a refused connection rested for 8 s times a share of 0.1).

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -70,10 +70,12 @@
 const LOST_NOTES: f64 = 1.6;
 const LOST_STARTS: f64 = 6.0;
 const WAITS: f64 = 64.0;
-/// Workers probed before a send where we hear of fewer than a share of all within `HEARD_MS`.
-const SCOUTS: usize = 3;
-const SCOUT_MS: f64 = 100.0;
+/// Of more workers than we hear of so often while the news is fresh, we keep to a part.
 const BLIND: f64 = 0.5;
+/// Workers at the least among which one of many dispatchers chooses.
+const NEAR: f64 = 20.0;
+/// Jobs of ours that one to which we could not connect would have had meanwhile.
+const RESTS: f64 = 2.0;
 /// First requests of a tenant that count as within its share.
 const TENANT_BURST: f64 = 5.0;
 /// One that fails before any sign of life is left alone for this many times `EJECT_MAX_MS`.
@@ -127,8 +129,6 @@
     pools: Vec<Pool>,
     pending: BTreeMap<RequestId, Pending>,
     held: Vec<RequestId>,
-    /// Requests that wait for probes.
-    scouting: Vec<RequestId>,
     held_timer: bool,
     /// Mean running time by class, for jobs without a hint.
     class_time: Vec<Speed>,
@@ -149,6 +149,8 @@
     step: f64,
     /// How far indices are ties: none where we hold a job at each worker, `SPREAD` where one of hundreds.
     spread: f64,
+    /// Workers in our part of the fleet.
+    part: f64,
     /// A timer is armed at which attempts are judged lost.
     watching: bool,
     retry_tokens: f64,
@@ -162,7 +164,7 @@
 const TIMER_LIST: u64 = 0;
 const TIMER_HELD: u64 = 1;
 const TIMER_WATCH: u64 = 2;
-/// From here on two a request, for its second copy and for its probes.
+/// From here on one a request, for its second copy.
 const TIMER_REQUEST: u64 = 3;
 
 fn positive(x: Option<f64>) -> Option<f64> {
@@ -186,7 +188,7 @@
             Event::Progress { id, attempt, .. } => self.on_note(id, attempt),
             Event::Probed { worker, outcome, latency, load } => {
                 self.on_load(worker, load);
-                self.on_probe(worker, outcome, latency, out);
+                self.on_probe(worker, outcome, latency);
             }
             Event::Lapsed { id } => self.end(id),
             Event::Ban { worker, on } => self.on_ban(worker, on, out),
@@ -402,7 +404,7 @@
     fn place(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(pending) = self.pending.get(&id) else { return };
         let out_now = pending.attempts.iter().any(|a| a.outcome.is_none());
-        if pending.ended || out_now || !pending.asked.is_empty() {
+        if pending.ended || out_now {
             return;
         }
         let left = pending.request.deadline - self.now - self.margin();
@@ -412,42 +414,18 @@
             self.answer(id, out);
             return;
         }
-        let found = pending.found.clone();
-        let count = if self.blind() && !pending.scouted { SCOUTS } else { 1 };
-        match self.pick(id, count, &found) {
+        match self.pick(id) {
             // Its group is gone: no list change brings it back in time. Nor does one end a ban.
             None if retry || !self.banned.is_empty() => self.answer(id, out),
-            Some(chosen) if chosen.len() > 1 => self.scout(id, chosen, out),
-            Some(chosen) if chosen.len() == 1 => {
+            Some(Some(chosen)) => {
                 self.retry_tokens -= f64::from(u32::from(retry));
-                self.send(id, chosen[0], out);
+                self.send(id, chosen, out);
             }
             _ => self.hold(id, out),
         }
     }
 
-    /// We hear of few of the workers while the news is fresh.
-    fn blind(&self) -> bool {
-        let few = self.rate * HEARD_MS < BLIND * self.workers.len() as f64;
-        few && self.settings.limits.probes && self.settings.replicas > 1 && self.price <= PRICE_LEAST
-    }
-
-    /// Probes the workers of the highest indices before the send: what holds others' jobs, hangs, or cannot
-    /// be reached from here is told by the answer, or by none within a few of the shortest ways.
-    fn scout(&mut self, id: RequestId, chosen: Vec<WorkerId>, out: &mut Vec<Action>) {
-        let lag = |w: &WorkerId| self.worker(*w).map_or(0.0, |w| self.pools[w.pool].lag);
-        let lag = chosen.iter().map(lag).filter(|l| l.is_finite()).fold(self.settings.period, f64::max);
-        // On a way that was slow from the first, the wait outlasted the client (rule 1, h1daa38).
-        let most = self.pending.get(&id).map_or(0.0, |p| p.request.deadline - self.now - self.margin());
-        let delay = (2.0 * lag.min(SCOUT_MS) + 2.0 * self.settings.period).min(most);
-        out.extend(chosen.iter().map(|w| Action::Probe { worker: *w }));
-        let token = TIMER_REQUEST.saturating_add(id.saturating_mul(2).saturating_add(1));
-        out.push(Action::Timer { token, delay });
-        self.pending.entry(id).and_modify(|p| (p.asked, p.scouted) = (chosen, true));
-        self.scouting.push(id);
-    }
-
-    fn on_probe(&mut self, from: WorkerId, outcome: Outcome, latency: f64, out: &mut Vec<Action>) {
+    fn on_probe(&mut self, from: WorkerId, outcome: Outcome, latency: f64) {
         let Some(i) = self.find(from) else { return };
         let (worker, ok) = (&mut self.workers[i], outcome == Outcome::Ok);
         if ok && latency >= 0.0 {
@@ -456,23 +434,6 @@
         } else if !ok && outcome != Outcome::Ignored {
             self.blame(i);
         }
-        for id in self.scouting.clone() {
-            let Some(pending) = self.pending.get_mut(&id) else { continue };
-            let Some(k) = pending.asked.iter().position(|w| *w == from) else { continue };
-            pending.asked.swap_remove(k);
-            pending.found.extend(ok.then_some(from));
-            if pending.asked.is_empty() {
-                self.scouted(id, out);
-            }
-        }
-    }
-
-    fn scouted(&mut self, id: RequestId, out: &mut Vec<Action>) {
-        if let Some(i) = self.scouting.iter().position(|s| *s == id) {
-            self.scouting.swap_remove(i);
-            self.pending.entry(id).and_modify(|p| p.asked.clear());
-            self.place(id, out);
-        }
     }
 
     /// Rule 1: time before the client's deadline at which a held request is answered, a look ahead.
@@ -500,8 +461,7 @@
         let delay = HELD_LOOK_MS.max(self.mean_time());
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let worker = &mut self.workers[i];
-        (pending.held, pending.scouted) = (false, false);
-        pending.found.clear();
+        pending.held = false;
         let attempt = pending.attempts.len();
         let longest = pending.class.aim + pending.class.stretch * pending.work;
         pending.attempts.push(Attempt { worker: to, sent: self.now, outcome: None });
@@ -527,7 +487,7 @@
         let repeats = pending.class.effect != Effect::AtMostOnce && attempt == 0;
         let copies = self.settings.limits.second_copies && self.settings.tells_start;
         if copies && repeats && lag.is_finite() {
-            let token = TIMER_REQUEST.saturating_add(id.saturating_mul(2));
+            let token = TIMER_REQUEST.saturating_add(id);
             out.push(Action::Timer { token, delay: 3.0 * lag });
         }
     }
@@ -619,7 +579,7 @@
         if late || price >= gain || !self.may_send_again(pending) {
             return;
         }
-        if let Some(to) = self.pick(id, 1, &[]).and_then(|chosen| chosen.first().copied()) {
+        if let Some(to) = self.pick(id).flatten() {
             self.send(id, to, out);
         }
     }
@@ -717,8 +677,7 @@
                 self.try_held(true, out);
                 self.arm_held(out);
             }
-            _ if (token - TIMER_REQUEST).is_multiple_of(2) => self.hedge((token - TIMER_REQUEST) / 2, out),
-            _ => self.scouted((token - TIMER_REQUEST) / 2, out),
+            _ => self.hedge(token - TIMER_REQUEST, out),
         }
     }
 
@@ -861,6 +820,11 @@
                     (worker.ready_at, worker.since) = (Some(self.now), self.now);
                 }
                 self.set_aside(at, if full { mean_time } else { EJECT_MAX_MS });
+                if outcome == Outcome::ConnectError {
+                    // It may be gone, which lists tell late: till some of our jobs would have met it.
+                    let rest = (RESTS * self.part / self.rate.max(1e-9)).min(EJECT_MAX_MS);
+                    self.workers[at].hold_until = self.workers[at].hold_until.max(self.now + rest);
+                }
             }
         }
         if slow {
@@ -902,6 +866,37 @@
         (worker.speed.work + prior) / (worker.speed.time + prior / kind + over)
     }
 
+    /// Where news of few workers is fresh, we keep to a part of the fleet in each zone: handshakes and what
+    /// is learnt of a worker then serve many jobs. The part are whole cells, which repeats may not leave, by
+    /// rendezvous hash of our number: all of us together cover the fleet, and changes move few.
+    fn draw_near(&mut self) {
+        let (me, classes) = (u64::from(self.settings.me) << 32, &self.settings.classes);
+        let cells = classes.iter().any(|c| c.effect == Effect::Deduplicated && c.group == Group::Cell);
+        let whole = self.settings.replicas < 2 || classes.iter().any(|c| c.kind.is_some());
+        let part = if whole { f64::INFINITY } else { (self.rate * HEARD_MS / BLIND).max(NEAR) };
+        let mut order = Vec::with_capacity(self.workers.len());
+        for (i, worker) in self.workers.iter().enumerate().filter(|(_, w)| w.mode == Mode::Ready) {
+            let group = if cells { worker.cell } else { i64::from(worker.id) };
+            let hash = fastrand::Rng::with_seed(me ^ group as u64).u64(..);
+            order.push((self.pools[worker.pool].zone, hash, group, i));
+        }
+        order.sort_unstable();
+        let (mut taken, mut near, mut last) = (0.0, true, None);
+        self.part = 0.0;
+        for (zone, _, group, i) in order {
+            if last.map(|(z, _)| z) != Some(zone) {
+                taken = 0.0;
+            }
+            if last.replace((zone, group)) != Some((zone, group)) {
+                near = taken < part;
+            }
+            // One that is set aside keeps its place, and another is drawn beside it.
+            let counts = f64::from(u8::from(self.workers[i].hold_until <= self.now));
+            (self.workers[i].near, taken) = (near, taken + counts);
+            self.part += f64::from(u8::from(near));
+        }
+    }
+
     /// Renews what the index of every worker rests on.
     fn renew(&mut self) {
         let since = self.now - self.renewed_at;
@@ -942,6 +937,7 @@
             }
         }
         self.judge(late);
+        self.draw_near();
         self.step = STEP_SHARE / fastest;
         let replicas = f64::from(self.settings.replicas.max(1));
         let mut most = if replicas > 1.0 { 0.0 } else { 1.0f64 };
@@ -984,9 +980,9 @@
     }
 
     /// Highest index over workers that are ready, able, allowed by the effect rules and within the cold
-    /// budget: up to `count` of them, those `among` if any are named. Workers that are set aside count only
-    /// if no other is left. None: there is no such worker, full or not.
-    fn pick(&mut self, id: RequestId, count: usize, among: &[WorkerId]) -> Option<Vec<WorkerId>> {
+    /// budget. Workers that are set aside count only if no other is left, those outside our part if none in
+    /// it has room. None: there is no such worker, full or not.
+    fn pick(&mut self, id: RequestId) -> Option<Option<WorkerId>> {
         self.renew();
         let pending = self.pending.get(&id)?;
         let bound = pending.attempts.iter().find(|a| a.may_have_run()).map(|a| a.worker);
@@ -1018,7 +1014,7 @@
                 Some((zone, _, Group::Zone)) => pool.zone == zone,
                 Some((_, cell, _)) => worker.cell == cell,
             };
-            if !able || !in_group || !among.is_empty() && !among.contains(&worker.id) {
+            if !able || !in_group {
                 continue;
             }
             any = true;
@@ -1033,23 +1029,17 @@
             self.workers[i].index = Some(index);
             // One that was put back shows what it is by a job, however poor its index was.
             let first = if self.workers[i].put_back { PUT_BACK } else { 0.0 };
-            scan.push((index - price + first, i, set_aside));
-        }
-        scan.retain(|(_, _, aside)| *aside != others);
-        let mut chosen = Vec::with_capacity(count);
-        while chosen.len() < count && !scan.is_empty() {
-            let top = scan.iter().fold(f64::NEG_INFINITY, |top, w| top.max(w.0));
-            let least = top - self.spread * top.abs();
-            let ties = scan.iter().filter(|w| w.0 >= least).count();
-            let nth = self.rng.0.usize(0..ties.max(1));
-            let at = (0..scan.len()).filter(|i| scan[*i].0 >= least).nth(nth).unwrap_or(0);
-            let i = scan.swap_remove(at).1;
-            chosen.push(self.workers[i].id);
-            if self.workers[i].unproven() {
-                scan.retain(|w| !self.workers[w.1].unproven());
-            }
+            // A cold one is anybody's whose turn it is; a part that is full or set aside whole, no bound.
+            let far = !self.workers[i].near && self.cold_share(self.workers[i].start()) >= 1.0;
+            scan.push((index - price + first, i, set_aside, far));
         }
-        any.then_some(chosen)
+        scan.retain(|(_, _, aside, _)| *aside != others);
+        let near = scan.iter().any(|w| !w.3);
+        scan.retain(|(_, _, _, far)| !(near && *far));
+        let top = scan.iter().fold(f64::NEG_INFINITY, |top, w| top.max(w.0));
+        scan.retain(|w| w.0 >= top - self.spread * top.abs());
+        let nth = self.rng.0.usize(0..scan.len().max(1));
+        any.then_some(scan.get(nth).map(|w| self.workers[w.1].id))
     }
 
     /// Rule 4, each dispatcher alone: dispatchers take turns at a cold worker, one job a turn. Turns come at
--- a/src/state.rs
+++ b/src/state.rs
@@ -55,6 +55,8 @@
     pub ready_at: Option<f64>,
     pub flights: Vec<Flight>,
     pub slots: f64,
+    /// In our part of the fleet.
+    pub near: bool,
     /// Slots of ours beyond which completions did not rise: a job that we sent had to wait.
     pub knee: f64,
     pub speed: Speed,
@@ -179,10 +181,6 @@
     pub stake: f64,
     pub arrived: f64,
     pub attempts: Vec<Attempt>,
-    /// Workers probed for it: not answered yet, and answered; whether it had its probes.
-    pub asked: Vec<WorkerId>,
-    pub found: Vec<WorkerId>,
-    pub scouted: bool,
     pub ended: bool,
     pub held: bool,
 }
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -91,3 +91,86 @@
     let without = answered.iter().filter(|a| !**a).count();
     assert!(without == 0 && calls < 3 * fleet.len(), "{without} were never answered, {calls} calls");
 }
+
+/// Sixty workers in cells of four.
+fn workers() -> Vec<Entry> {
+    let entry = |worker: WorkerId| Entry {
+        worker,
+        zone: Some(0),
+        kind: Some(0),
+        cell: i64::from(worker / 4),
+        mode: Mode::Ready,
+        weight: 1.0,
+        ready_at: None,
+    };
+    (0..60).map(entry).collect()
+}
+
+fn keyed(me: u32) -> Settings {
+    let mut settings = settings(me);
+    (settings.classes[0].effect, settings.classes[0].group) = (Effect::Deduplicated, Group::Cell);
+    settings.classes[0].window = 7_500.0;
+    settings.limits = Limits { max_attempts: 5, probes: true, second_copies: true, ..Limits::default() };
+    settings
+}
+
+/// A dispatcher with a request each 150 ms, each served in 200 ms by a worker that is `up`; where the first attempts
+/// went, and how many requests were served.
+fn first_choices(me: u32, requests: u64, up: impl Fn(WorkerId) -> bool) -> (Vec<WorkerId>, usize) {
+    let mut balancer = Balancer::new(keyed(me), 40 + u64::from(me));
+    let (mut out, mut first, mut served, mut now) = (Vec::new(), Vec::new(), 0, 0.0);
+    balancer.handle(now, Event::List { kind: ListKind::Replace, entries: workers() }, &mut out);
+    for id in 0..requests {
+        now += 150.0;
+        out.clear();
+        let request =
+            Request { id, class: Some(0), slots: 1.0, deadline: now + 5_000.0, ..Request::default() };
+        balancer.handle(now, Event::Request(request), &mut out);
+        let (mut attempt, mut tried) = (0, false);
+        while let Some(worker) = out.iter().find_map(|a| match a {
+            Action::Send { worker, .. } => Some(*worker),
+            _ => None,
+        }) {
+            out.clear();
+            if !std::mem::replace(&mut tried, true) {
+                first.push(worker);
+            }
+            let (outcome, closed) =
+                if up(worker) { (Outcome::Ok, true) } else { (Outcome::ConnectError, false) };
+            if closed {
+                balancer.handle(now + 2.0, Event::Started { id, attempt }, &mut out);
+                (now, served) = (now + 200.0, served + 1);
+            }
+            let ended = Event::Outcome { id, attempt, worker, outcome, latency: 200.0, closed, load: None };
+            balancer.handle(now, ended, &mut out);
+            attempt += 1;
+        }
+    }
+    (first, served)
+}
+
+fn distinct(chosen: &[WorkerId]) -> usize {
+    chosen.iter().collect::<std::collections::BTreeSet<_>>().len()
+}
+
+#[test]
+fn each_keeps_to_a_part_of_the_fleet_and_together_they_cover_it() {
+    // Each had a connection to each worker and heard of it every 9 s: handshakes and probes were most of what the
+    // days at size lost.
+    let mut sums = [0usize; 60];
+    for me in 0..FLEET {
+        let (chosen, _) = first_choices(me, 60, |_| true);
+        assert!(distinct(&chosen) <= 24, "{me} used {}", distinct(&chosen));
+        chosen.iter().for_each(|w| sums[*w as usize] += 1);
+    }
+    let mean = sums.iter().sum::<usize>() as f64 / 60.0;
+    let (least, most) = (*sums.iter().min().unwrap() as f64, *sums.iter().max().unwrap() as f64);
+    assert!(least > 0.4 * mean && most < 1.7 * mean, "{least} to {most}, {mean} on the mean");
+}
+
+#[test]
+fn where_the_part_is_lost_the_rest_serves() {
+    let part: std::collections::BTreeSet<_> = first_choices(3, 60, |_| true).0.into_iter().collect();
+    let (_, served) = first_choices(3, 200, |worker| !part.contains(&worker));
+    assert!(served > 130, "{served} of 200 served");
+}
