Refuse a whole list that names nobody; test the cold budget over 100 dispatchers

Seen on reading: a whole list without entries, or without the key, was taken as a fleet that had left, and every worker was gone at once (wire/src/list.rs reads an absent key as no entries). Now it is counted as spoilt and the last list stays, as with any other spoilt answer; `known` may still be empty. The new test fails without it.

--- a/core/src/transport_map/watch.rs
+++ b/core/src/transport_map/watch.rs
@@ -211,10 +211,12 @@
             return Err(format!("status {}", response.status));
         }
         let list = json::parse(&response.body).and_then(|document| read_list(&Node::root(&document)));
-        list.map_err(|error| {
-            self.counters.map_bad.add();
-            error.to_string()
-        })
+        let list = list.map_err(|error| error.to_string()).and_then(|list| match list.news.entries.len() {
+            // A fleet does not leave all at once: this is a discovery that has lost what it knew.
+            0 if list.news.whole => Err("a whole list that names nobody".to_owned()),
+            _ => Ok(list),
+        });
+        list.inspect_err(|_| self.counters.map_bad.add())
     }
 
     fn fetch(&mut self, target: &str, cut: &Cut) -> Result<Response, String> {
@@ -236,6 +238,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use std::io::{Read, Write};
     use std::net::TcpListener;
 
     #[test]
@@ -244,6 +247,39 @@
         assert!(patience(HOLD_MS) < f64::from(HOLD_MS) + 2_000.0 && patience(0) < 6_000.0);
     }
 
+    #[test]
+    fn a_spoilt_list_changes_nothing_and_is_counted() {
+        // A whole list without its entries took every worker away at once.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (exchange, inbox) = Exchange::new();
+        let (counters, log) = (Arc::new(Counters::default()), Logger::root(slog::Discard, slog::o!()));
+        let at = listener.local_addr().unwrap();
+        let map = TransportMap::follow(at, Some(1), exchange, counters.clone(), Clock::start(), log);
+        let bad = [
+            r#"{"generation":2,"reset":true}"#,
+            r#"{"generation":2,"reset":true,"instances":[]}"#,
+            r#"{"generation":2,"reset":true,"instances":[{"instanceId":"s-1","#,
+            r#"{"generation":2,"reset":true,"instances":[{"instanceId":"s-1","lifecycle":"well"}]}"#,
+            "",
+        ];
+        for (i, body) in (1..).zip(bad) {
+            map.ask(Call::Watch);
+            let mut peer = listener.accept().unwrap().0;
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                peer.read_exact(&mut byte).unwrap();
+                head.push(byte[0]);
+            }
+            let length = body.len();
+            let answer =
+                format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}");
+            peer.write_all(answer.as_bytes()).unwrap();
+            assert!(matches!(inbox.recv(), Ok(Message::MapUnavailable)), "{body}");
+            assert_eq!((counters.map_bad.get(), counters.map_failures.get()), (i, i), "{body}");
+        }
+    }
+
     #[test]
     fn an_overdue_call_is_cut_and_reported() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -174,3 +174,77 @@
     let (_, served) = first_choices(3, 200, |worker| !part.contains(&worker));
     assert!(served > 130, "{served} of 200 served");
 }
+
+/// What a hundred dispatchers send, each with a request every 150 ms of which each is served after 200 ms; worker 60
+/// starts cold 3 s later and is told to all at once. When it was sent each of its jobs, over all dispatchers.
+fn sends_to_a_cold_worker(until: f64) -> Vec<f64> {
+    const TOLD: f64 = 3_000.0;
+    let mut due: BinaryHeap<std::cmp::Reverse<(u64, u32, u8, u64)>> = BinaryHeap::new();
+    let rules = Rules {
+        ask_within: 10_000.0,
+        drain_grace: 500.0,
+        cold_from: 0.31,
+        cold: 9_000.0,
+        fall_multiple: 3.0,
+        fall: 2_000.0,
+        ..Rules::default()
+    };
+    let mut fleet: Vec<Balancer> = (0..FLEET)
+        .map(|me| Balancer::new(Settings { rules: rules.clone(), ..keyed(me) }, 90 + u64::from(me)))
+        .collect();
+    let mut to = vec![std::collections::BTreeMap::<u64, WorkerId>::new(); fleet.len()];
+    let (mut out, mut sends) = (Vec::new(), Vec::new());
+    for (me, balancer) in (0u32..).zip(&mut fleet) {
+        balancer.handle(0.0, Event::List { kind: ListKind::Replace, entries: workers() }, &mut out);
+        due.push(std::cmp::Reverse((u64::from(me) * 1_500, me, 0, 0)));
+        due.push(std::cmp::Reverse(((TOLD * 1_000.0) as u64, me, 3, 0)));
+    }
+    while let Some(std::cmp::Reverse((at, me, what, id))) = due.pop() {
+        let now = at as f64 / 1_000.0;
+        if now > until {
+            break;
+        }
+        let worker = to[me as usize].get(&id).copied().unwrap_or_default();
+        let event = match what {
+            0 => {
+                due.push(std::cmp::Reverse((at + 150_000, me, 0, id + 1)));
+                let deadline = now + 5_000.0;
+                Event::Request(Request { id, class: Some(0), slots: 1.0, deadline, ..Request::default() })
+            }
+            1 => Event::Started { id, attempt: 0 },
+            2 => {
+                let (outcome, latency) = (Outcome::Ok, 200.0);
+                Event::Outcome { id, attempt: 0, worker, outcome, latency, closed: true, load: None }
+            }
+            _ => {
+                let cold = Entry { worker: 60, cell: 15, ready_at: Some(TOLD), ..workers()[0].clone() };
+                Event::List { kind: ListKind::Update, entries: vec![cold] }
+            }
+        };
+        out.clear();
+        fleet[me as usize].handle(now, event, &mut out);
+        for action in &out {
+            if let Action::Send { id, worker, .. } = action {
+                to[me as usize].insert(*id, *worker);
+                due.push(std::cmp::Reverse((at + 1_000, me, 1, *id)));
+                due.push(std::cmp::Reverse((at + 200_000, me, 2, *id)));
+                sends.extend((*worker == 60).then_some(now - TOLD));
+            }
+        }
+    }
+    sends
+}
+
+#[test]
+fn a_cold_worker_is_used_by_all_and_pushed_over_by_none() {
+    let sends = sends_to_a_cold_worker(15_000.0);
+    // One core of it does five such jobs a second when warm; the module sees one core at work there.
+    let capacity = |age: f64| 5.0 * (0.31 + 0.69 * age / 9_000.0).min(1.0);
+    for (i, first) in sends.iter().enumerate() {
+        let window = sends[i..].iter().take_while(|at| **at < first + 2_000.0).count() as f64;
+        let most = 3.0 * capacity(first + 1_000.0) * 2.0 + 2.0;
+        assert!(window <= most, "{window} jobs in 2 s from {first} ms after its start, {most} at the most");
+    }
+    let early = sends.iter().filter(|at| **at < 4_000.0).count();
+    assert!(early >= 6, "it is used while it warms: {early} jobs in 4 s");
+}
