Derive the part's size, draw it by zone and cell, start test processes in one place

Found on re-reading the whole change; behaviour and assertions stay. Balancer::part was state that near and mode already tell; draw_near kept three variables over one loop where the sorted order has zones and cells in it (chunk_by); pick reckoned how warm each worker is also where it is near. tests/many.rs had two forms of event queue and of request, now one each. tests/upgrade: start and wait for a yes stood fourteen times, now Platform::start_ready. Seen and left: what carries probes is idle (docs/ROADMAP.md).

--- a/dispatcher/tests/upgrade/mod.rs
+++ b/dispatcher/tests/upgrade/mod.rs
@@ -53,11 +53,16 @@
         (Process::spawn_with(&self.folder.join("config.json"), &[], &variables), mgmt)
     }
 
-    /// As the platform does: a new process beside the running one, SIGTERM to that once the new one says yes.
-    fn upgrade(&mut self, old: Process) -> (Process, SocketAddr) {
-        let (new, mgmt) = self.start();
+    /// ... which serves.
+    fn start_ready(&mut self) -> (Process, SocketAddr) {
+        let (process, mgmt) = self.start();
         until_ready(mgmt);
-        let mut old = old;
+        (process, mgmt)
+    }
+
+    /// As the platform does: a new process beside the running one, SIGTERM to that once the new one says yes.
+    fn upgrade(&mut self, mut old: Process) -> (Process, SocketAddr) {
+        let (new, mgmt) = self.start_ready();
         old.signal("TERM");
         assert_eq!(old.exit_code(), Some(0));
         (new, mgmt)
@@ -97,8 +102,7 @@
         let config = settings::node_config(listen, discovery, 5).to_string();
         config.replace("\"parallel_tries\":true", "\"parallel_tries\":false")
     });
-    let (mut process, mut mgmt) = platform.start();
-    until_ready(mgmt);
+    let (mut process, mut mgmt) = platform.start_ready();
     let to = platform.listener.local_addr().unwrap();
     let runtime = fleet.handle();
     let _entered = runtime.enter();
@@ -140,8 +144,7 @@
 fn two_processes_together_hold_no_more_descriptors_than_one_may() {
     let hop = Hop::start();
     let (mut platform, _watches) = scripted(&hop);
-    let (mut old, first) = platform.start();
-    until_ready(first);
+    let (mut old, _) = platform.start_ready();
     let address = platform.address();
     // Workers' connections, as many as the budget of 256 has room for: 156, less those that room is made with.
     let mut callers: Vec<Client> = (0..140).map(|_| client(&address)).collect();
@@ -205,16 +208,14 @@
 fn a_job_stays_with_the_old_process_and_its_call_back_finds_it() {
     let hop = Hop::start();
     let (mut platform, _watches) = scripted(&hop);
-    let (mut old, first) = platform.start();
-    until_ready(first);
+    let (mut old, _) = platform.start_ready();
     let address = platform.address();
     let (mut waits, mut idle, mut caller) = (client(&address), client(&address), client(&address));
     tell(&mut caller, "none", "started");
     waits.send(&JOB.replace("ID", "a1"));
     hop.next().answer(Reply::Accept);
     tell(&mut caller, "a1", "started");
-    let (new, second) = platform.start();
-    until_ready(second);
+    let (new, _) = platform.start_ready();
     // The worker's connection has gone over, so has the idle client's; a repeat of the id is refused there.
     assert!(old.log_shows("the new process accepts"));
     idle.send(&JOB.replace("ID", "a1"));
@@ -235,12 +236,10 @@
 fn bans_and_drains_go_over_and_reach_both() {
     let hop = Hop::start();
     let (mut platform, _watches) = scripted(&hop);
-    let (old, first) = platform.start();
-    until_ready(first);
+    let (old, first) = platform.start_ready();
     assert_eq!(call(first, "DISABLE s-1"), "ok\n");
     assert_eq!(call(first, "DRAIN"), "ok\n");
-    let (new, second) = platform.start();
-    until_ready(second);
+    let (new, _) = platform.start_ready();
     let address = platform.address();
     let ready = || {
         let mut client = client(&address);
@@ -275,8 +274,7 @@
     // One that says nothing, one that talks nonsense, a file that a dead one left.
     let silent = UnixListener::bind(&path).unwrap();
     let began = Instant::now();
-    let (process, mgmt) = platform.start();
-    until_ready(mgmt);
+    let (process, _) = platform.start_ready();
     assert!(began.elapsed() < Duration::from_secs(5), "well within 6 s: {:?}", began.elapsed());
     drop((process, silent));
     std::fs::remove_file(&path).unwrap();
@@ -285,12 +283,10 @@
         let (mut stream, _) = garbled.accept().unwrap();
         stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").unwrap();
     });
-    let (process, mgmt) = platform.start();
-    until_ready(mgmt);
+    let (process, _) = platform.start_ready();
     talks.join().unwrap();
     drop(process);
-    let (process, mgmt) = platform.start();
-    until_ready(mgmt);
+    let (process, _) = platform.start_ready();
     serves(&platform, &hop, "c1");
     drop(process);
 }
@@ -299,17 +295,14 @@
 fn an_old_process_that_dies_leaves_the_new_one_serving() {
     let hop = Hop::start();
     let (mut platform, _watches) = scripted(&hop);
-    let (old, first) = platform.start();
-    until_ready(first);
-    let (new, second) = platform.start();
-    until_ready(second);
+    let (old, _) = platform.start_ready();
+    let (new, second) = platform.start_ready();
     drop(old);
     assert!(new.log_shows("the old process has ended"));
     assert_eq!(call(second, "READY"), "ok\n");
     serves(&platform, &hop, "d1");
     // And a new one that dies leaves the old one serving.
-    let (newer, third) = platform.start();
-    until_ready(third);
+    let (newer, _) = platform.start_ready();
     drop(newer);
     assert!(new.log_shows("the successor has gone"));
     serves(&platform, &hop, "d2");
@@ -361,8 +354,7 @@
 fn a_successor_that_dies_at_any_step_leaves_the_old_one_accepting() {
     let hop = Hop::start();
     let (mut platform, _watches) = scripted(&hop);
-    let (process, mgmt) = platform.start();
-    until_ready(mgmt);
+    let (process, _) = platform.start_ready();
     let path = platform.folder.join("millrudder.sock");
     for words in 0..=4 {
         dies_after(&path, words);
--- a/src/rules.rs
+++ b/src/rules.rs
@@ -149,8 +149,6 @@
     step: f64,
     /// How far indices are ties: none where we hold a job at each worker, `SPREAD` where one of hundreds.
     spread: f64,
-    /// Workers in our part of the fleet.
-    part: f64,
     /// A timer is armed at which attempts are judged lost.
     watching: bool,
     retry_tokens: f64,
@@ -822,7 +820,8 @@
                 self.set_aside(at, if full { mean_time } else { EJECT_MAX_MS });
                 if outcome == Outcome::ConnectError {
                     // It may be gone, which lists tell late: till some of our jobs would have met it.
-                    let rest = (RESTS * self.part / self.rate.max(1e-9)).min(EJECT_MAX_MS);
+                    let part = self.workers.iter().filter(|w| w.near && w.mode == Mode::Ready).count();
+                    let rest = (RESTS * part as f64 / self.rate.max(1e-9)).min(EJECT_MAX_MS);
                     self.workers[at].hold_until = self.workers[at].hold_until.max(self.now + rest);
                 }
             }
@@ -881,19 +880,16 @@
             order.push((self.pools[worker.pool].zone, hash, group, i));
         }
         order.sort_unstable();
-        let (mut taken, mut near, mut last) = (0.0, true, None);
-        self.part = 0.0;
-        for (zone, _, group, i) in order {
-            if last.map(|(z, _)| z) != Some(zone) {
-                taken = 0.0;
-            }
-            if last.replace((zone, group)) != Some((zone, group)) {
-                near = taken < part;
+        for zone in order.chunk_by(|a, b| a.0 == b.0) {
+            let mut taken = 0.0;
+            for group in zone.chunk_by(|a, b| a.2 == b.2) {
+                let near = taken < part;
+                for (_, _, _, i) in group {
+                    self.workers[*i].near = near;
+                    // One that is set aside keeps its place, and another is drawn beside it.
+                    taken += f64::from(u8::from(self.workers[*i].hold_until <= self.now));
+                }
             }
-            // One that is set aside keeps its place, and another is drawn beside it.
-            let counts = f64::from(u8::from(self.workers[i].hold_until <= self.now));
-            (self.workers[i].near, taken) = (near, taken + counts);
-            self.part += f64::from(u8::from(near));
         }
     }
 
@@ -1026,13 +1022,12 @@
             }
             let price = if pool.zone == zone { 0.0 } else { cross };
             let index = worker.index.unwrap_or_else(|| self.index(worker));
-            self.workers[i].index = Some(index);
             // One that was put back shows what it is by a job, however poor its index was.
-            let first = if self.workers[i].put_back { PUT_BACK } else { 0.0 };
+            let first = if worker.put_back { PUT_BACK } else { 0.0 };
             // A cold one is anybody's whose turn it is; a part that is full or set aside whole, no bound.
-            let warm = self.cold_share(self.workers[i].start()) >= 1.0;
-            let far = !self.workers[i].near && warm && first == 0.0;
+            let far = !worker.near && !worker.put_back && self.cold_share(worker.start()) >= 1.0;
             scan.push((index - price + first, i, set_aside, far));
+            self.workers[i].index = Some(index);
         }
         scan.retain(|(_, _, aside, _)| *aside != others);
         let near = scan.iter().any(|w| !w.3);
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -1,6 +1,7 @@
 //! Many dispatchers that share nothing but discovery and the workers: what each does must not hurt when all do it.
 
 use millrudder::*;
+use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
 const FLEET: u32 = 100;
@@ -18,16 +19,6 @@
     }
 }
 
-/// What comes next, in whole microseconds: the soonest first.
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-struct Due(std::cmp::Reverse<u64>, usize, Happens);
-
-#[derive(PartialEq, Eq, PartialOrd, Ord)]
-enum Happens {
-    Timer(u64),
-    GivenUp,
-}
-
 /// Discovery as one service: calls one after another, each a while, also those whose callers have given up.
 struct Discovery {
     free_at: f64,
@@ -56,16 +47,18 @@
     let mut discovery = Discovery { free_at: 0.0, call_ms: 50.0, patience: 2_000.0 };
     let (mut due, mut answered, mut calls) = (BinaryHeap::new(), vec![false; fleet.len()], 0);
     let mut out = Vec::new();
+    // In whole microseconds, whose, and the timer; none: a call that is given up.
+    type Due = Reverse<(u64, usize, Option<u64>)>;
     let mut act = |now: f64, who: usize, out: &mut Vec<Action>, due: &mut BinaryHeap<Due>| {
-        let at = |ms: f64| std::cmp::Reverse((ms * 1000.0) as u64);
+        let at = |ms: f64| (ms * 1000.0) as u64;
         for action in out.drain(..) {
             match action {
-                Action::Timer { token, delay } => due.push(Due(at(now + delay), who, Happens::Timer(token))),
+                Action::Timer { token, delay } => due.push(Reverse((at(now + delay), who, Some(token)))),
                 Action::Watch => {
                     calls += 1;
                     match discovery.call(now) {
                         (_, true) => answered[who] = true,
-                        (until, false) => due.push(Due(at(until), who, Happens::GivenUp)),
+                        (until, false) => due.push(Reverse((at(until), who, None))),
                     }
                 }
                 _ => {}
@@ -76,14 +69,14 @@
         balancer.handle(0.0, Event::List { kind: ListKind::Restored, entries: Vec::new() }, &mut out);
         act(0.0, who, &mut out, &mut due);
     }
-    while let Some(Due(std::cmp::Reverse(at), who, what)) = due.pop() {
+    while let Some(Reverse((at, who, timer))) = due.pop() {
         let now = at as f64 / 1000.0;
         if now > 15_000.0 {
             break;
         }
-        let event = match what {
-            Happens::Timer(token) => Event::Timer { token },
-            Happens::GivenUp => Event::List { kind: ListKind::Unavailable, entries: Vec::new() },
+        let event = match timer {
+            Some(token) => Event::Timer { token },
+            None => Event::List { kind: ListKind::Unavailable, entries: Vec::new() },
         };
         fleet[who].handle(now, event, &mut out);
         act(now, who, &mut out, &mut due);
@@ -114,6 +107,11 @@
     settings
 }
 
+fn request(id: RequestId, now: f64) -> Event {
+    let deadline = now + 5_000.0;
+    Event::Request(Request { id, class: Some(0), slots: 1.0, deadline, ..Request::default() })
+}
+
 /// A dispatcher with a request each 150 ms, each served in 200 ms by a worker that is `up`; where the first attempts
 /// went, and how many requests were served.
 fn first_choices(me: u32, requests: u64, up: impl Fn(WorkerId) -> bool) -> (Vec<WorkerId>, usize) {
@@ -123,9 +121,7 @@
     for id in 0..requests {
         now += 150.0;
         out.clear();
-        let request =
-            Request { id, class: Some(0), slots: 1.0, deadline: now + 5_000.0, ..Request::default() };
-        balancer.handle(now, Event::Request(request), &mut out);
+        balancer.handle(now, request(id, now), &mut out);
         let (mut attempt, mut tried) = (0, false);
         while let Some(worker) = out.iter().find_map(|a| match a {
             Action::Send { worker, .. } => Some(*worker),
@@ -179,7 +175,7 @@
 /// starts cold 3 s later and is told to all at once. When it was sent each of its jobs, over all dispatchers.
 fn sends_to_a_cold_worker(replicas: u32, until: f64) -> Vec<f64> {
     const TOLD: f64 = 3_000.0;
-    let mut due: BinaryHeap<std::cmp::Reverse<(u64, u32, u8, u64)>> = BinaryHeap::new();
+    let mut due: BinaryHeap<Reverse<(u64, u32, u8, u64)>> = BinaryHeap::new();
     let rules = Rules {
         ask_within: 10_000.0,
         drain_grace: 500.0,
@@ -196,10 +192,10 @@
     let (mut out, mut sends) = (Vec::new(), Vec::new());
     for (me, balancer) in (0u32..).zip(&mut fleet) {
         balancer.handle(0.0, Event::List { kind: ListKind::Replace, entries: workers() }, &mut out);
-        due.push(std::cmp::Reverse((u64::from(me) * 1_500, me, 0, 0)));
-        due.push(std::cmp::Reverse(((TOLD * 1_000.0) as u64, me, 3, 0)));
+        due.push(Reverse((u64::from(me) * 1_500, me, 0, 0)));
+        due.push(Reverse(((TOLD * 1_000.0) as u64, me, 3, 0)));
     }
-    while let Some(std::cmp::Reverse((at, me, what, id))) = due.pop() {
+    while let Some(Reverse((at, me, what, id))) = due.pop() {
         let now = at as f64 / 1_000.0;
         if now > until {
             break;
@@ -207,9 +203,8 @@
         let worker = to[me as usize].get(&id).copied().unwrap_or_default();
         let event = match what {
             0 => {
-                due.push(std::cmp::Reverse((at + 150_000, me, 0, id + 1)));
-                let deadline = now + 5_000.0;
-                Event::Request(Request { id, class: Some(0), slots: 1.0, deadline, ..Request::default() })
+                due.push(Reverse((at + 150_000, me, 0, id + 1)));
+                request(id, now)
             }
             1 => Event::Started { id, attempt: 0 },
             2 => {
@@ -226,8 +221,8 @@
         for action in &out {
             if let Action::Send { id, worker, .. } = action {
                 to[me as usize].insert(*id, *worker);
-                due.push(std::cmp::Reverse((at + 1_000, me, 1, *id)));
-                due.push(std::cmp::Reverse((at + 200_000, me, 2, *id)));
+                due.push(Reverse((at + 1_000, me, 1, *id)));
+                due.push(Reverse((at + 200_000, me, 2, *id)));
                 sends.extend((*worker == 60).then_some(now - TOLD));
             }
         }
