Call off jobs that wait past their use, believe the errors that workers report

Failing workers got 1,219 failed attempts: 319 pairs of dispatcher and worker, each met 3 to 4 times; 125 jobs ended as failed, 60 of them because the retry budget had gone that way. Their reports said 7 to 32 errors a second (three of four failed answers), all others' 0.

At fault: Balancer::watch waits without end where starts are told, so what try_held gives up here as worth nothing was kept in workers' queues; Balancer::on_load passed over errors_per_s, so settle took a failing worker's errors for stray ones.

Change: watch calls off and answers a job of which nothing has started once an answer can earn nothing (in_vain, as for held jobs); a report of errors stands for own ones. The idle on_probe goes, for room.

--- a/src/rules.rs
+++ b/src/rules.rs
@@ -184,10 +184,7 @@
             Event::Request(request) => self.on_request(request, out),
             Event::First { .. } => {}
             Event::Progress { id, attempt, .. } => self.on_note(id, attempt),
-            Event::Probed { worker, outcome, latency, load } => {
-                self.on_load(worker, load);
-                self.on_probe(worker, outcome, latency);
-            }
+            Event::Probed { worker, load, .. } => self.on_load(worker, load),
             Event::Lapsed { id } => self.end(id),
             Event::Ban { worker, on } => self.on_ban(worker, on, out),
             Event::Settings { settings, from } => self.on_settings(*settings, &from),
@@ -423,17 +420,6 @@
         }
     }
 
-    fn on_probe(&mut self, from: WorkerId, outcome: Outcome, latency: f64) {
-        let Some(i) = self.find(from) else { return };
-        let (worker, ok) = (&mut self.workers[i], outcome == Outcome::Ok);
-        if ok && latency >= 0.0 {
-            worker.sign = self.now;
-            self.pools[worker.pool].lag = self.pools[worker.pool].lag.min(latency);
-        } else if !ok && outcome != Outcome::Ignored {
-            self.blame(i);
-        }
-    }
-
     /// Rule 1: time before the client's deadline at which a held request is answered, a look ahead.
     fn margin(&self) -> f64 {
         HELD_LOOK_MS.max(self.settings.period) + 2.0 * self.settings.period.max(0.0) + 1.0
@@ -499,9 +485,16 @@
     /// started job's within a few progress times, else a first sign within some mean running times. Its slots
     /// are free; it is called off and sent again, or given up where that is not allowed.
     fn watch(&mut self, out: &mut Vec<Action>) {
-        let (mut lost, mut next) = (Vec::new(), f64::INFINITY);
+        let (mut lost, mut late, mut next) = (Vec::new(), Vec::new(), f64::INFINITY);
         let (mean_time, progress) = (self.mean_time(), self.progress());
-        for (id, pending) in self.pending.iter().filter(|p| !p.1.ended) {
+        for (id, pending) in self.pending.iter().filter(|p| !p.1.ended && !p.1.held) {
+            if self.waits(*id, pending) {
+                next = next.min(self.in_vain(pending).max(self.now));
+                if self.value(pending) <= 0.0 {
+                    late.push(*id);
+                    continue;
+                }
+            }
             let notes = LOST_NOTES + f64::from(u32::from(!self.may_send_again(pending)));
             for (k, at) in pending.attempts.iter().enumerate().filter(|(_, a)| a.outcome.is_none()) {
                 let Some(worker) = self.worker(at.worker) else { continue };
@@ -525,6 +518,10 @@
                 }
             }
         }
+        for id in late {
+            self.cancel_others(id, usize::MAX, out);
+            self.answer(id, out);
+        }
         for (id, k, to, silent) in lost {
             if let Some((i, flight)) = self.find(to).and_then(|i| Some((i, self.workers[i].take(id, k)?))) {
                 if silent {
@@ -642,15 +639,31 @@
         }
     }
 
-    /// What an answer may still earn. A late one that found no place for as long as jobs run has no chance.
+    /// From then on an answer earns nothing. A late one that waited for as long as jobs run has no chance.
+    fn in_vain(&self, pending: &Pending) -> f64 {
+        let late = if pending.class.late_worth > 0.0 { self.mean_time() } else { 0.0 };
+        pending.arrived + self.slack(pending) + late
+    }
+
+    /// What an answer may still earn.
     fn value(&self, pending: &Pending) -> f64 {
         match self.now - pending.arrived - self.slack(pending) {
             over if over <= 0.0 => pending.worth,
-            over if over <= self.mean_time() => pending.worth * pending.class.late_worth,
+            _ if self.now <= self.in_vain(pending) => pending.worth * pending.class.late_worth,
             _ => 0.0,
         }
     }
 
+    /// Told of each start, and of none of this one: it waits in queues, past its use in the way of others.
+    fn waits(&self, id: RequestId, pending: &Pending) -> bool {
+        let begun = |(k, a): (usize, &Attempt)| {
+            let flight = self.worker(a.worker).and_then(|w| w.flight(id, k));
+            a.outcome.is_none() && flight.is_none_or(|f| f.started.is_some())
+        };
+        let told = self.settings.tells_start && self.settings.limits.cancel && pending.class.aim > 0.0;
+        told && !pending.attempts.iter().enumerate().any(begun)
+    }
+
     /// A worker at the count where its completions stop rising for us: a job of ours waits there, and more
     /// would only wait behind it (seconds of queue, all late).
     fn full(&self, worker: &Worker) -> bool {
@@ -743,8 +756,15 @@
     /// A load report: late and noisy, so it fades to what is heard of the worker's pool.
     fn on_load(&mut self, from: WorkerId, load: Option<Load>) {
         let (Some(load), Some(i)) = (load, self.find(from)) else { return };
+        let mean_time = self.mean_time();
         let kind = self.kinds.entry(self.pools[self.workers[i].pool].kind).or_default();
         kind.cores = kind.cores.max(load.free_slots.unwrap_or(0.0).min(64.0));
+        // Errors that others met there are as good as our own.
+        let errors = load.errors_per_s.unwrap_or(0.0) * mean_time / 1000.0;
+        let failing = errors / (errors + kind.cores.max(1.0));
+        if (ERROR_SHARE..=1.0).contains(&failing) {
+            self.workers[i].errors = failing.max(self.workers[i].errors);
+        }
         let busy = load.busy.or(load.free_slots.map(|free| 1.0 - free / kind.cores.max(1.0)));
         let Some(slots) = load.in_flight.or(busy.map(|b| b * kind.cores)) else { return };
         if slots.is_finite() {
