Refuse changes older than the list held; test choices by speed over 100 dispatchers

Changes of a lower generation than the list held could bring back who had gone since: TransportMap's read took any (a scripted discovery; the test got a list where it now gets a failed call, counted in map_bad).

--- a/core/src/transport_map/watch.rs
+++ b/core/src/transport_map/watch.rs
@@ -211,9 +211,13 @@
             return Err(format!("status {}", response.status));
         }
         let list = json::parse(&response.body).and_then(|document| read_list(&Node::root(&document)));
-        let list = list.map_err(|error| error.to_string()).and_then(|list| match list.news.entries.len() {
+        let list = list.map_err(|error| error.to_string()).and_then(|list| match list.news.whole {
             // A fleet does not leave all at once: this is a discovery that has lost what it knew.
-            0 if list.news.whole => Err("a whole list that names nobody".to_owned()),
+            true if list.news.entries.is_empty() => Err("a whole list that names nobody".to_owned()),
+            // Changes from before the list that is held would bring back who has gone since.
+            false if Some(list.generation) < self.generation => {
+                Err(format!("changes up to {} on a list of {:?}", list.generation, self.generation))
+            }
             _ => Ok(list),
         });
         list.inspect_err(|_| self.counters.map_bad.add())
@@ -260,6 +264,7 @@
             r#"{"generation":2,"reset":true,"instances":[]}"#,
             r#"{"generation":2,"reset":true,"instances":[{"instanceId":"s-1","#,
             r#"{"generation":2,"reset":true,"instances":[{"instanceId":"s-1","lifecycle":"well"}]}"#,
+            r#"{"generation":0,"reset":false,"instances":[]}"#,
             "",
         ];
         for (i, body) in (1..).zip(bad) {
--- a/tests/many.rs
+++ b/tests/many.rs
@@ -90,7 +90,7 @@
     let entry = |worker: WorkerId| Entry {
         worker,
         zone: Some(0),
-        kind: Some(0),
+        kind: Some(worker % 2),
         cell: i64::from(worker / 4),
         mode: Mode::Ready,
         weight: 1.0,
@@ -171,9 +171,14 @@
     assert!(served > 130, "{served} of 200 served");
 }
 
-/// What so many dispatchers send, each with a request every 150 ms of which each is served after 200 ms; worker 60
-/// starts cold 3 s later and is told to all at once. When it was sent each of its jobs, over all dispatchers.
-fn sends_to_a_cold_worker(replicas: u32, until: f64) -> Vec<f64> {
+/// What so many dispatchers send, each with a request every 150 ms (on the mean, as a Poisson process, with `dice`) of which each is served after its worker's time (ms);
+/// worker 60 starts cold 3 s later and is told to all at once. When (ms from then) each job was sent, and to whom.
+fn sends(
+    replicas: u32,
+    until: f64,
+    mut dice: Option<fastrand::Rng>,
+    time: impl Fn(WorkerId) -> f64,
+) -> Vec<(f64, WorkerId)> {
     const TOLD: f64 = 3_000.0;
     let mut due: BinaryHeap<Reverse<(u64, u32, u8, u64)>> = BinaryHeap::new();
     let rules = Rules {
@@ -203,12 +208,13 @@
         let worker = to[me as usize].get(&id).copied().unwrap_or_default();
         let event = match what {
             0 => {
-                due.push(Reverse((at + 150_000, me, 0, id + 1)));
+                let gap = dice.as_mut().map_or(1.0, |dice| -(1.0 - dice.f64()).ln()) * 150_000.0;
+                due.push(Reverse((at + gap as u64, me, 0, id + 1)));
                 request(id, now)
             }
             1 => Event::Started { id, attempt: 0 },
             2 => {
-                let (outcome, latency) = (Outcome::Ok, 200.0);
+                let (outcome, latency) = (Outcome::Ok, time(worker));
                 Event::Outcome { id, attempt: 0, worker, outcome, latency, closed: true, load: None }
             }
             _ => {
@@ -222,8 +228,8 @@
             if let Action::Send { id, worker, .. } = action {
                 to[me as usize].insert(*id, *worker);
                 due.push(Reverse((at + 1_000, me, 1, *id)));
-                due.push(Reverse((at + 200_000, me, 2, *id)));
-                sends.extend((*worker == 60).then_some(now - TOLD));
+                due.push(Reverse((at + (time(*worker) * 1_000.0) as u64, me, 2, *id)));
+                sends.push((now - TOLD, *worker));
             }
         }
     }
@@ -233,7 +239,9 @@
 #[test]
 fn a_cold_worker_is_used_by_all_and_pushed_over_by_none() {
     for replicas in [FLEET, 300] {
-        check_cold_budget(&sends_to_a_cold_worker(replicas, 15_000.0));
+        let sends = sends(replicas, 15_000.0, None, |_| 200.0);
+        let cold: Vec<f64> = sends.iter().filter(|(_, to)| *to == 60).map(|(at, _)| *at).collect();
+        check_cold_budget(&cold);
     }
 }
 
@@ -249,3 +257,18 @@
     let early = sends.iter().filter(|at| **at < 4_000.0).count();
     assert!(early >= 6, "it is used while it warms: {early} jobs in 4 s");
 }
+
+#[test]
+fn choices_follow_the_workers_speeds_and_no_worker_is_everybodys() {
+    // Half of the fleet, by its kind, does a job in 125 ms, the other half in 200 ms. Each of us has about one job out
+    // and hears nothing of the others; by own counts alone all would take the fast half.
+    let mut sums = [0usize; 60];
+    let dice = Some(fastrand::Rng::with_seed(5));
+    let all = sends(FLEET, 15_000.0, dice, |worker| if worker % 2 == 0 { 200.0 } else { 125.0 });
+    all.iter().filter(|(_, to)| *to < 60).for_each(|(_, to)| sums[*to as usize] += 1);
+    let of = |kind: usize| sums.iter().skip(kind).step_by(2).sum::<usize>() as f64;
+    let (slow, fast) = (of(0), of(1));
+    assert!((1.6..5.0).contains(&(fast / slow)), "{} times as many, 1.6 times as fast", fast / slow);
+    let (mean, most) = ((slow + fast) / 60.0, *sums.iter().max().unwrap() as f64);
+    assert!(most < 2.5 * mean, "{most} went to one worker, {mean} on the mean");
+}
