Let gRPC clients go over in an upgrade: both processes listen, the old one sends GOAWAY

Seen, by a new test on the started program: with the gRPC front on, the new process of an upgrade could not listen on its address (in use) and ended, so no upgrade was possible at all.

Taken: where upgrades are on, both listen (SO_REUSEPORT), so nobody is turned back between them: at the new process connections wait until the place is its own; the old one, once it has laid the place down, takes what waits at its listener, closes it and sends GOAWAY; calls under way are answered where they are. If the new one dies, the old one listens again. Without upgrades the address stays exclusive, so two dispatchers by mistake notice. The front opens before anything is laid down: what cannot be opened ends the start. Not taken: passing the listener and HTTP/2 connections by descriptor, as with HTTP/1.1: a connection's state (HPACK, streams, windows) lies in h2 and cannot be handed on; the listener alone would spare only the moment between the last accept and the close, and wants a new message in the handover.

At fault: GrpcFront::open (bind alone), serve (opened after the place was taken).

The stand-in's client begins a call anew that had not left when its connection was told to go, as other gRPC clients do.

--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -145,6 +145,16 @@
     // A new process listens, and accepts once the old one has laid that down.
     neighbour.accept(met.is_none());
     sender.open(opens).map_err(|e| format!("listen on {listen}: {e}"))?;
+    // What cannot be opened ends the start before a running process lays anything down.
+    let grpc = match (settings.fronts.grpc, shares.grpc) {
+        (Some(grpc), Some(budget)) => {
+            let address = grpc.listen.0;
+            let opened =
+                GrpcFront::open(address, config.meeting.is_some(), grpc.limits, budget, core.clone());
+            Some(opened.map_err(|e| format!("listen on {address}: {e}"))?)
+        }
+        _ => None,
+    };
     let shell = config.meeting.clone().map(|path| {
         let front = Arc::new(Doorway(sender.clone()));
         upgrade::Shell { core: core.clone(), front, path }
@@ -159,14 +169,6 @@
         }
         _ => core.now_serves(),
     }
-    let grpc = match (settings.fronts.grpc, shares.grpc) {
-        (Some(grpc), Some(budget)) => {
-            let address = grpc.listen.0;
-            let opened = GrpcFront::open(address, grpc.limits, budget, core);
-            Some(opened.map_err(|e| format!("listen on {address}: {e}"))?)
-        }
-        _ => None,
-    };
     slog::info!(log, "serving"; "name" => &config.name, "listen" => %listen);
     if let Some(grpc) = &grpc {
         slog::info!(log, "serving gRPC"; "listen" => %grpc.address());
--- a/dispatcher/tests/upgrade/mod.rs
+++ b/dispatcher/tests/upgrade/mod.rs
@@ -5,6 +5,7 @@
 use millrudder_handover::{encode, Decoder, Message, VERSION};
 use millrudder_standins::load::{Kind, Load, Protocol};
 use millrudder_standins::{settings, Fleet, Plan};
+use std::ffi::OsStr;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::AsRawFd;
@@ -37,6 +38,11 @@
         Platform { listener, folder, started: 0, host }
     }
 
+    /// The operators' own settings, if the test has written any.
+    fn settings(&self) -> PathBuf {
+        self.folder.join("millrudder.yaml")
+    }
+
     fn address(&self) -> String {
         self.listener.local_addr().unwrap().to_string()
     }
@@ -50,7 +56,10 @@
             ("NODE_MGMT", mgmt.to_string()),
             ("TMPDIR", self.folder.display().to_string()),
         ];
-        (Process::spawn_with(&self.folder.join("config.json"), &[], &variables), mgmt)
+        let settings = self.settings();
+        let named = [OsStr::new("--settings"), settings.as_os_str()];
+        let arguments = if settings.exists() { &named[..] } else { &[] };
+        (Process::spawn_with(&self.folder.join("config.json"), arguments, &variables), mgmt)
     }
 
     /// ... which serves.
@@ -172,6 +181,29 @@
     drop(old);
 }
 
+#[test]
+fn grpc_clients_find_the_new_process_and_lose_nothing() {
+    // The new process could not listen, and ended: no upgrade was possible with the second front on.
+    let (fleet, mut platform, http) = loaded("h");
+    let address = SocketAddr::from((platform.host, 29_000));
+    std::fs::write(platform.settings(), format!("fronts: {{grpc: {{listen: '{address}'}}}}\n")).unwrap();
+    let (mut process, _) = platform.start_ready();
+    let grpc = {
+        let runtime = fleet.handle();
+        let _entered = runtime.enter();
+        Load::open(&Kind::new(Protocol::Grpc, address, "g"), 60.0, 7)
+    };
+    served(&grpc, 40);
+    for _ in 0..2 {
+        (process, _) = platform.upgrade(process);
+        served(&grpc, 40);
+    }
+    assert!(counter(&platform.address(), "grpc_jobs") >= 40, "the new process has them");
+    lost_nothing(&fleet, &grpc);
+    lost_nothing(&fleet, &http);
+    drop(process);
+}
+
 /// Descriptors that a process holds; none once it has ended, nor before it is the program: until then its descriptors are
 /// copies of this test's own.
 fn descriptors(process: u32) -> usize {
--- a/fronts/grpc/src/lib.rs
+++ b/fronts/grpc/src/lib.rs
@@ -23,17 +23,18 @@
 use millrudder_exchange::counters::Counters;
 use millrudder_exchange::rate::Limiter;
 use millrudder_exchange::shutdown::Stopping;
-use millrudder_exchange::{Core, Drain};
+use millrudder_exchange::{Core, Drain, Neighbour};
 use proto::jobs_server::JobsServer;
 use service::JobsService;
 use slog::Logger;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::AtomicUsize;
 use std::sync::Arc;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::oneshot;
 use tonic::body::Body;
 use tonic_health::pb::health_server::HealthServer;
@@ -47,6 +48,10 @@
 const ACCEPT_PAUSE_MS: f64 = 10.0;
 /// How soon one that was ended to make room has left (ms).
 const ROOM_PAUSE_MS: f64 = 1.0;
+/// Connections that wait to be accepted, as many as std's listeners let wait.
+const BACKLOG: u32 = 128;
+/// How often it is looked whether this process is the one that accepts (ms).
+const PLACE_MS: f64 = 10.0;
 /// What a call for health or reflection may bring (bytes).
 const OTHERS_LIMIT: usize = 8 * 1024;
 
@@ -55,6 +60,7 @@
     counters: Arc<Counters>,
     stopping: Stopping,
     drain: Drain,
+    neighbour: Neighbour,
     clock: Clock,
     limits: GrpcLimits,
     door: Arc<Door>,
@@ -89,15 +95,23 @@
 }
 
 impl GrpcFront {
-    /// Listens, and serves on a thread of its own.
+    /// Listens, and serves on a thread of its own. `upgrades`: another process of an upgrade may listen there too.
     ///
     /// # Errors
     /// The address cannot be listened on, or no thread be had.
-    pub fn open(listen: SocketAddr, limits: GrpcLimits, budget: GrpcBudget, core: Core) -> io::Result<Self> {
-        let listener = TcpListener::bind(listen)?;
-        listener.set_nonblocking(true)?;
-        let address = listener.local_addr()?;
+    pub fn open(
+        listen: SocketAddr,
+        upgrades: bool,
+        limits: GrpcLimits,
+        budget: GrpcBudget,
+        core: Core,
+    ) -> io::Result<Self> {
         let runtime = tokio::runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+        let listener = {
+            let _entered = runtime.enter();
+            listen_on(listen, upgrades)?
+        };
+        let address = listener.local_addr()?;
         let door = Arc::new(Door::new(budget.connections));
         let (end, ended) = oneshot::channel();
         let for_thread = door.clone();
@@ -122,6 +136,15 @@
     }
 }
 
+fn listen_on(address: SocketAddr, shared: bool) -> io::Result<TcpListener> {
+    let socket = if address.is_ipv4() { TcpSocket::new_v4() } else { TcpSocket::new_v6() }?;
+    socket.set_reuseaddr(true)?;
+    // Off without need: two dispatchers started on one address by mistake are to notice.
+    socket.set_reuseport(shared)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// The front's main task: accepts, looks after connections, and follows the planned stop.
 async fn serve(
     listener: TcpListener,
@@ -138,6 +161,7 @@
         counters: core.counters.clone(),
         stopping: core.stopping.clone(),
         drain: core.drain.clone(),
+        neighbour: core.neighbour.clone(),
         clock: core.clock,
         limits,
         door,
@@ -146,10 +170,6 @@
         jobs: JobsServer::new(JobsService(core.clone())).max_decoding_message_size(service::MESSAGE_LIMIT),
         others: others(&health),
     });
-    let listener = match tokio::net::TcpListener::from_std(listener) {
-        Ok(listener) => listener,
-        Err(error) => return slog::error!(core.log, "the gRPC front cannot listen"; "error" => %error),
-    };
     tokio::select! {
         _ = ended => {}
         () = accept(listener, &shared, &core.log) => {}
@@ -182,30 +202,66 @@
     }
 }
 
-async fn accept(listener: tokio::net::TcpListener, shared: &Arc<Shared>, log: &Logger) {
-    let bad_accepts = Limiter::default();
+/// Accepts while this process is the one that does. In an upgrade both listen, so that nobody is turned back between
+/// them: the new one lets connections wait, the old one takes what waits at its own listener and closes that. If the new
+/// one dies, the old one listens again.
+async fn accept(listener: TcpListener, shared: &Arc<Shared>, log: &Logger) {
+    let (address, bad_accepts) = (listener.local_addr(), Limiter::default());
+    let (mut listens, mut accepted) = (Some(listener), false);
+    let complain = |what: &str, error: &io::Error| {
+        shared.counters.accept_errors.add();
+        if bad_accepts.allows(shared.clock.now()) {
+            slog::warn!(log, "{} failed", what; "front" => "grpc", "error" => %error);
+        }
+    };
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                if has_room(shared).await {
-                    shared.counters.grpc_connections.add();
-                    transport::admit(stream, shared);
-                } else {
-                    // All have jobs here: a close at once tells the client to try elsewhere.
-                    shared.counters.grpc_connections_refused.add();
+        match (&listens, shared.neighbour.accepts(), &address) {
+            (Some(listener), true, _) => {
+                accepted = true;
+                let place_moves = async {
+                    while shared.neighbour.accepts() {
+                        tokio::time::sleep(span(PLACE_MS)).await;
+                    }
+                };
+                tokio::select! {
+                    next = listener.accept() => match next {
+                        Ok((stream, _)) => admit(stream, shared).await,
+                        Err(error) => {
+                            complain("accept", &error);
+                            tokio::time::sleep(span(ACCEPT_PAUSE_MS)).await;
+                        }
+                    },
+                    () = place_moves => {}
                 }
             }
-            Err(error) => {
-                shared.counters.accept_errors.add();
-                if bad_accepts.allows(shared.clock.now()) {
-                    slog::warn!(log, "accept failed"; "front" => "grpc", "error" => %error);
+            (Some(listener), false, _) if accepted => {
+                while let Ok(Ok((stream, _))) = tokio::time::timeout(span(0.0), listener.accept()).await {
+                    admit(stream, shared).await;
                 }
-                tokio::time::sleep(span(ACCEPT_PAUSE_MS)).await;
+                listens = None;
             }
+            (None, true, Ok(address)) => match listen_on(*address, true) {
+                Ok(listener) => listens = Some(listener),
+                Err(error) => {
+                    complain("listen", &error);
+                    tokio::time::sleep(span(ACCEPT_PAUSE_MS)).await;
+                }
+            },
+            _ => tokio::time::sleep(span(PLACE_MS)).await,
         }
     }
 }
 
+async fn admit(stream: TcpStream, shared: &Arc<Shared>) {
+    if has_room(shared).await {
+        shared.counters.grpc_connections.add();
+        transport::admit(stream, shared);
+    } else {
+        // All have jobs here: a close at once tells the client to try elsewhere.
+        shared.counters.grpc_connections_refused.add();
+    }
+}
+
 /// Whether one more connection fits, once one that may leave has left for it.
 async fn has_room(shared: &Shared) -> bool {
     loop {
@@ -227,7 +283,9 @@
             told = serves;
             set_health(health, serves).await;
         }
-        let closing = shared.stopping.grace_is_over(now) || shared.drain.is_noticed(now);
+        // Clients of a process that has laid its place down find the new one; calls under way are answered here.
+        let moved = shared.neighbour.is_open() && !shared.neighbour.accepts();
+        let closing = shared.stopping.grace_is_over(now) || shared.drain.is_noticed(now) || moved;
         shared.door.sweep(shared.limits.idle_time.ms(), closing, now, &shared.counters);
     }
 }
--- a/fronts/grpc/tests/grpc/rig.rs
+++ b/fronts/grpc/tests/grpc/rig.rs
@@ -84,7 +84,7 @@
         };
         let grpc = settings.fronts.grpc.unwrap();
         let budget = GrpcBudget { connections, buffers: 1 << 20 };
-        let front = GrpcFront::open(grpc.listen.0, grpc.limits, budget, core).unwrap();
+        let front = GrpcFront::open(grpc.listen.0, false, grpc.limits, budget, core).unwrap();
         Rig { address: front.address(), counters, gate, stopping, drain, clock, seen, _front: front }
     }
 
--- a/standins/src/load.rs
+++ b/standins/src/load.rs
@@ -8,6 +8,7 @@
 use hyper_util::rt::TokioIo;
 use millrudder_front_grpc::proto::jobs_client::JobsClient;
 use millrudder_front_grpc::proto::SubmitRequest;
+use std::error::Error;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -226,22 +227,39 @@
 }
 
 async fn ask_grpc(client: &mut JobsClient<Channel>, kind: &Kind, id: &str) -> Outcome {
-    let mut request = tonic::Request::new(SubmitRequest {
-        id: id.to_owned(),
-        job_class: "copy-issue".to_owned(),
-        idempotency_key: format!("k-{id}"),
-        body: vec![b'x'; kind.body],
-        ..SubmitRequest::default()
-    });
-    request.set_timeout(kind.deadline);
-    match client.submit(request).await {
+    let request = || {
+        let mut request = tonic::Request::new(SubmitRequest {
+            id: id.to_owned(),
+            job_class: "copy-issue".to_owned(),
+            idempotency_key: format!("k-{id}"),
+            body: vec![b'x'; kind.body],
+            ..SubmitRequest::default()
+        });
+        request.set_timeout(kind.deadline);
+        request
+    };
+    let mut answer = client.submit(request()).await;
+    // Its connection was told to go before the call had left: gRPC's other clients then begin it anew by themselves.
+    if answer.as_ref().is_err_and(never_left) {
+        answer = client.submit(request()).await;
+    }
+    match answer.map_err(|status| status.code()) {
         Ok(_) => Outcome::Served,
-        Err(status) => match status.code() {
-            Code::Unavailable => Outcome::Refused,
-            Code::DeadlineExceeded => Outcome::Late,
-            _ => Outcome::Failed,
-        },
+        Err(Code::Unavailable) => Outcome::Refused,
+        Err(Code::DeadlineExceeded) => Outcome::Late,
+        Err(_) => Outcome::Failed,
+    }
+}
+
+fn never_left(status: &tonic::Status) -> bool {
+    let mut cause = status.source();
+    while let Some(error) = cause {
+        if error.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_canceled) {
+            return true;
+        }
+        cause = error.source();
     }
+    false
 }
 
 /// None if the connection broke.
