Do not send on what nobody waits for: ask before the first byte and the last

Traced with a line at each answer and at each attempt's end: ticket 406, attempt 0, began 737.3 ms, was answered as failed at 762.2 (state Sent, 25 ms old), its connection came up after that, and the worker answered the request at 816.8. So the module's `watch` ended the job as lost with the attempt still on its way and, as it may not be sent again, without calling it off. Ruled out: deadline (4.97 s were left), a call-off (none was made), a parked attempt (there was one).

At fault: `converse` in core/next_hop/attempt.rs asked only whether the attempt had been called off, and `answer` and `on_withdrawn` in core/dispatch told nobody that nothing was owed any more. So also a client that left.

Now both hold back what has not been sent; the one question before the first byte and before the last is `Stop::may_send`. A parked attempt ends at once. What is accepted is called off only as the module says.

The test holds the connection in a full accept queue; it fails without the question (the request arrives, no end as not sent within 20 s) and passes with it.

--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -247,8 +247,10 @@
             let job = entry.job.clone();
             self.tell_neighbour(|| Parcel::Ended(job.trace_id.clone()));
             self.counters.withdrawn.add();
+            self.queued.push_back(mr::Event::Lapsed { id: ticket });
+            self.hold_back(ticket);
             self.jobs.forget_if_over(ticket);
-            self.feed(mr::Event::Lapsed { id: ticket });
+            self.feed_queued();
         }
     }
 
@@ -374,10 +376,30 @@
             Answer::Failed(_) => self.counters.answered_failed.add(),
         }
         reply.give(answer);
+        self.hold_back(ticket);
         self.jobs.forget_if_over(ticket);
         true
     }
 
+    /// Nothing is owed for a job any more: what has not been sent of it ends as never sent, by whatever path it was on
+    /// its way. What a next hop may have is called off only as the module says.
+    fn hold_back(&mut self, ticket: Ticket) {
+        let Some(entry) = self.jobs.get_mut(ticket) else { return };
+        let live = entry.live().into_iter().map(|number| (number, entry.attempts[number].state));
+        for (number, state) in live.collect::<Vec<_>>() {
+            let attempt = AttemptId { ticket, number };
+            match state {
+                AttemptState::Sent => self.next_hops.hold_back(attempt),
+                AttemptState::Parked => {
+                    if let Some(settled) = self.jobs.settle(attempt) {
+                        self.book(attempt, &settled, mr::Outcome::Ignored, None);
+                    }
+                }
+                _ => {}
+            }
+        }
+    }
+
     /// Gives the module an event, then those that its actions caused, and carries out what it says to each.
     fn feed(&mut self, event: mr::Event) {
         self.queued.push_back(event);
--- a/core/src/next_hop/attempt.rs
+++ b/core/src/next_hop/attempt.rs
@@ -94,17 +94,17 @@
 
 /// Writes a request on a kept or new connection, reads its response and keeps the connection if it allows that.
 fn converse(shared: &Shared, hop: Hop, request: &[u8], stop: &Stop) -> Result<Response, AttemptEnd> {
-    let wanted = || !stop.is_left() && !stop.cut.is_done();
+    let wanted = || stop.may_send() && !stop.cut.is_done();
     let connection = shared.pool.take(hop, wanted).map_err(|none| match none {
         NoConnection::NoDescriptor => AttemptEnd::NotSent,
         NoConnection::NotConnected => AttemptEnd::NotConnected,
     })?;
-    if stop.is_left() {
-        // Given up while the connection was made: nothing is sent, and it serves the next attempt.
+    if !stop.may_send() {
+        // Given up or answered while the connection was made: nothing is sent, and it serves the next attempt.
         shared.pool.keep(hop.id, connection);
         return Err(AttemptEnd::NotSent);
     }
-    match converse::converse(&connection.socket, request, &stop.cut, || !stop.is_left()) {
+    match converse::converse(&connection.socket, request, &stop.cut, || stop.may_send()) {
         Ok(response) => {
             give_back(shared, hop, connection, &response);
             Ok(response)
@@ -115,7 +115,7 @@
             connection.kept_since.into_iter().for_each(|since| shared.pool.forget_older(hop.id, since));
             Err(AttemptEnd::Reset)
         }
-        Err(Broken::BeforeWritten(_)) if stop.cut.is_done() || stop.is_left() => Err(AttemptEnd::NotSent),
+        Err(Broken::BeforeWritten(_)) if stop.cut.is_done() || !stop.may_send() => Err(AttemptEnd::NotSent),
         Err(Broken::BeforeWritten(_)) => Err(match connection.kept_since {
             // It had died while it stood idle: nothing is known of the next hop.
             Some(since) => {
--- a/core/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -29,6 +29,8 @@
     left: AtomicBool,
     /// ... though its next hop is known to hold the job.
     accepted: AtomicBool,
+    /// Nobody waits for the job's answer any more: what has not been sent is not sent.
+    unowed: AtomicBool,
     /// Its connection is not worth waiting for any longer.
     cut: Cut,
 }
@@ -38,6 +40,12 @@
         self.left.load(Ordering::Acquire)
     }
 
+    /// The one question before a request's first byte and before its last: a connection or a descriptor may have been
+    /// waited for since the module chose.
+    fn may_send(&self) -> bool {
+        !self.is_left() && !self.unowed.load(Ordering::Acquire)
+    }
+
     fn leave(&self, accepted: bool) {
         self.accepted.store(accepted, Ordering::Release);
         self.left.store(true, Ordering::Release);
@@ -102,6 +110,14 @@
         }
     }
 
+    /// The job has its answer, or its client has left: the attempt goes on only if its last byte is out, else it ends
+    /// as not sent. That needs no permission to call off: the next hop has nothing.
+    pub fn hold_back(&self, attempt: AttemptId) {
+        if let Some((stop, _)) = self.waiting().get(&attempt) {
+            stop.unowed.store(true, Ordering::Release);
+        }
+    }
+
     pub fn probe(&self, hop: Hop) {
         let shared = self.0.clone();
         shared.counters.probes.add();
@@ -145,6 +161,7 @@
 mod tests {
     use super::*;
     use millrudder_exchange::{AttemptEnd, Front, Inbox, Message, Verbatim};
+    use nix::sys::socket::{listen, Backlog};
     use std::io::{Read, Write};
     use std::net::{TcpListener, TcpStream};
 
@@ -153,6 +170,13 @@
     /// A delivery attempt that has reached its next hop, which has not answered yet.
     fn under_way(call_off_grace: f64) -> (NextHops, Hop, Arc<Job>, TcpStream, Inbox) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (hops, hop, job, inbox) = begun(&listener, call_off_grace);
+        let mut peer = listener.accept().unwrap().0;
+        assert!(read_to(&mut peer, "body").starts_with("POST /api HTTP/1.1"));
+        (hops, hop, job, peer, inbox)
+    }
+
+    fn begun(listener: &TcpListener, call_off_grace: f64) -> (NextHops, Hop, Arc<Job>, Inbox) {
         let hop = Hop { id: 3, address: listener.local_addr().unwrap() };
         let (exchange, inbox) = Exchange::new();
         let clock = Clock::start();
@@ -177,9 +201,25 @@
             verbatim,
         });
         hops.deliver(ATTEMPT, hop, job.clone(), deadline);
+        (hops, hop, job, inbox)
+    }
+
+    #[test]
+    fn what_is_owed_no_more_when_its_connection_comes_up_is_not_sent() {
+        // A job was answered while its attempt's connection came up, and sent on 55 ms later.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listen(&listener, Backlog::new(0).unwrap()).unwrap();
+        let first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (hops, _, _, inbox) = begun(&listener, 0.0);
+        hops.hold_back(ATTEMPT);
+        drop((listener.accept().unwrap(), first));
         let mut peer = listener.accept().unwrap().0;
-        assert!(read_to(&mut peer, "body").starts_with("POST /api HTTP/1.1"));
-        (hops, hop, job, peer, inbox)
+        assert!(matches!(
+            inbox.recv_timeout(std::time::Duration::from_secs(20)),
+            Ok(Message::Ended { end: AttemptEnd::NotSent, .. })
+        ));
+        hops.release(3);
+        assert_eq!(read_to(&mut peer, "never"), "");
     }
 
     fn read_to(peer: &mut TcpStream, end: &str) -> String {
