Ask whether a worker still takes jobs, see clients leave that sent ahead, advise by settings

`Hop` now carries whether it is open, `Stop::may_begin` asks before the first byte, whatever path the attempt came. `dropped_stay_open` is heeded there too: the old question was not. - `read_ahead` in fronts/http looked at the socket no more once over 4 KiB lay unread, so a client that had sent much ahead and left was never seen to leave. What is more is read and dropped; the answer ends the connection; past 1 MiB the job ends with 413. - HTTP's Retry-After for crowded and full doors went out where the settings allow none, and gRPC's permission was the one of the start, also after SIGHUP. One `Advice` is asked by both fronts and set on a reload.

The advice has no test yet.

The test a_discovery_that_fails_or_lies_is_asked_again dropped its client at once and counted on its job being sent all the same; it now holds the client, and asserts the same.

--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -74,12 +74,13 @@
         let Around { exchange, next_hops, transport_map, neighbour, newer, counters, stopping, clock } =
             around;
         let settings = config.settings.clone();
+        let dropped_stay = settings.rules.dropped_stay_open;
         Dispatch {
             max_attempts: settings.limits.max_attempts.max(1),
             balancer: mr::Balancer::new(settings, config.seed),
             names: config.names.clone(),
             jobs: Jobs::default(),
-            hops: Hops::default(),
+            hops: Hops::new(dropped_stay),
             timers: Timers::default(),
             queued: VecDeque::new(),
             exchange,
@@ -173,6 +174,7 @@
         let from = self.dropped.merge(classes, &mut names, &mut settings, self.clock.now());
         self.max_attempts = settings.limits.max_attempts.max(1);
         self.names = names;
+        self.hops.dropped_stay = settings.rules.dropped_stay_open;
         self.feed(mr::Event::Settings { settings: Box::new(settings), from });
     }
 
--- a/core/src/dispatch/translate.rs
+++ b/core/src/dispatch/translate.rs
@@ -9,12 +9,16 @@
 use millrudder_exchange::{AttemptEnd, HopId, HopState, Job, LoadReport, MapEntry, Ticket};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
 
 /// Next hops by name: each keeps its number, also when its address changes or it has left the map.
 #[derive(Default)]
 pub struct Hops {
     numbers: HashMap<String, HopId>,
     known: Vec<Known>,
+    /// The settings' `dropped_stay_open`: what the map names no more, or as gone, may still get jobs.
+    pub dropped_stay: bool,
 }
 
 /// What the transport map said last of one.
@@ -23,11 +27,23 @@
     active: bool,
     /// Operators have taken it out, whatever the map says.
     banned: bool,
+    /// Both together, also for attempts that are on their way there.
+    open: Arc<AtomicBool>,
     /// Its line, as long as the map has one.
     line: Option<MapEntry>,
 }
 
+impl Known {
+    fn settle(&mut self) {
+        self.open.store(self.active && !self.banned, Ordering::Release);
+    }
+}
+
 impl Hops {
+    pub fn new(dropped_stay: bool) -> Self {
+        Hops { dropped_stay, ..Hops::default() }
+    }
+
     pub fn find(&self, name: &str) -> Option<HopId> {
         self.numbers.get(name).copied()
     }
@@ -55,37 +71,52 @@
         }
         let id = self.known.len() as HopId;
         self.numbers.insert(name.to_owned(), id);
-        self.known.push(Known { address: None, active: false, banned: false, line: None });
+        self.known.push(Known {
+            address: None,
+            active: false,
+            banned: false,
+            open: Arc::default(),
+            line: None,
+        });
         id
     }
 
     pub fn locate(&self, id: HopId) -> Option<Hop> {
-        let address = self.known.get(id as usize)?.address?;
-        Some(Hop { id, address })
+        let known = self.known.get(id as usize)?;
+        Some(Hop { id, address: known.address?, open: known.open.clone() })
     }
 
     /// Nothing new may go to one that leaves.
     pub fn is_active(&self, id: HopId) -> bool {
-        self.known.get(id as usize).is_some_and(|known| known.active && !known.banned)
+        self.known.get(id as usize).is_some_and(|known| known.open.load(Ordering::Acquire))
     }
 
     /// Takes one out or puts it back; none if no map has ever named it.
     pub fn ban(&mut self, name: &str, on: bool) -> Option<HopId> {
         let id = self.find(name)?;
         self.known[id as usize].banned = on;
+        self.known[id as usize].settle();
         Some(id)
     }
 
     /// The whole list follows: what it does not name has left.
     pub fn expect_all(&mut self) {
-        self.known.iter_mut().for_each(|known| (known.active, known.line) = (false, None));
+        let stays = self.dropped_stay;
+        for known in &mut self.known {
+            (known.active, known.line) = (known.active && stays, None);
+            known.settle();
+        }
     }
 
     pub fn entry(&mut self, names: &Names, entry: &MapEntry) -> mr::Entry {
         let worker = self.number(&entry.name);
         let known = &mut self.known[worker as usize];
         known.address = entry.address.or(known.address);
-        known.active = entry.state == HopState::Active;
+        known.active = match entry.state {
+            HopState::Left if self.dropped_stay => known.active,
+            state => state == HopState::Active,
+        };
+        known.settle();
         known.line = Some(entry.clone()).filter(|line| line.state != HopState::Left);
         mr::Entry {
             worker,
--- a/core/src/next_hop/attempt.rs
+++ b/core/src/next_hop/attempt.rs
@@ -13,7 +13,7 @@
 
 /// A delivery attempt up to its 202 or its end. Never sends a second time by itself: whether a job may be
 /// repeated is the module's to decide.
-pub(super) fn deliver(shared: &Shared, attempt: AttemptId, hop: Hop, job: &Job, until: f64, stop: &Stop) {
+pub(super) fn deliver(shared: &Shared, attempt: AttemptId, hop: &Hop, job: &Job, until: f64, stop: &Stop) {
     let request = job_request(hop, job, until - shared.clock.now());
     let result = converse(shared, hop, &request, stop);
     if stop.is_left() {
@@ -44,7 +44,7 @@
     }
 }
 
-fn job_request(hop: Hop, job: &Job, left: f64) -> Vec<u8> {
+fn job_request(hop: &Hop, job: &Job, left: f64) -> Vec<u8> {
     let expires = format!("{}u", (left.max(0.0) * 1000.0) as u64);
     let mut headers = vec![("X-Trace-Id", job.trace_id.as_str()), ("X-Expires-In", &expires)];
     let verbatim = &job.verbatim;
@@ -54,7 +54,7 @@
 }
 
 /// Tells the next hop that an accepted job is given up.
-pub(super) fn delete(shared: &Shared, attempt: AttemptId, hop: Hop, job: &Job) {
+pub(super) fn delete(shared: &Shared, attempt: AttemptId, hop: &Hop, job: &Job) {
     let target = format!("/jobs/{}", job.trace_id);
     let request = http::request("DELETE", &target, &hop.address.to_string(), &[], b"");
     // Whatever the answer: the attempt is given up.
@@ -62,7 +62,7 @@
     shared.exchange.put(Message::CalledOff { attempt });
 }
 
-pub(super) fn probe(shared: &Shared, hop: Hop) {
+pub(super) fn probe(shared: &Shared, hop: &Hop) {
     let sent = shared.clock.now();
     let request = http::request("GET", "/status/load", &hop.address.to_string(), &[], b"");
     let result = converse_within(shared, hop, &request);
@@ -77,7 +77,7 @@
 
 /// A conversation that is given up after a short while. What it asks may be asked again: a kept connection that
 /// had died is replaced by another.
-fn converse_within(shared: &Shared, hop: Hop, request: &[u8]) -> Result<Response, AttemptEnd> {
+fn converse_within(shared: &Shared, hop: &Hop, request: &[u8]) -> Result<Response, AttemptEnd> {
     let stop = std::sync::Arc::new(Stop::default());
     let late = stop.clone();
     may::go!(move || {
@@ -93,14 +93,15 @@
 }
 
 /// Writes a request on a kept or new connection, reads its response and keeps the connection if it allows that.
-fn converse(shared: &Shared, hop: Hop, request: &[u8], stop: &Stop) -> Result<Response, AttemptEnd> {
-    let wanted = || stop.may_send() && !stop.cut.is_done();
+fn converse(shared: &Shared, hop: &Hop, request: &[u8], stop: &Stop) -> Result<Response, AttemptEnd> {
+    let wanted = || stop.may_begin() && !stop.cut.is_done();
     let connection = shared.pool.take(hop, wanted).map_err(|none| match none {
         NoConnection::NoDescriptor => AttemptEnd::NotSent,
         NoConnection::NotConnected => AttemptEnd::NotConnected,
     })?;
-    if !stop.may_send() {
-        // Given up or answered while the connection was made: nothing is sent, and it serves the next attempt.
+    if !stop.may_begin() {
+        // Given up or answered, or its next hop leaves since the connection was asked for: nothing is sent, and the
+        // connection serves the next attempt.
         shared.pool.keep(hop.id, connection);
         return Err(AttemptEnd::NotSent);
     }
@@ -127,7 +128,7 @@
     }
 }
 
-fn give_back(shared: &Shared, hop: Hop, connection: Connection, response: &Response) {
+fn give_back(shared: &Shared, hop: &Hop, connection: Connection, response: &Response) {
     if response.keep_alive {
         shared.pool.keep(hop.id, connection);
     }
--- a/core/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -16,10 +16,12 @@
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Where a next hop is, as of now.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Hop {
     pub id: HopId,
     pub address: SocketAddr,
+    /// New jobs may go there: neither told to leave nor banned.
+    pub open: Arc<AtomicBool>,
 }
 
 /// Reaches an attempt's coroutine wherever it waits.
@@ -31,6 +33,8 @@
     accepted: AtomicBool,
     /// Nobody waits for the job's answer any more: what has not been sent is not sent.
     unowed: AtomicBool,
+    /// Of a delivery attempt's next hop: a call-off goes also to one that leaves.
+    open: Option<Arc<AtomicBool>>,
     /// Its connection is not worth waiting for any longer.
     cut: Cut,
 }
@@ -40,8 +44,17 @@
         self.left.load(Ordering::Acquire)
     }
 
-    /// The one question before a request's first byte and before its last: a connection or a descriptor may have been
-    /// waited for since the module chose.
+    fn of_delivery(open: Arc<AtomicBool>) -> Self {
+        Stop { open: Some(open), ..Stop::default() }
+    }
+
+    /// The one question before a request's first byte: a connection or a descriptor may have been waited for since
+    /// the module chose. For drains and bans a send is counted from there.
+    fn may_begin(&self) -> bool {
+        self.may_send() && self.open.as_ref().is_none_or(|open| open.load(Ordering::Acquire))
+    }
+
+    /// ... and before its last.
     fn may_send(&self) -> bool {
         !self.is_left() && !self.unowed.load(Ordering::Acquire)
     }
@@ -80,13 +93,13 @@
 
     /// Starts a delivery attempt; its end or its acceptance comes through the exchange.
     pub fn deliver(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, until: f64) {
-        let stop = Arc::new(Stop::default());
+        let stop = Arc::new(Stop::of_delivery(hop.open.clone()));
         let limits = self.0.pool.limits();
         let due = self.0.clock.now() + limits.connect_timeout + limits.answer_time();
         self.waiting().insert(attempt, (stop.clone(), due));
         let shared = self.0.clone();
         may::go!(move || {
-            attempt::deliver(&shared, attempt, hop, &job, until, &stop);
+            attempt::deliver(&shared, attempt, &hop, &job, until, &stop);
             shared.waiting.lock().unwrap_or_else(PoisonError::into_inner).remove(&attempt);
         });
     }
@@ -106,7 +119,7 @@
                     stop.cut.now();
                 });
             }
-            None => drop(may::go!(move || attempt::delete(&shared, attempt, hop, &job))),
+            None => drop(may::go!(move || attempt::delete(&shared, attempt, &hop, &job))),
         }
     }
 
@@ -121,7 +134,7 @@
     pub fn probe(&self, hop: Hop) {
         let shared = self.0.clone();
         shared.counters.probes.add();
-        may::go!(move || attempt::probe(&shared, hop));
+        may::go!(move || attempt::probe(&shared, &hop));
     }
 
     /// Closes the idle connections to a next hop.
@@ -177,7 +190,8 @@
     }
 
     fn begun(listener: &TcpListener, call_off_grace: f64) -> (NextHops, Hop, Arc<Job>, Inbox) {
-        let hop = Hop { id: 3, address: listener.local_addr().unwrap() };
+        let open = Arc::new(AtomicBool::new(true));
+        let hop = Hop { id: 3, address: listener.local_addr().unwrap(), open };
         let (exchange, inbox) = Exchange::new();
         let clock = Clock::start();
         let limits = Limits { connections: 4, connect_timeout: 60_000.0, conn_idle: 1e9, call_off_grace };
@@ -200,28 +214,37 @@
             deadline,
             verbatim,
         });
-        hops.deliver(ATTEMPT, hop, job.clone(), deadline);
+        hops.deliver(ATTEMPT, hop.clone(), job.clone(), deadline);
         (hops, hop, job, inbox)
     }
 
-    #[test]
-    fn what_is_owed_no_more_when_its_connection_comes_up_is_not_sent() {
-        // A job was answered while its attempt's connection came up, and sent on 55 ms later.
+    /// An attempt whose connection waits in a full accept queue until `meanwhile` has happened: it ends as not sent,
+    /// and the next hop sees nothing of it.
+    fn ends_unsent(meanwhile: impl Fn(&NextHops, &Hop)) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listen(&listener, Backlog::new(0).unwrap()).unwrap();
         let first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
-        let (hops, _, _, inbox) = begun(&listener, 0.0);
-        hops.hold_back(ATTEMPT);
+        let (hops, hop, _, inbox) = begun(&listener, 0.0);
+        meanwhile(&hops, &hop);
         drop((listener.accept().unwrap(), first));
         let mut peer = listener.accept().unwrap().0;
-        assert!(matches!(
-            inbox.recv_timeout(std::time::Duration::from_secs(20)),
-            Ok(Message::Ended { end: AttemptEnd::NotSent, .. })
-        ));
+        let end = inbox.recv_timeout(span(20_000.0));
+        assert!(matches!(end, Ok(Message::Ended { end: AttemptEnd::NotSent, .. })));
         hops.release(3);
         assert_eq!(read_to(&mut peer, "never"), "");
     }
 
+    #[test]
+    fn what_is_owed_no_more_when_its_connection_comes_up_is_not_sent() {
+        // A job was answered while its attempt's connection came up, and sent on 55 ms later.
+        ends_unsent(|hops, _| hops.hold_back(ATTEMPT));
+    }
+
+    #[test]
+    fn nothing_is_sent_to_one_that_began_to_leave_while_the_connection_came_up() {
+        ends_unsent(|_, hop| hop.open.store(false, Ordering::Release));
+    }
+
     fn read_to(peer: &mut TcpStream, end: &str) -> String {
         let (mut text, mut byte) = (String::new(), [0]);
         while !text.ends_with(end) && peer.read(&mut byte).unwrap() > 0 {
--- a/core/src/next_hop/pool.rs
+++ b/core/src/next_hop/pool.rs
@@ -123,7 +123,7 @@
     }
 
     /// A kept connection, or a new one; waits for a descriptor while `wanted`, and for as long as a connect may take.
-    pub fn take(&self, hop: Hop, wanted: impl Fn() -> bool) -> Result<Connection, NoConnection> {
+    pub fn take(&self, hop: &Hop, wanted: impl Fn() -> bool) -> Result<Connection, NoConnection> {
         if let Some(connection) = self.take_kept(hop) {
             self.counters.connections_reused.add();
             return Ok(connection);
@@ -192,7 +192,7 @@
         part
     }
 
-    fn take_kept(&self, hop: Hop) -> Option<Connection> {
+    fn take_kept(&self, hop: &Hop) -> Option<Connection> {
         let fresh = self.fresh_since();
         let mut kept = self.kept();
         let list = kept.get_mut(&hop.id)?;
@@ -268,7 +268,7 @@
     /// A next hop's listener, and what it accepted.
     fn hop(id: HopId) -> (Hop, TcpListener) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        (Hop { id, address: listener.local_addr().unwrap() }, listener)
+        (Hop { id, address: listener.local_addr().unwrap(), open: Arc::default() }, listener)
     }
 
     fn in_coroutine(test: impl FnOnce() + Send + 'static) {
@@ -281,22 +281,22 @@
         in_coroutine(|| {
             let (hop, listener) = hop(1);
             let (pool, counters) = pool(8, 1e9);
-            pool.keep(1, pool.take(hop, || true).unwrap());
+            pool.keep(1, pool.take(&hop, || true).unwrap());
             let peer: TcpStream = listener.accept().unwrap().0;
-            pool.keep(1, pool.take(hop, || true).unwrap());
+            pool.keep(1, pool.take(&hop, || true).unwrap());
             assert_eq!(counters.connections_reused.get(), 1);
             drop(peer);
             while pool.kept().values().flatten().any(|k| k.connection.socket.is_quiet()) {
                 may::coroutine::yield_now();
             }
-            drop(pool.take(hop, || true).unwrap());
+            drop(pool.take(&hop, || true).unwrap());
             assert_eq!((counters.connections_reused.get(), counters.connections_out.get()), (1, 2));
         });
         in_coroutine(|| {
             let (hop, _listener) = hop(1);
             let (pool, counters) = pool(8, -1.0);
-            pool.keep(1, pool.take(hop, || true).unwrap());
-            drop(pool.take(hop, || true).unwrap());
+            pool.keep(1, pool.take(&hop, || true).unwrap());
+            drop(pool.take(&hop, || true).unwrap());
             assert_eq!(counters.connections_reused.get(), 0, "stood idle too long");
         });
     }
@@ -306,7 +306,7 @@
         in_coroutine(|| {
             let (hop, _listener) = hop(1);
             let (pool, _) = pool(8, 1e9);
-            let [old, middle, young] = [(); 3].map(|()| pool.take(hop, || true).unwrap());
+            let [old, middle, young] = [(); 3].map(|()| pool.take(&hop, || true).unwrap());
             [old, middle, young].into_iter().for_each(|connection| pool.keep(1, connection));
             for (kept, since) in pool.kept().get_mut(&1).unwrap().iter_mut().zip([1.0, 2.0, 3.0]) {
                 kept.since = since;
@@ -335,17 +335,17 @@
         in_coroutine(|| {
             let ((first, _a), (second, _b)) = (hop(1), hop(2));
             let (pool, counters) = pool(2, 1e9);
-            let busy = pool.take(first, || true).unwrap();
-            pool.keep(1, pool.take(first, || true).unwrap());
-            let other = pool.take(second, || true).unwrap();
+            let busy = pool.take(&first, || true).unwrap();
+            pool.keep(1, pool.take(&first, || true).unwrap());
+            let other = pool.take(&second, || true).unwrap();
             // Of this program's doing: it must not count against the next hop.
             assert!(
-                matches!(pool.take(second, || false), Err(NoConnection::NoDescriptor)),
+                matches!(pool.take(&second, || false), Err(NoConnection::NoDescriptor)),
                 "both are in use"
             );
             assert_eq!((counters.connections_out.get(), counters.connects_failed.get()), (3, 0));
             drop((busy, other));
-            assert!(pool.take(first, || true).is_ok());
+            assert!(pool.take(&first, || true).is_ok());
         });
     }
 }
--- a/dispatcher/src/reload.rs
+++ b/dispatcher/src/reload.rs
@@ -8,7 +8,7 @@
 use millrudder_exchange::counters::Counters;
 use millrudder_exchange::intake::Classes;
 use millrudder_exchange::shutdown::Stopping;
-use millrudder_exchange::{Exchange, Gate, Message};
+use millrudder_exchange::{Advice, Exchange, Gate, Message};
 use slog::Logger;
 use std::path::PathBuf;
 
@@ -24,6 +24,7 @@
     pub newer: Newer,
     pub classes: Classes,
     pub stopping: Stopping,
+    pub advice: Advice,
     pub clock: Clock,
 }
 
@@ -42,6 +43,7 @@
                 }
                 let taken = classes(&platform.names, &platform.settings);
                 self.stopping.set_longest(taken.iter().map(|class| class.limit).fold(0.0, f64::max));
+                self.advice.allow(platform.settings.limits.retry_after);
                 // The core first: no front lets a job in whose class it does not know.
                 self.newer.put(platform.settings, platform.names, exchange);
                 self.classes.replace(taken, self.clock.now());
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -13,7 +13,7 @@
 use millrudder_exchange::counters::Counters;
 use millrudder_exchange::intake::Classes;
 use millrudder_exchange::shutdown::Stopping;
-use millrudder_exchange::{Core, Drain, Exchange, Gate, Neighbour, Standing};
+use millrudder_exchange::{Advice, Core, Drain, Exchange, Gate, Neighbour, Standing};
 use millrudder_front_grpc::GrpcFront;
 use millrudder_front_http::{Listen, SenderSide};
 use millrudder_front_operators as operators;
@@ -73,6 +73,7 @@
     let capacity = Capacity { places: shares.places, bytes: shares.bodies };
     let gate = Gate::new(capacity, &shares.weights, clock);
     let (newer, classes) = (Newer::default(), Classes::new(config.classes()));
+    let advice = Advice::new(config.settings.limits.retry_after);
     let reload = files.map(|(source, file)| Reload {
         source,
         settings: file,
@@ -82,6 +83,7 @@
         newer: newer.clone(),
         classes: classes.clone(),
         stopping: stopping.clone(),
+        advice: advice.clone(),
         clock,
     });
     signals::listen(signals, reload, exchange.clone(), counters.clone(), log.clone())
@@ -116,7 +118,7 @@
         serving: Arc::default(),
         clock,
         classes,
-        advice_allowed: config.settings.limits.retry_after,
+        advice,
         log: log.clone(),
     };
     let control = settings.upgrade.control.as_deref().map(|path| status::open(path, &core)).transpose()?;
--- /dev/null
+++ b/dispatcher/tests/crossings/mod.rs
@@ -0,0 +1,87 @@
+//! What ends things while something is still owed. Each crossing is forced by a peer that holds a connection at the exact
+//! step; what arrived where is counted.
+
+use crate::peers::{client, Dispatcher, Hop, Reply, WAIT};
+use crate::JOB;
+use std::io::Write;
+
+fn with_cancel(allowed: bool) -> impl Fn(String) -> String {
+    move |config| config.replace("\"may_cancel\":true", &format!("\"may_cancel\":{allowed}"))
+}
+
+/// Ends the program, so that kept connections end too, and gives what the next hop saw of it.
+fn seen_at_the_end(mut dispatcher: Dispatcher, read: impl FnOnce() -> String) -> String {
+    dispatcher.signal("TERM");
+    assert_eq!(dispatcher.exit_code(), Some(0));
+    read()
+}
+
+#[test]
+fn a_client_that_leaves_while_a_connection_comes_up_is_not_sent_on() {
+    for allowed in [true, false] {
+        let (hop, crowd) = Hop::crowded();
+        let dispatcher = Dispatcher::start_with(&hop, 256, &[], with_cancel(allowed));
+        let mut leaving = client(&dispatcher.listen);
+        leaving.send(JOB);
+        dispatcher.until_counted("attempts_sent 1\n");
+        drop(leaving);
+        dispatcher.until_counted("withdrawn 1\n");
+        let read = crowd.let_in();
+        dispatcher.until_counted("outcome_ignored 1\n");
+        assert_eq!(seen_at_the_end(dispatcher, read), "", "may_cancel: {allowed}");
+    }
+}
+
+#[test]
+fn one_told_to_drain_while_a_connection_comes_up_gets_nothing() {
+    let (hop, crowd) = Hop::crowded();
+    let dispatcher = Dispatcher::start(&hop, 256);
+    let mut watch = dispatcher.watches.recv_timeout(WAIT).expect("a watch is held");
+    let mut waiting = client(&dispatcher.listen);
+    waiting.send(&JOB.replace("20000m", "3000m"));
+    dispatcher.until_counted("attempts_sent 1\n");
+    let list = hop.listed_as("s-1", 2, "leaving");
+    write!(watch, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()).unwrap();
+    dispatcher.until_counted("map_changes 1\n");
+    let read = crowd.let_in();
+    // It never ran anywhere, so to try again is harmless.
+    assert_eq!(waiting.answer().status, 503);
+    assert_eq!(seen_at_the_end(dispatcher, read), "");
+}
+
+#[test]
+fn a_client_that_sent_much_ahead_is_seen_to_leave() {
+    let hop = Hop::start();
+    let dispatcher = Dispatcher::start(&hop, 256);
+    let mut leaving = client(&dispatcher.listen);
+    leaving.send(JOB);
+    hop.next().answer(Reply::Accept);
+    leaving.send(&"x".repeat(60_000));
+    drop(leaving);
+    dispatcher.until_counted("withdrawn 1\n");
+}
+
+#[test]
+fn what_is_sent_ahead_without_end_ends_in_a_bound() {
+    let hop = Hop::start();
+    let dispatcher = Dispatcher::start(&hop, 256);
+    let mut flooding = client(&dispatcher.listen);
+    flooding.send(JOB);
+    hop.next().answer(Reply::Accept);
+    (0..33).for_each(|_| flooding.send(&"x".repeat(32 * 1024)));
+    assert_eq!(flooding.answer().status, 413);
+    dispatcher.until_counted("rejected_too_large 1\n");
+}
+
+#[test]
+fn what_was_sent_ahead_is_dropped_and_the_answer_ends_the_connection() {
+    let hop = Hop::start();
+    let dispatcher = Dispatcher::start(&hop, 256);
+    let mut ahead = client(&dispatcher.listen);
+    ahead.send(JOB);
+    hop.next().answer(Reply::Accept);
+    ahead.send(&"x".repeat(8 * 1024));
+    assert_eq!(dispatcher.news(r#"{"id":"9b1f","from":"s-1","state":"done","result":"made"}"#), 204);
+    let answer = ahead.answer();
+    assert_eq!((answer.status, answer.body.as_str()), (200, "made"));
+}
--- a/dispatcher/tests/peers/mod.rs
+++ b/dispatcher/tests/peers/mod.rs
@@ -53,11 +53,25 @@
         Hop { address: "127.0.0.1:1".to_owned(), seen: channel().1 }
     }
 
+    /// One to which no connection comes up until the listener's first connection, which is none of the program's, has
+    /// been accepted.
+    pub fn crowded() -> (Self, Crowd) {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        rustix::net::listen(&listener, 0).unwrap();
+        let address = listener.local_addr().unwrap().to_string();
+        let first = TcpStream::connect(&address).unwrap();
+        (Hop { address, seen: channel().1 }, Crowd { listener, first })
+    }
+
     /// The list that names this next hop alone.
     pub fn listed(&self, name: &str) -> String {
+        self.listed_as(name, 1, "active")
+    }
+
+    pub fn listed_as(&self, name: &str, generation: u32, lifecycle: &str) -> String {
         format!(
-            r#"{{"generation":1,"reset":true,"instances":[{{"instanceId":"{name}","hostPort":"{}","zone":"z",
-            "machineType":"m","cell":0,"lifecycle":"active","weight":1,"startedAtMs":0}}]}}"#,
+            r#"{{"generation":{generation},"reset":true,"instances":[{{"instanceId":"{name}","hostPort":"{}",
+            "zone":"z","machineType":"m","cell":0,"lifecycle":"{lifecycle}","weight":1,"startedAtMs":0}}]}}"#,
             self.address
         )
     }
@@ -67,6 +81,26 @@
     }
 }
 
+/// Fills a next hop's accept queue.
+pub struct Crowd {
+    listener: TcpListener,
+    first: TcpStream,
+}
+
+impl Crowd {
+    /// Makes room, and gives out what comes on the program's connection up to its end.
+    pub fn let_in(self) -> impl FnOnce() -> String {
+        drop((self.listener.accept().unwrap(), self.first));
+        let mut stream = self.listener.accept().unwrap().0;
+        move || {
+            stream.set_read_timeout(Some(WAIT)).unwrap();
+            let mut text = String::new();
+            stream.read_to_string(&mut text).expect("the connection ends");
+            text
+        }
+    }
+}
+
 fn serve_hop(mut stream: TcpStream, seen: &Sender<Seen>) {
     while let Some(message) = read_message(&mut stream) {
         let (reply, replies) = channel();
--- a/dispatcher/tests/serve.rs
+++ b/dispatcher/tests/serve.rs
@@ -1,6 +1,7 @@
 //! The program as it is started in service, between scripted peers on loopback. Every wait here ends with an
 //! event; the time limits only turn a hang into a failure.
 
+mod crossings;
 mod operators;
 mod peers;
 mod process;
@@ -243,7 +244,9 @@
     dispatcher.until_counted("map_changes 1\n");
     let counters = dispatcher.counters();
     assert!(counters.contains("map_failures 3\n") && counters.contains("map_bad 1\n"), "{counters}");
-    client(&dispatcher.listen).send(JOB);
+    // It stays: what nobody waits for is not sent.
+    let mut client = client(&dispatcher.listen);
+    client.send(JOB);
     assert!(hop.next().text.starts_with("POST /api?q=1"));
 }
 
--- a/exchange/src/front.rs
+++ b/exchange/src/front.rs
@@ -23,11 +23,28 @@
     pub serving: Arc<AtomicBool>,
     pub clock: Clock,
     pub classes: Classes,
-    /// The settings allow clients to be told when to come back.
-    pub advice_allowed: bool,
+    pub advice: Advice,
     pub log: Logger,
 }
 
+/// Whether the settings in force allow clients to be told when to come back; they may change (SIGHUP).
+#[derive(Clone, Default)]
+pub struct Advice(Arc<AtomicBool>);
+
+impl Advice {
+    pub fn new(allowed: bool) -> Self {
+        Advice(Arc::new(AtomicBool::new(allowed)))
+    }
+
+    pub fn allow(&self, allowed: bool) {
+        self.0.store(allowed, Ordering::Release);
+    }
+
+    pub fn is_allowed(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+}
+
 impl Core {
     pub fn is_serving(&self) -> bool {
         self.serving.load(Ordering::Acquire)
--- a/exchange/src/lib.rs
+++ b/exchange/src/lib.rs
@@ -16,7 +16,7 @@
 pub mod shutdown;
 
 pub use drain::Drain;
-pub use front::Core;
+pub use front::{Advice, Core};
 pub use gate::{Gate, Permit};
 pub use meeting::*;
 pub use neighbour::{Ask, Neighbour, Parcel, Standing};
--- a/fronts/grpc/src/service.rs
+++ b/fronts/grpc/src/service.rs
@@ -93,7 +93,7 @@
         }
         let permit = core.gate.enter(Front::Grpc, job.verbatim.body.len()).map_err(|refused| {
             core.counters.turned_away.add();
-            let advice = Some(refused.retry_after).filter(|_| core.advice_allowed);
+            let advice = Some(refused.retry_after).filter(|_| core.advice.is_allowed());
             status::refused("no room now, try again", advice)
         })?;
         let wake = Arc::new(Notify::new());
@@ -114,7 +114,7 @@
         let (mut pending, _) = JobsService::submit(self, request, false)?;
         loop {
             if let News::Answer(answer) = pending.news(Progress::default()).await {
-                let result = status::of_answer(answer, self.0.advice_allowed)?;
+                let result = status::of_answer(answer, self.0.advice.is_allowed())?;
                 return Ok(Response::new(SubmitReply { result }));
             }
         }
@@ -188,7 +188,7 @@
     }
 
     fn last(&mut self, answer: Answer) -> JobEvent {
-        match status::of_answer(answer, self.pending.core.advice_allowed) {
+        match status::of_answer(answer, self.pending.core.advice.is_allowed()) {
             Ok(result) => event(Event::Done(Done { result })),
             Err(status) => {
                 let ended = Ended {
--- a/fronts/grpc/tests/grpc/rig.rs
+++ b/fronts/grpc/tests/grpc/rig.rs
@@ -8,7 +8,7 @@
 use millrudder_exchange::intake::{Class, Classes};
 use millrudder_exchange::shutdown::Stopping;
 use millrudder_exchange::{
-    Answer, Core, Drain, Exchange, Front, Gate, Job, Message, Neighbour, Reply, Ticket,
+    Advice, Answer, Core, Drain, Exchange, Front, Gate, Job, Message, Neighbour, Reply, Ticket,
 };
 use millrudder_front_grpc::proto::jobs_client::JobsClient;
 use millrudder_front_grpc::proto::SubmitRequest;
@@ -79,7 +79,7 @@
                 limit: 5_000.0,
                 until: f64::INFINITY,
             }]),
-            advice_allowed: true,
+            advice: Advice::new(true),
             log: slog::Logger::root(slog::Discard, slog::o!()),
         };
         let grpc = settings.fronts.grpc.unwrap();
--- a/fronts/http/src/connection.rs
+++ b/fronts/http/src/connection.rs
@@ -13,8 +13,11 @@
 const READ_SIZE: usize = 2048;
 /// What is read of a refused message before its connection is closed all the same.
 const LINGER_BYTES: usize = 1024 * 1024;
-/// What a client sends ahead while its job is here is read up to this.
+/// What a client sends ahead while its job is here is kept up to this. More is read and dropped, to see it leave, and
+/// the connection ends with the job's answer: what a close crosses is sent once more.
 const AHEAD_BYTES: usize = 4 * 1024;
+/// ... and no peer that sends without end is read past this: its job ends as failed, and so does the connection.
+const DROPPED_BYTES: usize = LINGER_BYTES;
 /// What a client is told that finds the place crowded (ms): about the time in which running jobs end.
 const CROWDED_RETRY_MS: f64 = 500.0;
 
@@ -143,12 +146,18 @@
         Ok(got)
     }
 
-    /// Reads on while a job is here, to see its client leave; what it sends ahead waits, within bounds.
-    fn read_ahead(&mut self) -> io::Result<Got> {
-        if self.decoder.held() > AHEAD_BYTES {
-            return Ok(Got::Nothing);
+    /// Reads on while a job is here, to see its client leave; what it sends ahead waits, within bounds. `dropped`
+    /// counts what did not.
+    fn read_ahead(&mut self, dropped: &mut usize) -> io::Result<Got> {
+        if *dropped == 0 && self.decoder.held() <= AHEAD_BYTES {
+            return self.read();
         }
-        self.read()
+        let got = self.socket.try_read(&mut self.buffer)?;
+        if let Got::Bytes(n) = got {
+            *dropped += n + self.decoder.held();
+            self.decoder = Decoder::default();
+        }
+        Ok(got)
     }
 
     fn handle(&mut self, request: Request) -> io::Result<()> {
@@ -176,16 +185,13 @@
 
     fn serve_job(&mut self, job: Job, keep: bool) -> io::Result<()> {
         if self.is_closing() {
-            self.shared.counters.turned_away.add();
-            let retry_after = (!self.shared.stopping.has_begun()).then_some(CROWDED_RETRY_MS);
-            return self.reply(false, |close| answer::of_job(&Answer::Defer { retry_after }, close));
+            let advice = (!self.shared.stopping.has_begun()).then_some(CROWDED_RETRY_MS);
+            return self.turn_away(advice, false);
         }
         let permit = match self.shared.gate.enter(Front::Http, job.verbatim.body.len()) {
             Ok(permit) => permit,
             Err(refused) => {
-                self.shared.counters.turned_away.add();
-                let answer = Answer::Defer { retry_after: Some(refused.retry_after) };
-                return self.reply(keep, |close| answer::of_job(&answer, close));
+                return self.turn_away(Some(refused.retry_after), keep);
             }
         };
         self.doing(Doing::Waiting);
@@ -193,16 +199,21 @@
         let waker = self.socket.waker();
         let reply = Reply::new(move || waker.wakeup());
         let ticket = self.shared.exchange.submit(job, reply.clone());
+        let mut dropped = 0;
         loop {
             if let Some(answer) = reply.take() {
                 // A client that is slow to read holds no place for a job.
                 drop(permit);
                 return match answer {
                     Answer::Failed(Failure::Repeated) => self.refuse(&Refusal::Repeated),
-                    answer => self.give(&answer, keep),
+                    answer => self.give(&answer, keep && dropped == 0),
                 };
             }
-            match self.read_ahead() {
+            match self.read_ahead(&mut dropped) {
+                Ok(Got::Bytes(_)) if dropped > DROPPED_BYTES => {
+                    self.shared.exchange.withdraw(ticket);
+                    return self.refuse(&Refusal::Flood);
+                }
                 Ok(Got::Bytes(_)) => {}
                 Ok(Got::Nothing) => self.socket.wait(),
                 Ok(Got::End) | Err(_) => {
@@ -213,6 +224,13 @@
         }
     }
 
+    /// A job that is not taken on, with advice (ms) where the settings allow any.
+    fn turn_away(&mut self, advice: Option<f64>, keep: bool) -> io::Result<()> {
+        self.shared.counters.turned_away.add();
+        let retry_after = advice.filter(|_| self.shared.advice.is_allowed());
+        self.reply(keep, |close| answer::of_job(&Answer::Defer { retry_after }, close))
+    }
+
     fn give(&mut self, answer: &Answer, keep: bool) -> io::Result<()> {
         self.shared.doors.proved(&self.pass, Standing::Client);
         self.shared.doors.holds(&self.pass, self.decoder.held());
--- a/fronts/http/src/intake.rs
+++ b/fronts/http/src/intake.rs
@@ -35,6 +35,8 @@
     TooSlow,
     /// All inbound connections together hold as much as they may.
     NoMemory,
+    /// More was sent before the job's answer than is read.
+    Flood,
 }
 
 impl Refusal {
@@ -49,15 +51,16 @@
             Refusal::Repeated => 409,
             Refusal::TooSlow => 408,
             Refusal::NoMemory => 503,
+            Refusal::Flood => 413,
             _ => 400,
         }
     }
 
     pub fn count(&self, counters: &Counters) {
         match self {
-            Refusal::Framing(FrameError::BodyTooLarge | FrameError::HeadTooLarge) | Refusal::LongTarget => {
-                &counters.rejected_too_large
-            }
+            Refusal::Framing(FrameError::BodyTooLarge | FrameError::HeadTooLarge)
+            | Refusal::LongTarget
+            | Refusal::Flood => &counters.rejected_too_large,
             Refusal::Framing(_) | Refusal::BadTarget => &counters.rejected_malformed,
             Refusal::UnknownPath | Refusal::WrongMethod(_) => &counters.rejected_unknown,
             Refusal::MissingHeader(_) | Refusal::BadHeader(_) => &counters.rejected_headers,
@@ -82,6 +85,7 @@
             Refusal::Repeated => f.write_str("a job with this id is under way"),
             Refusal::TooSlow => f.write_str("the request did not come whole in time"),
             Refusal::NoMemory => f.write_str("no memory for this request now"),
+            Refusal::Flood => f.write_str("too much was sent before the answer"),
         }
     }
 }
--- a/fronts/http/src/lib.rs
+++ b/fronts/http/src/lib.rs
@@ -20,7 +20,7 @@
 use millrudder_exchange::intake::Classes;
 use millrudder_exchange::rate::Limiter;
 use millrudder_exchange::shutdown::Stopping;
-use millrudder_exchange::{Core, Drain, Exchange, Gate, Neighbour, Standing};
+use millrudder_exchange::{Advice, Core, Drain, Exchange, Gate, Neighbour, Standing};
 use millrudder_wire::descriptor;
 use slog::Logger;
 use std::io::ErrorKind;
@@ -51,6 +51,7 @@
     doors: Doors,
     classes: Classes,
     gate: Gate,
+    advice: Advice,
     log: Logger,
     /// For the log of bad call-backs, so that a broken next hop cannot flood it.
     bad_news: Limiter,
@@ -71,7 +72,9 @@
     pub fn new(budget: Budget, core: Core) -> Self {
         let doors = Doors::new(budget, core.neighbour.clone());
         let (bad_news, bad_accepts) = (Limiter::default(), Limiter::default());
-        let Core { exchange, gate, counters, stopping, drain, neighbour, clock, classes, log, .. } = core;
+        let Core {
+            exchange, gate, counters, stopping, drain, neighbour, clock, classes, advice, log, ..
+        } = core;
         SenderSide(Arc::new(Shared {
             exchange,
             gate,
@@ -82,6 +85,7 @@
             clock,
             doors,
             classes,
+            advice,
             log,
             bad_news,
             bad_accepts,
--- a/upgrade/src/giver.rs
+++ b/upgrade/src/giver.rs
@@ -170,7 +170,7 @@
     use millrudder_exchange::clock::Clock;
     use millrudder_exchange::intake::Classes;
     use millrudder_exchange::shutdown::Stopping;
-    use millrudder_exchange::{Core, Exchange, Gate, Inbox, Standing};
+    use millrudder_exchange::{Advice, Core, Exchange, Gate, Inbox, Standing};
     use millrudder_handover::VERSION;
     use std::net::TcpStream;
     use std::os::unix::net::UnixStream;
@@ -198,7 +198,7 @@
             serving: Arc::default(),
             clock,
             classes: Classes::new(Vec::new()),
-            advice_allowed: true,
+            advice: Advice::new(true),
             log: slog::Logger::root(slog::Discard, slog::o!()),
         };
         (Shell { core, front: Arc::new(NoFront), path: "unused".into() }, inbox)
