Hold a watch also where lists are pushed, and open it anew at once

Ruled out: late calls or a silent watch (there was no call).

Now the core holds the watch itself where lists are pushed, and opens a failed one anew 50 ms later: there the agent is this dispatcher's own, and what it has counts as told at once. The module's spread and back-off, made for a discovery that all share, do not come on top. Where lists are asked for nothing changes.

Without the change where_lists_are_pushed_... fails (no watch within 60 s).

--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -35,10 +35,16 @@
 /// ... and waits for an answer of next hops and of discovery this often.
 const OVERLOOK_MS: f64 = 50.0;
 
+/// Where lists are pushed, an agent of this dispatcher's own holds them, and what it has counts as told: a watch there that
+/// has failed is opened anew so soon (ms), with no regard to other dispatchers.
+const PUSHED_AGAIN_MS: f64 = 50.0;
+
 pub struct Dispatch {
     balancer: mr::Balancer,
     names: Names,
     max_attempts: usize,
+    /// Lists come unasked, as the module sees it: the watch is held here, and the module is told of no failure.
+    pushed: bool,
     jobs: Jobs,
     hops: Hops,
     timers: Timers,
@@ -77,6 +83,7 @@
         let dropped_stay = settings.rules.dropped_stay_open;
         Dispatch {
             max_attempts: settings.limits.max_attempts.max(1),
+            pushed: !settings.list_by_ask,
             balancer: mr::Balancer::new(settings, config.seed),
             names: config.names.clone(),
             jobs: Jobs::default(),
@@ -103,6 +110,9 @@
         let known = known.unwrap_or(MapNews { whole: true, generation: None, entries: Vec::new() });
         self.on_map(known, mr::ListKind::Restored);
         legacy.into_iter().for_each(|legacy| self.inherit(legacy));
+        if self.pushed {
+            self.transport_map.ask(Call::Watch);
+        }
         self.timers.arm(self.clock.now() + TIDY_MS, Due::Tidy);
         self.timers.arm(self.clock.now() + OVERLOOK_MS, Due::Overlook);
         while !self.is_done() {
@@ -141,6 +151,9 @@
                 let kind = if news.whole { mr::ListKind::Replace } else { mr::ListKind::Update };
                 self.on_map(news, kind);
             }
+            Message::MapUnavailable if self.pushed => {
+                self.timers.arm(self.clock.now() + PUSHED_AGAIN_MS, Due::Watch);
+            }
             Message::MapUnavailable => {
                 self.feed(mr::Event::List { kind: mr::ListKind::Unavailable, entries: Vec::new() });
             }
@@ -538,6 +551,7 @@
                 self.transport_map.tidy();
                 self.timers.arm(self.clock.now() + OVERLOOK_MS, Due::Overlook);
             }
+            Due::Watch => self.transport_map.ask(Call::Watch),
             Due::StopHard => self.fail_all(),
         }
     }
--- a/core/src/dispatch/timers.rs
+++ b/core/src/dispatch/timers.rs
@@ -16,6 +16,7 @@
     Attempt(AttemptId),
     Tidy,
     Overlook,
+    Watch,
     StopHard,
 }
 
--- a/dispatcher/tests/crossings/mod.rs
+++ b/dispatcher/tests/crossings/mod.rs
@@ -131,3 +131,24 @@
     let answer = ahead.answer();
     assert_eq!((answer.status, answer.body.as_str()), (200, "made"));
 }
+
+#[test]
+fn where_lists_are_pushed_a_watch_is_held_all_the_same_and_opened_anew_at_once() {
+    // The module asks for nothing there, so nobody watched: 2,087 sends to workers that drained, on one day.
+    let (hop, other) = (Hop::start(), Hop::start());
+    let failures = ["HTTP/1.1 503 Down\r\nContent-Length: 0\r\n\r\n"; 3];
+    let dispatcher = Dispatcher::start_with(&hop, 256, &failures, |config| {
+        config.replace("\"registry_mode\":\"ask\"", "\"registry_mode\":\"push\"")
+    });
+    let mut watch = dispatcher.watches.recv_timeout(WAIT).expect("a watch is held");
+    let lines = [hop.line("s-1", "leaving"), other.line("s-2", "active")].join(",");
+    let list = format!(r#"{{"generation":2,"reset":false,"instances":[{lines}]}}"#);
+    tell(&mut watch, &list);
+    dispatcher.until_counted("map_changes 1\n");
+    let mut waiting = client(&dispatcher.listen);
+    waiting.send(JOB);
+    other.next().answer(Reply::Accept);
+    assert_eq!(dispatcher.news(r#"{"id":"9b1f","from":"s-2","state":"done","result":"made"}"#), 204);
+    assert_eq!(waiting.answer().body, "made");
+    assert!(dispatcher.counters().contains("map_failures 3\n"));
+}
