Count a worker's silence from its connection on, not from the wait for one

`Pool::take` waits up to connect_timeout for a place and as long again for the connect, so an attempt that had waited for a descriptor here could be cut as `AttemptEnd::Silent` within less than the answer's time and be booked on a worker that was well.

Now the time stands in the attempt's `Stop` and begins with the connection. The wait before it has limits of its own.

a_wait_for_a_descriptor_or_a_connection_is_no_silence_of_the_next_hop fails where the time runs from the beginning of the attempt.

--- a/core/src/next_hop/attempt.rs
+++ b/core/src/next_hop/attempt.rs
@@ -113,6 +113,7 @@
         shared.pool.keep(hop.id, connection);
         return Err(AttemptEnd::NotSent);
     }
+    stop.answer_by(shared.clock.now() + shared.pool.limits().answer_time());
     match converse::converse(&connection.socket, request, &stop.cut, || stop.may_send()) {
         Ok(response) => {
             give_back(shared, hop, connection, &response);
--- a/core/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -12,7 +12,7 @@
 use pool::Pool;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 
 /// Where a next hop is, as of now.
@@ -25,7 +25,6 @@
 }
 
 /// Reaches an attempt's coroutine wherever it waits.
-#[derive(Default)]
 struct Stop {
     /// The attempt is given up ...
     left: AtomicBool,
@@ -39,6 +38,23 @@
     open: Option<Arc<AtomicBool>>,
     /// Its connection is not worth waiting for any longer.
     cut: Cut,
+    /// Clock time (bits of ms) by which a next hop that is there has answered; none before there is a connection: what is
+    /// waited for until then, a descriptor too, says nothing of the next hop.
+    due: AtomicU64,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Stop {
+            left: AtomicBool::default(),
+            accepted: AtomicBool::default(),
+            firm: AtomicBool::default(),
+            unowed: AtomicBool::default(),
+            open: None,
+            cut: Cut::default(),
+            due: AtomicU64::new(f64::INFINITY.to_bits()),
+        }
+    }
 }
 
 impl Stop {
@@ -61,6 +77,14 @@
         !self.is_left() && !self.unowed.load(Ordering::Acquire)
     }
 
+    fn answer_by(&self, due: f64) {
+        self.due.store(due.to_bits(), Ordering::Release);
+    }
+
+    fn due(&self) -> f64 {
+        f64::from_bits(self.due.load(Ordering::Acquire))
+    }
+
     fn leave(&self, accepted: bool) {
         self.accepted.store(accepted, Ordering::Release);
         self.left.store(true, Ordering::Release);
@@ -70,8 +94,8 @@
 /// What the coroutines of all next hops share.
 struct Shared {
     pool: Pool,
-    /// Attempts whose answer is awaited, each with the time by which a next hop that is there has given it.
-    waiting: Mutex<HashMap<AttemptId, (Arc<Stop>, f64)>>,
+    /// Attempts whose answer is awaited.
+    waiting: Mutex<HashMap<AttemptId, Arc<Stop>>>,
     exchange: Exchange,
     counters: Arc<Counters>,
     clock: Clock,
@@ -96,9 +120,7 @@
     /// Starts a delivery attempt; its end or its acceptance comes through the exchange.
     pub fn deliver(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, until: f64) {
         let stop = Arc::new(Stop::of_delivery(hop.open.clone()));
-        let limits = self.0.pool.limits();
-        let due = self.0.clock.now() + limits.connect_timeout + limits.answer_time();
-        self.waiting().insert(attempt, (stop.clone(), due));
+        self.waiting().insert(attempt, stop.clone());
         let shared = self.0.clone();
         may::go!(move || {
             attempt::deliver(&shared, attempt, &hop, &job, until, &stop);
@@ -116,7 +138,7 @@
         let shared = self.0.clone();
         shared.counters.calls_off.add();
         match unanswered {
-            Some((stop, _)) => {
+            Some(stop) => {
                 stop.firm.store(firm, Ordering::Release);
                 stop.leave(accepted);
                 may::go!(move || {
@@ -131,7 +153,7 @@
     /// The job has its answer, or its client has left: the attempt goes on only if its last byte is out, else it ends
     /// as not sent. That needs no permission to call off: the next hop has nothing.
     pub fn hold_back(&self, attempt: AttemptId) {
-        if let Some((stop, _)) = self.waiting().get(&attempt) {
+        if let Some(stop) = self.waiting().get(&attempt) {
             stop.unowed.store(true, Ordering::Release);
         }
     }
@@ -161,14 +183,14 @@
     /// and the descriptor for ever.
     pub fn cut_overdue(&self) {
         let now = self.0.clock.now();
-        for (stop, due) in self.waiting().values() {
-            if *due < now {
+        for stop in self.waiting().values() {
+            if stop.due() < now {
                 stop.cut.now();
             }
         }
     }
 
-    fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<AttemptId, (Arc<Stop>, f64)>> {
+    fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<AttemptId, Arc<Stop>>> {
         self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
@@ -269,6 +291,21 @@
         assert!(matches!(inbox.recv(), Ok(Message::CalledOff { attempt: ATTEMPT })));
     }
 
+    #[test]
+    fn a_wait_for_a_descriptor_or_a_connection_is_no_silence_of_the_next_hop() {
+        // The answer's time ran from before that wait: a lack here could end as a silent worker.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listen(&listener, Backlog::new(0).unwrap()).unwrap();
+        let first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (hops, _, _, _inbox) = begun(&listener, 0.0);
+        let due = || hops.waiting().get(&ATTEMPT).map(|stop| stop.due());
+        assert_eq!(due(), Some(f64::INFINITY));
+        drop((listener.accept().unwrap(), first));
+        let mut peer = listener.accept().unwrap().0;
+        assert!(read_to(&mut peer, "body").starts_with("POST /api"));
+        assert!(due().is_some_and(f64::is_finite), "{:?}", due());
+    }
+
     #[test]
     fn a_firm_call_off_is_told_until_it_is_answered() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -307,8 +344,8 @@
     fn a_next_hop_that_says_nothing_is_silent_and_its_own_close_no_reset() {
         let (hops, _, _, mut peer, inbox) = under_way(0.0);
         let now = hops.0.clock.now();
-        assert!(hops.waiting().values().all(|(_, due)| *due < now + 63_000.0), "not only at the deadline");
-        hops.waiting().values_mut().for_each(|(_, due)| *due = now - 1.0);
+        assert!(hops.waiting().values().all(|stop| stop.due() < now + 3_000.0), "not only at the deadline");
+        hops.waiting().values().for_each(|stop| stop.answer_by(now - 1.0));
         hops.cut_overdue();
         assert!(matches!(inbox.recv(), Ok(Message::Ended { end: AttemptEnd::Silent, .. })));
         assert_eq!(read_to(&mut peer, "never"), "", "before the 202 a close gives the attempt up");
