Test gRPC clients that leave while a connection comes up, and advice after SIGHUP

Both were changed in without a test of their own. With `hold_back` made idle the gRPC test fails (the job is sent on after its client left), as does the HTTP one; with the advice unfiltered when_to_come_back_... fails.

--- a/dispatcher/tests/crossings/mod.rs
+++ b/dispatcher/tests/crossings/mod.rs
@@ -3,6 +3,8 @@
 
 use crate::peers::{client, read_message, Dispatcher, Hop, Reply, WAIT};
 use crate::JOB;
+use millrudder_front_grpc::proto::jobs_client::JobsClient;
+use millrudder_front_grpc::proto::SubmitRequest;
 use std::io::Write;
 use std::net::TcpStream;
 
@@ -79,6 +81,52 @@
     }
 }
 
+#[test]
+fn a_grpc_client_that_leaves_while_a_connection_comes_up_is_not_sent_on() {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    for allowed in [true, false] {
+        let (hop, crowd) = Hop::crowded();
+        let grpc = Some("fronts: {grpc: {listen: 'GRPC'}}\n");
+        let dispatcher = Dispatcher::spawn_with(&hop, 512, &[], grpc, with_cancel(allowed));
+        assert!(dispatcher.log_shows("serving gRPC"));
+        let to = tonic::transport::Endpoint::from_shared(format!("http://{}", dispatcher.grpc)).unwrap();
+        let call = runtime.spawn(async move {
+            let request = SubmitRequest { job_class: "copy-issue".to_owned(), ..SubmitRequest::default() };
+            JobsClient::new(to.connect().await.unwrap()).submit(request).await
+        });
+        dispatcher.until_counted("attempts_sent 1\n");
+        call.abort();
+        dispatcher.until_counted("withdrawn 1\n");
+        let read = crowd.let_in();
+        dispatcher.until_counted("outcome_ignored 1\n");
+        assert_eq!(seen_at_the_end(dispatcher, read), "", "may_cancel: {allowed}");
+    }
+}
+
+#[test]
+fn when_to_come_back_is_said_only_where_the_settings_allow_it_also_after_sighup() {
+    // The door is full with one job; what it refuses carried advice whatever the settings say.
+    let hop = Hop::start();
+    let one = Some("admission: {jobs: 1}\n");
+    let dispatcher = Dispatcher::spawn_with(&hop, 256, &[], one, |config| {
+        config.replace("\"may_cancel\":true", "\"may_cancel\":true,\"retry_after\":false")
+    });
+    assert!(dispatcher.log_shows("serving"));
+    let (mut first, mut second) = (client(&dispatcher.listen), client(&dispatcher.listen));
+    first.send(JOB);
+    hop.next().answer(Reply::Accept);
+    let mut advised = |id: &str| {
+        second.send(&JOB.replace("9b1f", id));
+        let answer = second.answer();
+        assert_eq!(answer.status, 503, "{}", answer.body);
+        answer.head.contains("Retry-After: ")
+    };
+    assert!(!advised("9b20"));
+    dispatcher.reload("127.0.0.1:1", |config| config.replace("retry_after\":false", "retry_after\":true"));
+    dispatcher.until_counted("reloads_good 1\n");
+    assert!(advised("9b21"));
+}
+
 #[test]
 fn one_told_to_drain_while_a_connection_comes_up_gets_nothing() {
     let (hop, crowd) = Hop::crowded();
--- a/dispatcher/tests/peers/mod.rs
+++ b/dispatcher/tests/peers/mod.rs
@@ -215,6 +215,8 @@
     pub listen: String,
     /// Where operators call, if the test's configuration says so by MGMT.
     pub mgmt: String,
+    /// Where gRPC is served, if the test's operators say so by GRPC.
+    pub grpc: String,
     process: Process,
     config: std::path::PathBuf,
     discovery: String,
@@ -243,6 +245,17 @@
         sockets: usize,
         first_of_discovery: &[&'static str],
         change: impl Fn(String) -> String,
+    ) -> Self {
+        Dispatcher::spawn_with(hop, sockets, first_of_discovery, None, change)
+    }
+
+    /// `operators`: their settings, with GRPC for an address where that front may listen.
+    pub fn spawn_with(
+        hop: &Hop,
+        sockets: usize,
+        first_of_discovery: &[&'static str],
+        operators: Option<&str>,
+        change: impl Fn(String) -> String,
     ) -> Self {
         static STARTED: AtomicU32 = AtomicU32::new(0);
         let (number, pid) = (STARTED.fetch_add(1, Ordering::Relaxed), std::process::id());
@@ -263,8 +276,16 @@
         ));
         let path = std::env::temp_dir().join(format!("millrudder-test-{pid}-{number}.json"));
         std::fs::write(&path, config.replace("MGMT", &mgmt)).unwrap();
-        let process = Process::spawn(&path, &[]);
-        Dispatcher { listen, mgmt, process, config: path, discovery, watches }
+        let grpc = listen.replace(":7", ":27");
+        let yaml = operators.map(|text| {
+            let yaml = path.with_extension("yaml");
+            std::fs::write(&yaml, text.replace("GRPC", &grpc)).unwrap();
+            yaml
+        });
+        let arguments: Vec<&std::ffi::OsStr> =
+            yaml.iter().flat_map(|yaml| ["--settings".as_ref(), yaml.as_ref()]).collect();
+        let process = Process::spawn(&path, &arguments);
+        Dispatcher { listen, mgmt, grpc, process, config: path, discovery, watches }
     }
 
     /// Sends a call-back as next hops do, on a connection of its own; gives the answer's status.
@@ -331,5 +352,6 @@
 impl Drop for Dispatcher {
     fn drop(&mut self) {
         let _ = std::fs::remove_file(&self.config);
+        let _ = std::fs::remove_file(self.config.with_extension("yaml"));
     }
 }
