End a stop by the deadlines in force, take on nothing that it could not answer

A reload after SIGTERM moved the last moment, but not the timer armed for it. - A front on a thread of its own (gRPC) could submit a job between the core's last look and its end: nobody answered it. Now whatever lies in the inbox when it is dropped is deferred, and `submit` defers what comes later.

Each has a test that fails without its part (nothing_is_taken_on_past_..., a_stop_goes_by_..., a_job_submitted_as_...). Whether the platform waits by the settings in force is noted as a question; for the shorter ones it is the safe reading.

--- a/exchange/src/meeting.rs
+++ b/exchange/src/meeting.rs
@@ -6,7 +6,7 @@
 use crate::progress::{Followed, Progress};
 use may::sync::mpsc;
 use serde::{Deserialize, Serialize};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::mpsc::{RecvError, RecvTimeoutError, TryRecvError};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -246,17 +246,26 @@
     inbox: mpsc::Sender<Message>,
     urgent: mpsc::Sender<Message>,
     tickets: Arc<AtomicU64>,
+    /// Dispatch has ended, or is about to.
+    ended: Arc<AtomicBool>,
 }
 
 impl Exchange {
     pub fn new() -> (Self, Inbox) {
         let ((inbox, outlet), (urgent, first)) = (mpsc::channel(), mpsc::channel());
-        (Exchange { inbox, urgent, tickets: Arc::new(AtomicU64::new(0)) }, Inbox { outlet, first })
+        let ended = Arc::new(AtomicBool::new(false));
+        let tickets = Arc::new(AtomicU64::new(0));
+        (Exchange { inbox, urgent, tickets, ended: ended.clone() }, Inbox { outlet, first, ended })
     }
 
+    /// The answer comes by `reply`, also where dispatch ends at this moment: then the job is deferred.
     pub fn submit(&self, job: Job, reply: Reply) -> Ticket {
         let ticket = self.tickets.fetch_add(1, Ordering::Relaxed);
-        self.put(Message::Submitted { ticket, job: Arc::new(job), reply });
+        self.put(Message::Submitted { ticket, job: Arc::new(job), reply: reply.clone() });
+        // Put in after dispatch looked for the last time, it sees this; before that, dispatch sees the job.
+        if self.ended.load(Ordering::SeqCst) {
+            reply.give(Answer::Defer { retry_after: None });
+        }
         ticket
     }
 
@@ -288,10 +297,22 @@
     }
 }
 
-/// Where dispatch takes messages out, orders first.
+/// Where dispatch takes messages out, orders first. Jobs that are in it when it is dropped are deferred.
 pub struct Inbox {
     outlet: mpsc::Receiver<Message>,
     first: mpsc::Receiver<Message>,
+    ended: Arc<AtomicBool>,
+}
+
+impl Drop for Inbox {
+    fn drop(&mut self) {
+        self.ended.store(true, Ordering::SeqCst);
+        while let Ok(message) = self.try_recv() {
+            if let Message::Submitted { reply, .. } = message {
+                reply.give(Answer::Defer { retry_after: None });
+            }
+        }
+    }
 }
 
 impl Inbox {
@@ -324,6 +345,38 @@
 mod tests {
     use super::*;
 
+    fn job() -> Job {
+        Job {
+            front: Front::Grpc,
+            trace_id: "9b1f".to_owned(),
+            class: "c".to_owned(),
+            slots: 1.0,
+            memory: 0.0,
+            deadline: 5000.0,
+            verbatim: Verbatim {
+                method: "POST".to_owned(),
+                target: "/api".to_owned(),
+                body: Vec::new(),
+                idempotency_key: None,
+                content_type: None,
+            },
+        }
+    }
+
+    #[test]
+    fn a_job_submitted_as_dispatch_ends_is_deferred() {
+        // A front on a thread of its own may have looked just before: its job lay there, and its client waited.
+        let deferred = Some(Answer::Defer { retry_after: None });
+        let (exchange, inbox) = Exchange::new();
+        let (before, after) = (Reply::new(|| {}), Reply::new(|| {}));
+        exchange.submit(job(), before.clone());
+        assert_eq!(before.take(), None);
+        drop(inbox);
+        assert_eq!(before.take(), deferred);
+        exchange.submit(job(), after.clone());
+        assert_eq!(after.take(), deferred);
+    }
+
     #[test]
     fn orders_go_before_all_that_waits() {
         let (exchange, inbox) = Exchange::new();
--- a/exchange/src/shutdown.rs
+++ b/exchange/src/shutdown.rs
@@ -41,10 +41,13 @@
         }
     }
 
-    /// New settings have another longest deadline; jobs under way may have the old one's.
+    /// New settings have another longest deadline: the platform waits by those in force. A stop that has begun ends as it
+    /// was begun.
     pub fn set_longest(&self, longest_deadline: f64) {
-        let mut longest = self.longest.lock().unwrap_or_else(PoisonError::into_inner);
-        *longest = longest.max(longest_deadline.min(LONGEST_MS));
+        if !self.has_begun() {
+            let mut longest = self.longest.lock().unwrap_or_else(PoisonError::into_inner);
+            *longest = longest_deadline.min(LONGEST_MS);
+        }
     }
 
     fn longest(&self) -> f64 {
@@ -91,7 +94,9 @@
 
     /// The time is over in which jobs are still taken on.
     pub fn grace_is_over(&self, now: f64) -> bool {
-        let grace = (self.longest() + KILL_MARGIN_MS - LAST_JOB_MS).max(GRACE_MS);
+        let end = self.longest() + KILL_MARGIN_MS;
+        // Whatever is taken on must be answered by the last moment, also where deadlines are shorter than the least grace.
+        let grace = (end - LAST_JOB_MS).max(GRACE_MS).min(end);
         let over = self.since().is_some_and(|since| now >= since + grace);
         over || self.no_clients.load(Ordering::Acquire)
     }
@@ -135,6 +140,30 @@
         assert!(stopping.grace_is_over(800.0));
     }
 
+    #[test]
+    fn nothing_is_taken_on_past_the_last_moment_however_short_deadlines_are() {
+        // With 300 ms, jobs were taken on for 50 ms after all had been answered, and the kill could find them.
+        for longest in [1.0, 100.0, 300.0, 349.0, 400.0, 3_000.0, 60_000.0] {
+            let stopping = Stopping::new(longest);
+            stopping.begin(0.0);
+            assert!(stopping.grace_is_over(stopping.last_moment()), "{longest}");
+            assert!(stopping.last_moment() < longest.min(3_000.0) + 700.0, "{longest}");
+        }
+    }
+
+    #[test]
+    fn a_stop_goes_by_the_deadlines_in_force_when_it_begins() {
+        // Once 3 s always 3 s: after settings with 1 s the kill came 1.3 s before the last moment.
+        let stopping = Stopping::new(5_000.0);
+        stopping.set_longest(1_000.0);
+        stopping.begin(0.0);
+        assert_eq!(stopping.last_moment(), 1_450.0);
+        // SIGHUP right after SIGTERM: what is armed for the last moment does not move with it.
+        stopping.set_longest(5_000.0);
+        assert_eq!(stopping.last_moment(), 1_450.0);
+        assert!(stopping.grace_is_over(1_450.0));
+    }
+
     #[test]
     fn with_a_successor_nobody_new_comes_here() {
         let stopping = Stopping::new(5_000.0);
