Reopen a silent watch at once, call off only where allowed, time by settings in force

The follower opens it anew at once (`Follower::watch`, counter `map_silent`); a second silence is reported as before. - At a job's deadline `Dispatch::give_up` sent DELETE also where the settings allow no call-off. Now what is not sent stays so, and the rest takes its course. - `connect_timeout` and `conn_idle` were those of the start, also after SIGHUP (`Pool::retime`). - `X-Expires-In` was worded before the wait for a place and a connection, up to 1.5 s too long; now at the first byte. - A second answer that comes some ms late, on a connection that serves again, was taken for the next job's: "never ran" would send an unsafe job twice. A connection on which an answer said more than a 202 rests 30 ms (`Limits::rest`). A second 202 can still be taken for the next one's; it only hides a refusal.

--- a/config/src/reload.rs
+++ b/config/src/reload.rs
@@ -38,6 +38,8 @@
     /// In the numbers of the running program.
     pub settings: mr::Settings,
     pub names: Names,
+    /// As in `Config`.
+    pub conn_idle: f64,
     /// Keys that differ but wait for the next start.
     pub kept: Vec<String>,
 }
@@ -69,9 +71,9 @@
             _ => self.environment.get(key).cloned(),
         })?;
         let kept = differing(&self.running, &document);
-        let discovery = config.discovery;
+        let (discovery, conn_idle) = (config.discovery, config.conn_idle);
         let (settings, names) = self.fit(config);
-        Ok(Reloaded { discovery, settings, names, kept })
+        Ok(Reloaded { discovery, settings, names, conn_idle, kept })
     }
 
     /// The new settings, with what stays as it is.
--- a/core/src/dispatch/jobs.rs
+++ b/core/src/dispatch/jobs.rs
@@ -99,8 +99,9 @@
         (0..self.attempts.len()).filter(|i| self.attempts[*i].is_live()).collect()
     }
 
-    /// `later`: the outcome that `called_off` gives out in the end, if this is not yet the attempt's end.
-    pub fn give_up(&mut self, number: usize, later: Option<Outcome>) -> Option<Settled> {
+    /// `told`: its next hop is called off. `later`: the outcome that `called_off` gives out in the end, if this is not yet
+    /// the attempt's end.
+    pub fn give_up(&mut self, number: usize, told: bool, later: Option<Outcome>) -> Option<Settled> {
         let answered = self.reply.is_settled();
         let attempt = self.attempts.get_mut(number).filter(|a| a.is_live())?;
         if later.is_some() && attempt.owes.is_some() {
@@ -110,7 +111,7 @@
         let was_accepted = attempt.started || attempt.state == AttemptState::Accepted;
         attempt.owes = later.filter(|_| was_sent);
         if attempt.state != AttemptState::CallingOff {
-            attempt.state = if was_sent { AttemptState::CallingOff } else { AttemptState::Over };
+            attempt.state = if was_sent && told { AttemptState::CallingOff } else { AttemptState::Over };
         }
         Some(Settled { hop: attempt.hop, sent: attempt.sent, answered, was_sent, was_accepted })
     }
@@ -260,7 +261,7 @@
         assert_eq!(jobs.attempt_at("t1", 7), Some(FIRST));
         assert!(jobs.settle(FIRST).is_some());
         assert!(jobs.settle(FIRST).is_none());
-        assert!(jobs.get_mut(1).unwrap().give_up(0, None).is_none());
+        assert!(jobs.get_mut(1).unwrap().give_up(0, true, None).is_none());
         assert_eq!(jobs.attempt_at("t1", 7), None);
     }
 
@@ -271,7 +272,7 @@
         jobs.accept(FIRST);
         let entry = jobs.get_mut(1).unwrap();
         assert_eq!(entry.at(7), Some(AttemptState::Accepted));
-        assert!(entry.give_up(0, None).is_some_and(|s| s.was_sent));
+        assert!(entry.give_up(0, true, None).is_some_and(|s| s.was_sent));
         assert_eq!(entry.at(7), Some(AttemptState::CallingOff));
         entry.add(7, 1.0, 5000.0, AttemptState::Parked);
         let second = AttemptId { ticket: 1, number: 1 };
@@ -287,16 +288,26 @@
         let mut jobs = jobs();
         jobs.accept(FIRST);
         let entry = jobs.get_mut(1).unwrap();
-        assert!(entry.give_up(0, Some(Outcome::Canceled)).is_some_and(|s| s.was_sent));
-        assert!(entry.give_up(0, Some(Outcome::Canceled)).is_none(), "it is told once");
+        assert!(entry.give_up(0, true, Some(Outcome::Canceled)).is_some_and(|s| s.was_sent));
+        assert!(entry.give_up(0, true, Some(Outcome::Canceled)).is_none(), "it is told once");
         assert_eq!(jobs.owing(FIRST), Some(Outcome::Canceled));
         assert_eq!(jobs.attempt_at("t1", 7), Some(FIRST), "its result still counts");
         // The job's own end waits for nobody: nothing is sent after it.
         let entry = jobs.get_mut(1).unwrap();
-        assert!(entry.give_up(0, None).is_some_and(|s| !s.was_sent), "and is not told again");
+        assert!(entry.give_up(0, true, None).is_some_and(|s| !s.was_sent), "and is not told again");
         assert_eq!((jobs.owing(FIRST), jobs.attempt_at("t1", 7)), (None, None));
     }
 
+    #[test]
+    fn nothing_waits_for_a_call_off_that_is_not_made() {
+        let mut jobs = jobs();
+        jobs.accept(FIRST);
+        let entry = jobs.get_mut(1).unwrap();
+        assert!(entry.give_up(0, false, None).is_some_and(|s| s.was_sent));
+        assert_eq!((entry.at(7), entry.live().len()), (None, 0));
+        assert_eq!(jobs.attempt_at("t1", 7), None);
+    }
+
     #[test]
     fn a_job_stays_until_answered_and_settled() {
         let mut jobs = jobs();
--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -21,7 +21,7 @@
     LoadReport, MapNews, Message, Neighbour, Order, Parcel, Progress, Reply, Ticket,
 };
 use retune::Dropped;
-pub use retune::Newer;
+pub use retune::{Newer, Tuned};
 use std::collections::VecDeque;
 use std::sync::Arc;
 use timers::{Due, Timers};
@@ -182,7 +182,8 @@
 
     /// Jobs from now on are under the new settings; those that are here keep theirs.
     fn on_settings(&mut self) {
-        let Some((mut settings, mut names)) = self.newer.take() else { return };
+        let Some(Tuned { mut settings, mut names, conn_idle }) = self.newer.take() else { return };
+        self.next_hops.retime(settings.limits.connect_timeout, conn_idle);
         let classes = (&self.names.classes, self.balancer.settings());
         let from = self.dropped.merge(classes, &mut names, &mut settings, self.clock.now());
         self.max_attempts = settings.limits.max_attempts.max(1);
@@ -247,6 +248,12 @@
             reply.give(Answer::Failed(Failure::Repeated));
             return;
         }
+        if self.clock.now() >= self.stopping.last_moment() {
+            // All that is owed has been answered for the last time, and this one was on its way here.
+            self.counters.answered_deferred.add();
+            reply.give(Answer::Defer { retry_after: None });
+            return;
+        }
         self.counters.taken.add();
         self.tell_neighbour(|| Parcel::Began(job.trace_id.clone()));
         let request = translate::request(&self.names, ticket, &job);
@@ -515,17 +522,20 @@
         self.exchange.put(Message::Ended { attempt, end, load: None });
     }
 
-    /// Stops waiting for an attempt and tells its next hop so.
+    /// Stops waiting for an attempt and tells its next hop so, where the settings allow that: elsewhere what is not sent
+    /// yet stays so, and the rest takes its course.
     fn give_up(&mut self, attempt: AttemptId, outcome: mr::Outcome) {
+        let told = self.balancer.settings().limits.cancel;
         let Some(entry) = self.jobs.get_mut(attempt.ticket) else { return };
         let job = entry.job.clone();
         // Where no two may be out together, the module hears of it once the next hop has.
-        let later = entry.alone && !entry.reply.is_settled() && self.clock.now() < job.deadline;
-        let Some(gone) = entry.give_up(attempt.number, later.then_some(outcome)) else { return };
+        let later = told && entry.alone && !entry.reply.is_settled() && self.clock.now() < job.deadline;
+        let Some(gone) = entry.give_up(attempt.number, told, later.then_some(outcome)) else { return };
         let hop = self.hops.locate(gone.hop).filter(|_| gone.was_sent);
         let waits = later && hop.is_some();
-        if let Some(hop) = hop {
-            self.next_hops.call_off(attempt, hop, job, gone.was_accepted, later);
+        match hop {
+            Some(hop) if told => self.next_hops.call_off(attempt, hop, job, gone.was_accepted, later),
+            _ => self.next_hops.hold_back(attempt),
         }
         if !waits {
             self.jobs.forget_if_over(attempt.ticket);
--- a/core/src/dispatch/retune.rs
+++ b/core/src/dispatch/retune.rs
@@ -10,17 +10,25 @@
 /// Fronts take a dropped class's jobs for `DROPPED_MS`; those may wait here for the core a little (ms).
 const ON_THE_WAY_MS: f64 = 1_000.0;
 
+/// What a reload brings the core.
+pub struct Tuned {
+    pub settings: mr::Settings,
+    pub names: Names,
+    /// How long a kept connection to a next hop may stand idle (ms).
+    pub conn_idle: f64,
+}
+
 /// New settings on their way to the core; only the latest count.
 #[derive(Clone, Default)]
-pub struct Newer(Arc<Mutex<Option<(mr::Settings, Names)>>>);
+pub struct Newer(Arc<Mutex<Option<Tuned>>>);
 
 impl Newer {
-    pub fn put(&self, settings: mr::Settings, names: Names, exchange: &Exchange) {
-        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some((settings, names));
+    pub fn put(&self, tuned: Tuned, exchange: &Exchange) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = Some(tuned);
         exchange.put(Message::Retuned);
     }
 
-    pub(super) fn take(&self) -> Option<(mr::Settings, Names)> {
+    pub(super) fn take(&self) -> Option<Tuned> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner).take()
     }
 }
--- a/core/src/next_hop/attempt.rs
+++ b/core/src/next_hop/attempt.rs
@@ -18,8 +18,8 @@
 /// A delivery attempt up to its 202 or its end. Never sends a second time by itself: whether a job may be
 /// repeated is the module's to decide.
 pub(super) fn deliver(shared: &Shared, attempt: AttemptId, hop: &Hop, job: &Job, until: f64, stop: &Stop) {
-    let request = job_request(hop, job, until - shared.clock.now());
-    let result = converse(shared, hop, &request, stop);
+    let request = || job_request(hop, job, until - shared.clock.now());
+    let result = converse(shared, hop, request, stop);
     if stop.is_left() {
         let (accepted, firm) = (stop.accepted.load(Ordering::Acquire), stop.firm.load(Ordering::Acquire));
         return match result {
@@ -93,15 +93,21 @@
         late.cut.now();
     });
     loop {
-        match converse(shared, hop, request, &stop) {
+        match converse(shared, hop, || request.to_vec(), &stop) {
             Err(AttemptEnd::NotSent) if !stop.cut.is_done() => {}
             result => return result,
         }
     }
 }
 
-/// Writes a request on a kept or new connection, reads its response and keeps the connection if it allows that.
-fn converse(shared: &Shared, hop: &Hop, request: &[u8], stop: &Stop) -> Result<Response, AttemptEnd> {
+/// Writes a request on a kept or new connection, reads its response and keeps the connection if it allows that. The
+/// request is worded only then: how long a job's client still waits is told as of its first byte.
+fn converse(
+    shared: &Shared,
+    hop: &Hop,
+    request: impl FnOnce() -> Vec<u8>,
+    stop: &Stop,
+) -> Result<Response, AttemptEnd> {
     let wanted = || stop.may_begin() && !stop.cut.is_done();
     let connection = shared.pool.take(hop, wanted).map_err(|none| match none {
         NoConnection::NoDescriptor => AttemptEnd::NotSent,
@@ -110,11 +116,11 @@
     if !stop.may_begin() {
         // Given up or answered, or its next hop leaves since the connection was asked for: nothing is sent, and the
         // connection serves the next attempt.
-        shared.pool.keep(hop.id, connection);
+        shared.pool.keep(hop.id, connection, false);
         return Err(AttemptEnd::NotSent);
     }
     stop.answer_by(shared.clock.now() + shared.pool.limits().answer_time());
-    match converse::converse(&connection.socket, request, &stop.cut, || stop.may_send()) {
+    match converse::converse(&connection.socket, &request(), &stop.cut, || stop.may_send()) {
         Ok(response) => {
             give_back(shared, hop, connection, &response);
             Ok(response)
@@ -139,7 +145,7 @@
 
 fn give_back(shared: &Shared, hop: &Hop, connection: Connection, response: &Response) {
     if response.keep_alive {
-        shared.pool.keep(hop.id, connection);
+        shared.pool.keep(hop.id, connection, response.status != 202);
     }
 }
 
--- a/core/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -169,6 +169,11 @@
         self.0.pool.release(hop);
     }
 
+    /// New settings: how long a connect may take and a kept connection may stand idle (ms).
+    pub fn retime(&self, connect_timeout: f64, conn_idle: f64) {
+        self.0.pool.retime(connect_timeout, conn_idle);
+    }
+
     /// Leaves a part of the connections to the other process of an upgrade; gives how many this one goes on with.
     pub fn keep_a_part(&self) -> usize {
         self.0.pool.keep_a_part()
@@ -221,7 +226,13 @@
         let hop = Hop { id: 3, address: listener.local_addr().unwrap(), open };
         let (exchange, inbox) = Exchange::new();
         let clock = Clock::start();
-        let limits = Limits { connections: 4, connect_timeout: 60_000.0, conn_idle: 1e9, call_off_grace };
+        let limits = Limits {
+            connections: 4,
+            connect_timeout: 60_000.0,
+            conn_idle: 1e9,
+            call_off_grace,
+            rest: 60_000.0,
+        };
         let hops = NextHops::new(limits, exchange, Neighbour::default(), Arc::default(), clock);
         let verbatim = Verbatim {
             method: "POST".to_owned(),
@@ -306,6 +317,57 @@
         assert!(due().is_some_and(f64::is_finite), "{:?}", due());
     }
 
+    #[test]
+    fn how_long_a_client_waits_is_told_as_of_the_requests_first_byte() {
+        // It was told as of before the wait for a connection, up to a second and a half too long.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        listen(&listener, Backlog::new(0).unwrap()).unwrap();
+        let first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (hops, _, job, _inbox) = begun(&listener, 0.0);
+        let (clock, began) = (hops.0.clock, hops.0.clock.now());
+        while clock.now() < began + 20.0 {
+            std::thread::yield_now();
+        }
+        let left = job.deadline - clock.now();
+        drop((listener.accept().unwrap(), first));
+        let head = read_to(&mut listener.accept().unwrap().0, "body");
+        let told = head.lines().find_map(|line| line.strip_prefix("X-Expires-In: ")?.strip_suffix('u'));
+        let told = told.unwrap().parse::<f64>().unwrap() / 1000.0;
+        assert!(told > 0.0 && told <= left, "{told} of {left} ms");
+    }
+
+    /// The next connection; a failure rather than a hang if none comes.
+    fn accept_in_time(listener: &TcpListener) -> TcpStream {
+        listener.set_nonblocking(true).unwrap();
+        let end = std::time::Instant::now() + span(20_000.0);
+        loop {
+            match listener.accept() {
+                Ok((stream, _)) => break stream,
+                Err(_) => assert!(std::time::Instant::now() < end, "no connection comes"),
+            }
+            std::thread::yield_now();
+        }
+    }
+
+    #[test]
+    fn after_an_answer_that_may_come_twice_the_next_job_goes_by_another_connection() {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (hops, hop, job, inbox) = begun(&listener, 0.0);
+        let mut first = listener.accept().unwrap().0;
+        read_to(&mut first, "body");
+        first.write_all(b"HTTP/1.1 503 Full\r\nX-Never-Ran: 1\r\nContent-Length: 0\r\n\r\n").unwrap();
+        assert!(matches!(inbox.recv(), Ok(Message::Ended { end: AttemptEnd::NeverRan, .. })));
+        let until = job.deadline;
+        hops.deliver(AttemptId { number: 1, ..ATTEMPT }, hop.clone(), job.clone(), until);
+        let mut second = accept_in_time(&listener);
+        read_to(&mut second, "body");
+        second.write_all(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n").unwrap();
+        assert!(matches!(inbox.recv(), Ok(Message::Accepted { .. })));
+        // One that only took a job serves the next at once.
+        hops.deliver(AttemptId { number: 2, ..ATTEMPT }, hop, job, until);
+        assert!(read_to(&mut second, "body").starts_with("POST /api"));
+    }
+
     #[test]
     fn a_firm_call_off_is_told_until_it_is_answered() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/core/src/next_hop/pool.rs
+++ b/core/src/next_hop/pool.rs
@@ -29,6 +29,9 @@
     pub conn_idle: f64,
     /// How long the 202 of an attempt that is given up is waited for (ms).
     pub call_off_grace: f64,
+    /// An answer may come twice, the second some milliseconds late: taken for the next job's, it would say that one had
+    /// failed or had never run. A connection on which an answer said more than that a job is taken rests so long (ms).
+    pub rest: f64,
 }
 
 /// The settings' limit on a connect tells how long the way to a next hop may take; an answer takes its own time.
@@ -78,6 +81,8 @@
 struct Kept {
     connection: Connection,
     since: f64,
+    /// It rests until then.
+    until: f64,
 }
 
 /// Something on the way may drop idle connections sooner than the settings say. How long one may stand idle is
@@ -103,7 +108,8 @@
 
 pub struct Pool {
     idle: Mutex<IdleLimit>,
-    limits: Limits,
+    /// The times in it change with the settings.
+    limits: Mutex<Limits>,
     neighbour: Neighbour,
     open: Arc<AtomicUsize>,
     /// By next hop, the latest used last: it is used next, so that the others grow old and go.
@@ -115,11 +121,18 @@
 impl Pool {
     pub fn new(limits: Limits, neighbour: Neighbour, counters: Arc<Counters>, clock: Clock) -> Self {
         let idle = Mutex::new(IdleLimit { learnt: f64::INFINITY, at: 0.0 });
-        Pool { idle, limits, neighbour, open: Arc::default(), kept: Mutex::default(), counters, clock }
+        let (limits, open, kept) = (Mutex::new(limits), Arc::default(), Mutex::default());
+        Pool { idle, limits, neighbour, open, kept, counters, clock }
     }
 
     pub fn limits(&self) -> Limits {
-        self.limits
+        *self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// By new settings, for connections asked for from now on and for how long kept ones may stand idle.
+    pub fn retime(&self, connect_timeout: f64, conn_idle: f64) {
+        let mut limits = self.limits.lock().unwrap_or_else(PoisonError::into_inner);
+        (limits.connect_timeout, limits.conn_idle) = (connect_timeout, conn_idle);
     }
 
     /// A kept connection, or a new one; waits for a descriptor while `wanted`, and for as long as a connect may take.
@@ -132,7 +145,7 @@
             self.counters.connections_lacking.add();
             return Err(NoConnection::NoDescriptor);
         };
-        match Socket::connect(hop.address, span(self.limits.connect_timeout)) {
+        match Socket::connect(hop.address, span(self.limits().connect_timeout)) {
             Ok(socket) => {
                 self.counters.connections_out.add();
                 Ok(Connection { socket, kept_since: None, address: hop.address, _place: place })
@@ -149,9 +162,11 @@
     }
 
     /// Gives a connection back whose last response was read whole and allows another request.
-    pub fn keep(&self, hop: HopId, connection: Connection) {
-        let kept = Kept { connection, since: self.clock.now() };
-        self.kept().entry(hop).or_default().push(kept);
+    /// `rests`: its last response must not be taken for the next one's.
+    pub fn keep(&self, hop: HopId, connection: Connection, rests: bool) {
+        let since = self.clock.now();
+        let until = if rests { since + self.limits().rest } else { since };
+        self.kept().entry(hop).or_default().push(Kept { connection, since, until });
     }
 
     /// A kept connection was found dead: those that have stood idle as long will be.
@@ -159,7 +174,7 @@
         self.counters.connections_died.add();
         let now = self.clock.now();
         let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.died(now - since, now, self.limits.conn_idle * IDLE_SHARE);
+        idle.died(now - since, now, self.limits().conn_idle * IDLE_SHARE);
         drop(idle);
         if let Some(list) = self.kept().get_mut(&hop) {
             list.retain(|kept| kept.since > since);
@@ -180,23 +195,24 @@
 
     /// What the other process of an upgrade may hold is not ours.
     fn most(&self) -> usize {
-        self.limits.connections.saturating_sub(self.neighbour.next_hops()).max(1)
+        self.limits().connections.saturating_sub(self.neighbour.next_hops()).max(1)
     }
 
     /// From now on at most so many are open here as are now, and half of all: the rest is the other process's.
     pub fn keep_a_part(&self) -> usize {
-        let most = (self.limits.connections / 2).max(1);
+        let most = (self.limits().connections / 2).max(1);
         while self.open.load(Ordering::Relaxed) > most && self.drop_oldest() {}
         let part = self.open.load(Ordering::Relaxed).clamp(LEAST_PART.min(most), most);
-        self.neighbour.share(self.neighbour.inbound(), self.limits.connections - part);
+        self.neighbour.share(self.neighbour.inbound(), self.limits().connections - part);
         part
     }
 
     fn take_kept(&self, hop: &Hop) -> Option<Connection> {
         let fresh = self.fresh_since();
         let mut kept = self.kept();
-        let list = kept.get_mut(&hop.id)?;
-        while let Some(Kept { connection, since }) = list.pop() {
+        let (list, now) = (kept.get_mut(&hop.id)?, self.clock.now());
+        while let Some(i) = list.iter().rposition(|kept| kept.until <= now) {
+            let Kept { connection, since, .. } = list.remove(i);
             // The address of the same next hop may have changed since.
             if since >= fresh && connection.address == hop.address && connection.socket.is_quiet() {
                 return Some(Connection { kept_since: Some(since), ..connection });
@@ -208,11 +224,11 @@
     fn fresh_since(&self) -> f64 {
         let now = self.clock.now();
         let idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        now - idle.now(now, self.limits.conn_idle * IDLE_SHARE)
+        now - idle.now(now, self.limits().conn_idle * IDLE_SHARE)
     }
 
     fn wait_for_place(&self, wanted: impl Fn() -> bool) -> Option<Place> {
-        let until = self.clock.now() + self.limits.connect_timeout;
+        let until = self.clock.now() + self.limits().connect_timeout;
         loop {
             let place = self.place();
             if place.is_some() || !wanted() || self.clock.now() >= until {
@@ -256,7 +272,13 @@
         let (counters, clock) = (Arc::new(Counters::default()), Clock::start());
         (
             Pool::new(
-                Limits { connections, connect_timeout: 5000.0, conn_idle, call_off_grace: 0.0 },
+                Limits {
+                    connections,
+                    connect_timeout: 5000.0,
+                    conn_idle,
+                    call_off_grace: 0.0,
+                    rest: 60_000.0,
+                },
                 Neighbour::default(),
                 counters.clone(),
                 clock,
@@ -281,9 +303,9 @@
         in_coroutine(|| {
             let (hop, listener) = hop(1);
             let (pool, counters) = pool(8, 1e9);
-            pool.keep(1, pool.take(&hop, || true).unwrap());
+            pool.keep(1, pool.take(&hop, || true).unwrap(), false);
             let peer: TcpStream = listener.accept().unwrap().0;
-            pool.keep(1, pool.take(&hop, || true).unwrap());
+            pool.keep(1, pool.take(&hop, || true).unwrap(), false);
             assert_eq!(counters.connections_reused.get(), 1);
             drop(peer);
             while pool.kept().values().flatten().any(|k| k.connection.socket.is_quiet()) {
@@ -295,19 +317,38 @@
         in_coroutine(|| {
             let (hop, _listener) = hop(1);
             let (pool, counters) = pool(8, -1.0);
-            pool.keep(1, pool.take(&hop, || true).unwrap());
+            pool.keep(1, pool.take(&hop, || true).unwrap(), false);
             drop(pool.take(&hop, || true).unwrap());
             assert_eq!(counters.connections_reused.get(), 0, "stood idle too long");
         });
     }
 
+    #[test]
+    fn a_connection_rests_before_a_second_answer_could_be_taken_for_the_next_jobs() {
+        // A "never ran" that came twice, the second time for the job behind it, let that one be sent elsewhere as well.
+        in_coroutine(|| {
+            let (hop, _listener) = hop(1);
+            let (pool, counters) = pool(8, 1e9);
+            let resting = pool.take(&hop, || true).unwrap();
+            pool.keep(1, resting, true);
+            pool.keep(1, pool.take(&hop, || true).unwrap(), false);
+            assert_eq!(counters.connections_out.get(), 2, "it rests");
+            pool.keep(1, pool.take(&hop, || true).unwrap(), false);
+            assert_eq!(counters.connections_reused.get(), 1, "the other does not");
+            pool.kept().values_mut().flatten().for_each(|kept| kept.until -= 120_000.0);
+            let both = [(); 2].map(|()| pool.take(&hop, || true).unwrap());
+            assert_eq!((counters.connections_out.get(), counters.connections_reused.get()), (2, 3));
+            drop(both);
+        });
+    }
+
     #[test]
     fn one_dead_kept_connection_condemns_those_idle_as_long() {
         in_coroutine(|| {
             let (hop, _listener) = hop(1);
             let (pool, _) = pool(8, 1e9);
             let [old, middle, young] = [(); 3].map(|()| pool.take(&hop, || true).unwrap());
-            [old, middle, young].into_iter().for_each(|connection| pool.keep(1, connection));
+            [old, middle, young].into_iter().for_each(|connection| pool.keep(1, connection, false));
             for (kept, since) in pool.kept().get_mut(&1).unwrap().iter_mut().zip([1.0, 2.0, 3.0]) {
                 kept.since = since;
             }
@@ -336,7 +377,7 @@
             let ((first, _a), (second, _b)) = (hop(1), hop(2));
             let (pool, counters) = pool(2, 1e9);
             let busy = pool.take(&first, || true).unwrap();
-            pool.keep(1, pool.take(&first, || true).unwrap());
+            pool.keep(1, pool.take(&first, || true).unwrap(), false);
             let other = pool.take(&second, || true).unwrap();
             // Of this program's doing: it must not count against the next hop.
             assert!(
--- a/core/src/transport_map/watch.rs
+++ b/core/src/transport_map/watch.rs
@@ -147,17 +147,33 @@
 
     /// Calls again right after each answer: a gap of 200 ms would make it a new watch. Ends with a failed call;
     /// when to try again is the module's to say.
+    ///
+    /// One that has fallen silent is opened anew at once: a discovery that has too many callers says so within `TURN_MS`,
+    /// and what a silent watch misses counts as told soon. A second silence is a failure like any other.
     fn watch(&mut self) {
+        let mut anew = false;
         loop {
             let called = self.call(Call::Watch);
+            let silent = called.is_err() && self.was_cut();
             let moved = self.take_asked();
-            // A move cuts the call under way: that is no failure.
-            if called.is_err() && !moved {
-                return self.report(called);
-            }
+            anew = match called {
+                // A move cuts the call under way: that is no failure.
+                _ if moved => false,
+                Ok(()) => false,
+                Err(_) if silent && !anew => {
+                    self.counters.map_silent.add();
+                    true
+                }
+                failed => return self.report(failed),
+            };
         }
     }
 
+    /// The last call was given up here, for its answer did not come.
+    fn was_cut(&self) -> bool {
+        self.under_way.lock().unwrap_or_else(PoisonError::into_inner).0.is_done()
+    }
+
     /// What was asked for during a watch; another watch is the same one. True if discovery has moved.
     fn take_asked(&mut self) -> bool {
         let mut moved = false;
@@ -285,6 +301,49 @@
         }
     }
 
+    #[test]
+    fn a_watch_that_has_fallen_silent_is_opened_anew_at_once_and_a_second_silence_reported() {
+        // The module's wait, made for a discovery that all call at once, came on top: up to 10 s for 300 dispatchers.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (exchange, inbox) = Exchange::new();
+        let (counters, log) = (Arc::new(Counters::default()), Logger::root(slog::Discard, slog::o!()));
+        let at = listener.local_addr().unwrap();
+        let map = TransportMap::follow(at, Some(1), exchange, counters.clone(), Clock::start(), log);
+        map.ask(Call::Watch);
+        let mut silent = Vec::new();
+        listener.set_nonblocking(true).unwrap();
+        for answered in [false, true, false, false] {
+            let mut peer = loop {
+                match listener.accept() {
+                    Ok((stream, _)) => break stream,
+                    Err(_) => assert!(inbox.try_recv().is_err(), "reported, and not opened anew"),
+                }
+                std::thread::yield_now();
+            };
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                peer.read_exact(&mut byte).unwrap();
+                head.push(byte[0]);
+            }
+            if answered {
+                let body = r#"{"generation":2,"reset":false,"instances":[]}"#;
+                let length = body.len();
+                write!(
+                    peer,
+                    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}"
+                )
+                .unwrap();
+                assert!(matches!(inbox.recv(), Ok(Message::Map(_))));
+            } else {
+                map.cut(f64::INFINITY);
+                silent.push(peer);
+            }
+        }
+        assert!(matches!(inbox.recv(), Ok(Message::MapUnavailable)));
+        assert_eq!((counters.map_silent.get(), counters.map_failures.get()), (2, 1));
+    }
+
     #[test]
     fn an_overdue_call_is_cut_and_reported() {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/dispatcher/src/reload.rs
+++ b/dispatcher/src/reload.rs
@@ -3,7 +3,7 @@
 use crate::logging::Threshold;
 use millrudder_config::settings::Settings;
 use millrudder_config::{classes, Source};
-use millrudder_core::dispatch::Newer;
+use millrudder_core::dispatch::{Newer, Tuned};
 use millrudder_exchange::clock::Clock;
 use millrudder_exchange::counters::Counters;
 use millrudder_exchange::intake::Classes;
@@ -45,7 +45,8 @@
                 self.stopping.set_longest(taken.iter().map(|class| class.limit).fold(0.0, f64::max));
                 self.advice.allow(platform.settings.limits.retry_after);
                 // The core first: no front lets a job in whose class it does not know.
-                self.newer.put(platform.settings, platform.names, exchange);
+                let (settings, names, conn_idle) = (platform.settings, platform.names, platform.conn_idle);
+                self.newer.put(Tuned { settings, names, conn_idle }, exchange);
                 self.classes.replace(taken, self.clock.now());
                 exchange.put(Message::Discovery(platform.discovery));
             }
--- a/dispatcher/src/serve.rs
+++ b/dispatcher/src/serve.rs
@@ -27,6 +27,8 @@
 
 /// A 202 on its way comes within a few round trips; a next hop that is slower than this is cut off.
 const CALL_OFF_GRACE_MS: f64 = 25.0;
+/// An answer that comes a second time comes some milliseconds late.
+const REST_MS: f64 = 30.0;
 /// How long connections may take to go over at the end.
 const LAST_PARCELS_MS: f64 = 250.0;
 /// How long answers may take to be written at the end.
@@ -94,6 +96,7 @@
         connect_timeout: config.settings.limits.connect_timeout,
         conn_idle: config.conn_idle,
         call_off_grace: CALL_OFF_GRACE_MS,
+        rest: REST_MS,
     };
     let next_hops = NextHops::new(limits, exchange.clone(), neighbour.clone(), counters.clone(), clock);
     let (generation, known) = match &legacy {
--- a/dispatcher/tests/crossings/mod.rs
+++ b/dispatcher/tests/crossings/mod.rs
@@ -127,6 +127,37 @@
     assert!(advised("9b21"));
 }
 
+#[test]
+fn at_the_deadline_a_worker_is_called_off_only_where_the_settings_allow_it() {
+    for allowed in [true, false] {
+        let hop = Hop::start();
+        let dispatcher = Dispatcher::start_with(&hop, 256, &[], with_cancel(allowed));
+        let mut waiting = client(&dispatcher.listen);
+        waiting.send(&JOB.replace("20000m", "300m"));
+        hop.next().answer(Reply::Accept);
+        assert_eq!(waiting.answer().status, 504);
+        dispatcher.until_counted(if allowed { "calls_off 1\n" } else { "calls_off 0\n" });
+        if allowed {
+            assert!(hop.next().text.starts_with("DELETE /jobs/9b1f"));
+        }
+        // The worker's result comes late, and is for nobody.
+        assert_eq!(dispatcher.news(r#"{"id":"9b1f","from":"s-1","state":"done","result":"late"}"#), 204);
+        dispatcher.until_counted("news_stale 1\n");
+    }
+}
+
+#[test]
+fn how_long_a_connect_may_take_changes_with_the_settings() {
+    let (hop, _crowd) = Hop::crowded();
+    let dispatcher =
+        Dispatcher::start_with(&hop, 256, &[], |config| config.replace("timeout\":5000", "timeout\":900000"));
+    dispatcher.reload("127.0.0.1:1", |config| config.replace("timeout\":900000", "timeout\":20"));
+    dispatcher.until_counted("reloads_good 1\n");
+    let mut waiting = client(&dispatcher.listen);
+    waiting.send(JOB);
+    dispatcher.until_counted("outcome_connect_error 1\n");
+}
+
 #[test]
 fn one_told_to_drain_while_a_connection_comes_up_gets_nothing() {
     let (hop, crowd) = Hop::crowded();
--- a/exchange/src/counters.rs
+++ b/exchange/src/counters.rs
@@ -88,6 +88,8 @@
     accept_errors,
     map_calls,
     map_failures,
+    /// Watches that fell silent and were opened anew at once.
+    map_silent,
     map_bad,
     map_changes,
     /// Turns to another discovery.
