Test random orders of all that can cross, on a clock turned by hand

Held to: one answer to a job and its own result; nothing begun after its client left, its answer, a drain or a ban; an unsafe job sent again only where it surely never ran; one attempt out where the settings allow no two; one at a worker; in the end nothing is owed and no job stays.

For that dispatch asks its way to next hops through a trait (`next_hop::Way`, also where a second kind of next hop will stand), the model asks the real question (`Stop`), and `Clock::by_hand` stands still.

It found no fault in the program as it is. Each of these makes it fail: no hold-back at the answer, at a withdrawal, where no call-off may be made; drains and bans not asked at the first byte; a call-off not waited for where no two may be out, or at the same worker; no deadline. Not covered: a second outcome of one attempt (a unit test has that), the upgrade, changed classes.

--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -3,11 +3,13 @@
 
 mod jobs;
 mod legacy;
+#[cfg(test)]
+mod orders;
 mod retune;
 mod timers;
 mod translate;
 
-use crate::next_hop::NextHops;
+use crate::next_hop::{NextHops, Way};
 use crate::transport_map::{Call, TransportMap};
 use jobs::{AttemptState, Entry, Jobs, Settled};
 pub use legacy::Legacy;
@@ -39,7 +41,7 @@
 /// has failed is opened anew so soon (ms), with no regard to other dispatchers.
 const PUSHED_AGAIN_MS: f64 = 50.0;
 
-pub struct Dispatch {
+pub struct Dispatch<W = NextHops> {
     balancer: mr::Balancer,
     names: Names,
     max_attempts: usize,
@@ -51,7 +53,7 @@
     /// Events that actions caused, for the module to see after the actions that caused them.
     queued: VecDeque<mr::Event>,
     exchange: Exchange,
-    next_hops: NextHops,
+    next_hops: W,
     transport_map: TransportMap,
     /// Of the map that is held.
     generation: Option<u64>,
@@ -64,9 +66,9 @@
 }
 
 /// What dispatch acts through.
-pub struct Around {
+pub struct Around<W = NextHops> {
     pub exchange: Exchange,
-    pub next_hops: NextHops,
+    pub next_hops: W,
     pub transport_map: TransportMap,
     pub neighbour: Neighbour,
     pub newer: Newer,
@@ -75,8 +77,8 @@
     pub clock: Clock,
 }
 
-impl Dispatch {
-    pub fn new(config: &Config, around: Around) -> Self {
+impl<W: Way> Dispatch<W> {
+    pub fn new(config: &Config, around: Around<W>) -> Self {
         let Around { exchange, next_hops, transport_map, neighbour, newer, counters, stopping, clock } =
             around;
         let settings = config.settings.clone();
@@ -107,6 +109,19 @@
     ///
     /// `legacy`: a predecessor's, of whose map `known` is the copy.
     pub fn run(mut self, inbox: &Inbox, known: Option<MapNews>, legacy: Option<&Legacy>) {
+        self.begin(known, legacy);
+        while !self.is_done() {
+            if let Ok(message) = inbox.recv_timeout(self.timers.wait(self.clock.now())) {
+                self.take(message);
+                while let Ok(message) = inbox.try_recv() {
+                    self.take(message);
+                }
+            }
+            self.fire_due();
+        }
+    }
+
+    fn begin(&mut self, known: Option<MapNews>, legacy: Option<&Legacy>) {
         let known = known.unwrap_or(MapNews { whole: true, generation: None, entries: Vec::new() });
         self.on_map(known, mr::ListKind::Restored);
         legacy.into_iter().for_each(|legacy| self.inherit(legacy));
@@ -115,17 +130,12 @@
         }
         self.timers.arm(self.clock.now() + TIDY_MS, Due::Tidy);
         self.timers.arm(self.clock.now() + OVERLOOK_MS, Due::Overlook);
-        while !self.is_done() {
-            if let Ok(message) = inbox.recv_timeout(self.timers.wait(self.clock.now())) {
-                self.take(message);
-                while let Ok(message) = inbox.try_recv() {
-                    self.take(message);
-                }
-            }
-            let now = self.clock.now();
-            while let Some(due) = self.timers.due(now) {
-                self.fire(due);
-            }
+    }
+
+    fn fire_due(&mut self) {
+        let now = self.clock.now();
+        while let Some(due) = self.timers.due(now) {
+            self.fire(due);
         }
     }
 
--- a/core/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -25,7 +25,7 @@
 }
 
 /// Reaches an attempt's coroutine wherever it waits.
-struct Stop {
+pub(crate) struct Stop {
     /// The attempt is given up ...
     left: AtomicBool,
     /// ... though its next hop is known to hold the job.
@@ -58,25 +58,30 @@
 }
 
 impl Stop {
-    fn is_left(&self) -> bool {
+    pub(crate) fn is_left(&self) -> bool {
         self.left.load(Ordering::Acquire)
     }
 
-    fn of_delivery(open: Arc<AtomicBool>) -> Self {
+    pub(crate) fn of_delivery(open: Arc<AtomicBool>) -> Self {
         Stop { open: Some(open), ..Stop::default() }
     }
 
     /// The one question before a request's first byte: a connection or a descriptor may have been waited for since
     /// the module chose. For drains and bans a send is counted from there.
-    fn may_begin(&self) -> bool {
+    pub(crate) fn may_begin(&self) -> bool {
         self.may_send() && self.open.as_ref().is_none_or(|open| open.load(Ordering::Acquire))
     }
 
     /// ... and before its last.
-    fn may_send(&self) -> bool {
+    pub(crate) fn may_send(&self) -> bool {
         !self.is_left() && !self.unowed.load(Ordering::Acquire)
     }
 
+    /// Nobody waits for the job's answer any more.
+    pub(crate) fn owe_nothing(&self) {
+        self.unowed.store(true, Ordering::Release);
+    }
+
     fn answer_by(&self, due: f64) {
         self.due.store(due.to_bits(), Ordering::Release);
     }
@@ -85,7 +90,7 @@
         f64::from_bits(self.due.load(Ordering::Acquire))
     }
 
-    fn leave(&self, accepted: bool) {
+    pub(crate) fn leave(&self, accepted: bool) {
         self.accepted.store(accepted, Ordering::Release);
         self.left.store(true, Ordering::Release);
     }
@@ -101,6 +106,41 @@
     clock: Clock,
 }
 
+/// A way to next hops of one kind: what dispatch asks of it.
+pub trait Way {
+    /// Starts a delivery attempt; its end or its acceptance comes through the exchange.
+    fn deliver(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, until: f64);
+
+    /// Gives an attempt up: the next hop is told once it has accepted, and a 202 on its way is waited for a
+    /// little, as closing the connection instead costs both sides a new one. `accepted`: it is known to hold the
+    /// job, by a call-back too, which may come before the 202. `CalledOff` follows either way.
+    ///
+    /// `firm`: only once the next hop has answered, or the job's time is over; it is told again until then.
+    fn call_off(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, accepted: bool, firm: bool);
+
+    /// The job has its answer, or its client has left: the attempt goes on only if its last byte is out, else it ends
+    /// as not sent. That needs no permission to call off: the next hop has nothing.
+    fn hold_back(&self, attempt: AttemptId);
+
+    fn probe(&self, hop: Hop);
+
+    /// Closes the idle connections to a next hop.
+    fn release(&self, hop: HopId);
+
+    /// New settings: how long a connect may take and a kept connection may stand idle (ms).
+    fn retime(&self, connect_timeout: f64, conn_idle: f64);
+
+    /// Leaves a part of the connections to the other process of an upgrade; gives how many this one goes on with.
+    fn keep_a_part(&self) -> usize;
+
+    /// Once in a while: closes what has stood idle too long.
+    fn tidy(&self);
+
+    /// Ends waits for an answer that is overdue: a machine that went silent would hold the job until its deadline
+    /// and the descriptor for ever.
+    fn cut_overdue(&self);
+}
+
 #[derive(Clone)]
 pub struct NextHops(Arc<Shared>);
 
@@ -117,8 +157,13 @@
         NextHops(Arc::new(Shared { pool, waiting: Mutex::default(), exchange, counters, clock }))
     }
 
-    /// Starts a delivery attempt; its end or its acceptance comes through the exchange.
-    pub fn deliver(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, until: f64) {
+    fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<AttemptId, Arc<Stop>>> {
+        self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Way for NextHops {
+    fn deliver(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, until: f64) {
         let stop = Arc::new(Stop::of_delivery(hop.open.clone()));
         self.waiting().insert(attempt, stop.clone());
         let shared = self.0.clone();
@@ -128,12 +173,7 @@
         });
     }
 
-    /// Gives an attempt up: the next hop is told once it has accepted, and a 202 on its way is waited for a
-    /// little, as closing the connection instead costs both sides a new one. `accepted`: it is known to hold the
-    /// job, by a call-back too, which may come before the 202. `CalledOff` follows either way.
-    ///
-    /// `firm`: only once the next hop has answered, or the job's time is over; it is told again until then.
-    pub fn call_off(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, accepted: bool, firm: bool) {
+    fn call_off(&self, attempt: AttemptId, hop: Hop, job: Arc<Job>, accepted: bool, firm: bool) {
         let unanswered = self.waiting().remove(&attempt);
         let shared = self.0.clone();
         shared.counters.calls_off.add();
@@ -150,43 +190,35 @@
         }
     }
 
-    /// The job has its answer, or its client has left: the attempt goes on only if its last byte is out, else it ends
-    /// as not sent. That needs no permission to call off: the next hop has nothing.
-    pub fn hold_back(&self, attempt: AttemptId) {
+    fn hold_back(&self, attempt: AttemptId) {
         if let Some(stop) = self.waiting().get(&attempt) {
-            stop.unowed.store(true, Ordering::Release);
+            stop.owe_nothing();
         }
     }
 
-    pub fn probe(&self, hop: Hop) {
+    fn probe(&self, hop: Hop) {
         let shared = self.0.clone();
         shared.counters.probes.add();
         may::go!(move || attempt::probe(&shared, &hop));
     }
 
-    /// Closes the idle connections to a next hop.
-    pub fn release(&self, hop: HopId) {
+    fn release(&self, hop: HopId) {
         self.0.pool.release(hop);
     }
 
-    /// New settings: how long a connect may take and a kept connection may stand idle (ms).
-    pub fn retime(&self, connect_timeout: f64, conn_idle: f64) {
+    fn retime(&self, connect_timeout: f64, conn_idle: f64) {
         self.0.pool.retime(connect_timeout, conn_idle);
     }
 
-    /// Leaves a part of the connections to the other process of an upgrade; gives how many this one goes on with.
-    pub fn keep_a_part(&self) -> usize {
+    fn keep_a_part(&self) -> usize {
         self.0.pool.keep_a_part()
     }
 
-    /// Once in a while: closes what has stood idle too long.
-    pub fn tidy(&self) {
+    fn tidy(&self) {
         self.0.pool.tidy();
     }
 
-    /// Ends waits for an answer that is overdue: a machine that went silent would hold the job until its deadline
-    /// and the descriptor for ever.
-    pub fn cut_overdue(&self) {
+    fn cut_overdue(&self) {
         let now = self.0.clock.now();
         for stop in self.waiting().values() {
             if stop.due() < now {
@@ -194,10 +226,6 @@
             }
         }
     }
-
-    fn waiting(&self) -> std::sync::MutexGuard<'_, HashMap<AttemptId, Arc<Stop>>> {
-        self.0.waiting.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
 
 pub use pool::Limits;
--- a/core/src/transport_map/watch.rs
+++ b/core/src/transport_map/watch.rs
@@ -87,6 +87,12 @@
         TransportMap { calls, under_way, clock }
     }
 
+    /// One whose calls nobody makes.
+    #[cfg(test)]
+    pub fn unheard(clock: Clock) -> Self {
+        TransportMap { calls: mpsc::channel().0, under_way: UnderWay::default(), clock }
+    }
+
     pub fn ask(&self, call: Call) {
         let _ = self.calls.send(call);
     }
--- a/exchange/src/clock.rs
+++ b/exchange/src/clock.rs
@@ -4,22 +4,46 @@
 //! dispatchers nearly the same numbers; being monotonic from there on, a step of the system's clock cannot
 //! make deadlines or timers jump.
 
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
-    start: Instant,
+    goes_by: GoesBy,
     unix_ms: f64,
 }
 
+#[derive(Clone, Copy, Debug)]
+enum GoesBy {
+    Monotonic(Instant),
+    /// Milliseconds since the start (bits).
+    Hand(&'static AtomicU64),
+}
+
 impl Clock {
     pub fn start() -> Self {
         let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
-        Clock { start: Instant::now(), unix_ms: unix.as_secs_f64() * 1000.0 }
+        Clock { goes_by: GoesBy::Monotonic(Instant::now()), unix_ms: unix.as_secs_f64() * 1000.0 }
+    }
+
+    /// One that stands at 0 until `turn_to`: for tests of what happens at which moment. Each keeps a few bytes for good.
+    pub fn by_hand() -> Self {
+        Clock { goes_by: GoesBy::Hand(Box::leak(Box::default())), unix_ms: 0.0 }
+    }
+
+    /// Turns a clock `by_hand` to this time (ms); another goes on by itself.
+    pub fn turn_to(&self, ms: f64) {
+        if let GoesBy::Hand(hand) = self.goes_by {
+            hand.store(ms.to_bits(), Ordering::Release);
+        }
     }
 
     pub fn now(&self) -> f64 {
-        self.unix_ms + self.start.elapsed().as_secs_f64() * 1000.0
+        let since = match self.goes_by {
+            GoesBy::Monotonic(start) => start.elapsed().as_secs_f64() * 1000.0,
+            GoesBy::Hand(hand) => f64::from_bits(hand.load(Ordering::Acquire)),
+        };
+        self.unix_ms + since
     }
 }
 
