Test that a held job whose client left is not sent on, on both fronts

Nobody takes jobs when three come; two clients leave (HTTP and gRPC), then a worker is listed: only the third job goes out, with call-offs allowed and not. It fails where a withdrawal is counted but not carried out. The program is unchanged.

--- a/dispatcher/tests/crossings/mod.rs
+++ b/dispatcher/tests/crossings/mod.rs
@@ -103,6 +103,49 @@
     }
 }
 
+#[test]
+fn a_client_that_leaves_while_its_job_is_held_is_not_sent_on() {
+    // Nobody takes jobs when it comes; once somebody does, only the job whose client has stayed goes out.
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    for allowed in [true, false] {
+        let (leaving, other) = (Hop::start(), Hop::start());
+        let grpc = Some("fronts: {grpc: {listen: 'GRPC'}}\n");
+        let dispatcher = Dispatcher::spawn_with(&leaving, 512, &[], grpc, |config| {
+            // Jobs that may wait: with no running time known, one as long as the aim would be given up at once.
+            with_cancel(allowed)(config)
+                .replace("\"active\"", "\"leaving\"")
+                .replace("\"tells_start\":true", "\"tells_start\":true,\"class_stretch\":[2]")
+        });
+        assert!(dispatcher.log_shows("serving gRPC"));
+        let mut watch = dispatcher.watches.recv_timeout(WAIT).expect("a watch is held");
+        let (mut gone, mut stays) = (client(&dispatcher.listen), client(&dispatcher.listen));
+        gone.send(JOB);
+        dispatcher.until_counted("taken 1\n");
+        let to = tonic::transport::Endpoint::from_shared(format!("http://{}", dispatcher.grpc)).unwrap();
+        let call = runtime.spawn(async move {
+            let request = SubmitRequest { job_class: "copy-issue".to_owned(), ..SubmitRequest::default() };
+            JobsClient::new(to.connect().await.unwrap()).submit(request).await
+        });
+        dispatcher.until_counted("taken 2\n");
+        stays.send(&JOB.replace("9b1f", "9b20"));
+        dispatcher.until_counted("taken 3\n");
+        drop(gone);
+        call.abort();
+        dispatcher.until_counted("withdrawn 2\n");
+        assert!(dispatcher.counters().contains("attempts_sent 0\n"), "{}", dispatcher.counters());
+        tell(
+            &mut watch,
+            &format!(r#"{{"generation":2,"reset":false,"instances":[{}]}}"#, other.line("s-2", "active")),
+        );
+        let seen = other.next();
+        assert!(seen.text.contains("X-Trace-Id: 9b20\r\n"), "{}", seen.text);
+        seen.answer(Reply::Accept);
+        assert_eq!(dispatcher.news(r#"{"id":"9b20","from":"s-2","state":"done","result":"made"}"#), 204);
+        assert_eq!(stays.answer().body, "made");
+        dispatcher.until_counted("attempts_sent 1\n");
+    }
+}
+
 #[test]
 fn when_to_come_back_is_said_only_where_the_settings_allow_it_also_after_sighup() {
     // The door is full with one job; what it refuses carried advice whatever the settings say.
