--- a/core/src/transport_map/watch.rs
+++ b/core/src/transport_map/watch.rs
@@ -265,7 +265,7 @@
 mod tests {
     use super::*;
     use std::io::{Read, Write};
-    use std::net::TcpListener;
+    use std::net::{TcpListener, TcpStream};
 
     #[test]
     fn a_silent_discovery_is_noticed_before_its_changes_count_as_told() {
@@ -273,6 +273,15 @@
         assert!(patience(HOLD_MS) < f64::from(HOLD_MS) + 2_000.0 && patience(0) < 6_000.0);
     }
 
+    /// Reads past a call.
+    fn read_head(peer: &mut TcpStream) {
+        let (mut head, mut byte) = (Vec::new(), [0]);
+        while !head.ends_with(b"\r\n\r\n") {
+            peer.read_exact(&mut byte).unwrap();
+            head.push(byte[0]);
+        }
+    }
+
     #[test]
     fn a_spoilt_list_changes_nothing_and_is_counted() {
         // A whole list without its entries took every worker away at once.
@@ -292,12 +301,7 @@
         for (i, body) in (1..).zip(bad) {
             map.ask(Call::Watch);
             let mut peer = listener.accept().unwrap().0;
-            let mut head = Vec::new();
-            while !head.ends_with(b"\r\n\r\n") {
-                let mut byte = [0];
-                peer.read_exact(&mut byte).unwrap();
-                head.push(byte[0]);
-            }
+            read_head(&mut peer);
             let length = body.len();
             let answer =
                 format!("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: {length}\r\n\r\n{body}");
@@ -326,12 +330,7 @@
                 }
                 std::thread::yield_now();
             };
-            let mut head = Vec::new();
-            while !head.ends_with(b"\r\n\r\n") {
-                let mut byte = [0];
-                peer.read_exact(&mut byte).unwrap();
-                head.push(byte[0]);
-            }
+            read_head(&mut peer);
             if answered {
                 let body = r#"{"generation":2,"reset":false,"instances":[]}"#;
                 let length = body.len();
