Call a silent worker off before another gets its job, where no two may be out

At fault: `Dispatch::on_ended` booked Silent at once; `attempt::deliver` took a close before the 202 for a call-off heard.

Now, where no two may be out, a silent attempt is called off like an accepted one: the module hears of its end once the worker has answered, or at the deadline. Where call-offs are not allowed it stays out until a call-back or the deadline.

Without the parts: random orders, a_firm_call_off_without_a_202_... and where_no_two_may_be_out_and_none_called_off_... fail. make test passed.

--- a/core/src/dispatch/jobs.rs
+++ b/core/src/dispatch/jobs.rs
@@ -13,6 +13,8 @@
     Accepted,
     /// Given up; the next hop has not yet said that it knows.
     CallingOff,
+    /// Its outcome is booked, and its next hop may have it all the same: it gets no other attempt of the job.
+    Unheard,
     Over,
 }
 
@@ -158,6 +160,11 @@
         self.attempt(id).is_some_and(|a| !std::mem::replace(&mut a.started, true))
     }
 
+    /// No two attempts of this job may be out together, and its answer is still owed.
+    pub fn is_alone(&self, ticket: Ticket) -> bool {
+        self.entries.get(&ticket).is_some_and(|entry| entry.alone && !entry.reply.is_settled())
+    }
+
     pub fn has_started(&mut self, id: AttemptId) -> bool {
         self.attempt(id).is_some_and(|a| a.started)
     }
@@ -177,6 +184,13 @@
         Some(Settled { hop: attempt.hop, sent: attempt.sent, answered, was_sent: true, was_accepted: true })
     }
 
+    /// Its next hop said nothing; that it does not have the job is not known.
+    pub fn leave_unheard(&mut self, id: AttemptId) {
+        if let Some(attempt) = self.attempt(id) {
+            attempt.state = AttemptState::Unheard;
+        }
+    }
+
     /// The outcome that waits for this attempt's call-off.
     pub fn owing(&self, id: AttemptId) -> Option<Outcome> {
         self.entries.get(&id.ticket)?.attempts.get(id.number)?.owes
@@ -298,6 +312,17 @@
         assert_eq!((jobs.owing(FIRST), jobs.attempt_at("t1", 7)), (None, None));
     }
 
+    #[test]
+    fn one_that_was_silent_may_have_the_job_and_gets_it_no_second_time() {
+        // Its 202 was lost: found by a random order, seed 22.
+        let mut jobs = jobs();
+        assert!(jobs.settle(FIRST).is_some());
+        jobs.leave_unheard(FIRST);
+        let entry = jobs.get_mut(1).unwrap();
+        assert_eq!((entry.at(7), entry.live().len()), (Some(AttemptState::Unheard), 0));
+        assert_eq!(jobs.attempt_at("t1", 7), None, "its outcome is booked");
+    }
+
     #[test]
     fn nothing_waits_for_a_call_off_that_is_not_made() {
         let mut jobs = jobs();
--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -337,10 +337,23 @@
         match end {
             // Its call-back came before the 202, which no longer matters.
             AttemptEnd::Silent if self.jobs.has_started(attempt) => return self.jobs.accept(attempt),
+            // Its 202 may be lost, and then no close of the connection gives it up: where no two may be out it is called off
+            // as if it had been accepted, or, where that is not allowed, waited for.
+            AttemptEnd::Silent if self.jobs.is_alone(attempt.ticket) => {
+                if !self.balancer.settings().limits.cancel {
+                    return self.jobs.accept(attempt);
+                }
+                self.give_up(attempt, mr::Outcome::TimedOut);
+                return self.feed_queued();
+            }
             AttemptEnd::Refused => drop(self.answer(attempt.ticket, Answer::Failed(Failure::Refused))),
             _ => {}
         }
-        self.settle(attempt, translate::outcome(end), load);
+        self.settle_with(attempt, translate::outcome(end), load, |jobs| {
+            if end == AttemptEnd::Silent {
+                jobs.leave_unheard(attempt);
+            }
+        });
     }
 
     /// The next hop holds a given-up attempt no more: one of the same job that waited for that may go.
@@ -359,7 +372,19 @@
 
     /// Books the one outcome of an attempt; whatever comes later for it is dropped.
     fn settle(&mut self, attempt: AttemptId, outcome: mr::Outcome, load: Option<&LoadReport>) {
+        self.settle_with(attempt, outcome, load, |_| {});
+    }
+
+    /// `note` is taken before the module hears of the outcome.
+    fn settle_with(
+        &mut self,
+        attempt: AttemptId,
+        outcome: mr::Outcome,
+        load: Option<&LoadReport>,
+        note: impl FnOnce(&mut Jobs),
+    ) {
         let Some(settled) = self.jobs.settle(attempt) else { return };
+        note(&mut self.jobs);
         self.jobs.forget_if_over(attempt.ticket);
         let load = load.map(|l| translate::load(&self.names, l));
         self.book(attempt, &settled, outcome, load);
--- a/core/src/dispatch/orders.rs
+++ b/core/src/dispatch/orders.rs
@@ -22,6 +22,8 @@
     /// The next hop has it; no 202 has come.
     Written,
     Held,
+    /// The next hop has it and its 202 was lost: the dispatcher has closed the connection.
+    Unheard,
     Over,
 }
 
@@ -293,7 +295,7 @@
         self.check(!self.banned.contains(&hop), "nothing new to a banned worker");
         let net = self.net.0.lock().unwrap();
         for f in net.flights.iter().filter(|f| f.id.ticket == id.ticket && f.id != id) {
-            let out = matches!(f.at, At::Begun | At::Written | At::Held);
+            let out = matches!(f.at, At::Begun | At::Written | At::Held | At::Unheard);
             self.check(!(out && self.alone), "no two attempts out where the settings allow one");
             self.check(!(out && f.hop.id == hop), "one attempt of a job at a worker");
             self.check(client.class != 2 || !f.reached || f.proven_unrun, "an unsafe job is sent once");
@@ -357,7 +359,11 @@
             }
             (At::Written, 1) => {
                 self.tell(format!("{}.{} is silent", id.ticket, id.number));
-                set(At::Over, true, false);
+                // Without a 202 a close gives it up; with one that was lost it does not.
+                set(if self.dice.bool() { At::Over } else { At::Unheard }, true, false);
+                if left && self.alone {
+                    return self.net.0.lock().unwrap().deletes.push(id);
+                }
                 self.take(ends(end(AttemptEnd::Silent)));
             }
             (At::Written, 2) => {
@@ -374,21 +380,21 @@
                 set(At::Held, true, false);
                 self.take(Message::Accepted { attempt: id });
             }
-            (At::Held, 0) => {
+            (At::Held | At::Unheard, 0) => {
                 set(At::Over, true, false);
                 self.take(news(JobState::Failed));
             }
-            (At::Held, 1) => {
+            (At::Held | At::Unheard, 1) => {
                 self.tell(format!("{}.{} comes back unstarted", id.ticket, id.number));
                 set(At::Over, true, true);
                 self.take(news(JobState::Returned));
             }
-            (At::Held, 2) => {
+            (At::Held | At::Unheard, 2) => {
                 set(At::Over, true, false);
                 self.take(news(JobState::Lost));
             }
-            (At::Held, 3..=5) => self.take(news(JobState::Started)),
-            (At::Held, _) => {
+            (At::Held | At::Unheard, 3..=5) => self.take(news(JobState::Started)),
+            (At::Held | At::Unheard, _) => {
                 self.tell(format!("{}.{} is done", id.ticket, id.number));
                 set(At::Over, true, false);
                 // Call-backs repeat.
--- a/core/src/next_hop/attempt.rs
+++ b/core/src/next_hop/attempt.rs
@@ -27,6 +27,8 @@
             Err(AttemptEnd::Reset | AttemptEnd::Silent) if accepted => {
                 delete(shared, attempt, hop, job, firm)
             }
+            // A 202 that was lost: the close does not tell a next hop that has sent one.
+            Err(AttemptEnd::Silent) if firm => delete(shared, attempt, hop, job, firm),
             // Ended by itself, never written, or its connection is closed by now.
             _ => shared.exchange.put(Message::CalledOff { attempt }),
         };
--- a/core/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -422,6 +422,22 @@
         assert!(matches!(inbox.recv(), Ok(Message::CalledOff { attempt: ATTEMPT })));
     }
 
+    #[test]
+    fn a_firm_call_off_without_a_202_is_told_all_the_same() {
+        // The 202 may be lost: closing the connection gives nothing up then.
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (hops, hop, job, inbox) = begun(&listener, 0.0);
+        let mut peer = listener.accept().unwrap().0;
+        read_to(&mut peer, "body");
+        hops.call_off(ATTEMPT, hop, job, false, true);
+        assert_eq!(read_to(&mut peer, "never"), "");
+        let mut told = accept_in_time(&listener);
+        assert!(read_to(&mut told, "\r\n\r\n").starts_with("DELETE /jobs/9b1f HTTP/1.1"));
+        assert!(inbox.try_recv().is_err(), "the next hop may not know");
+        told.write_all(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n").unwrap();
+        assert!(matches!(inbox.recv(), Ok(Message::CalledOff { attempt: ATTEMPT })));
+    }
+
     #[test]
     fn a_call_off_without_a_202_closes_the_connection() {
         let (hops, hop, job, mut peer, inbox) = under_way(0.0);
--- a/dispatcher/tests/crossings/mod.rs
+++ b/dispatcher/tests/crossings/mod.rs
@@ -1,12 +1,12 @@
 //! What ends things while something is still owed. Each crossing is forced by a peer that holds a connection at the exact
 //! step; what arrived where is counted.
 
-use crate::peers::{client, read_message, Dispatcher, Hop, Reply, WAIT};
+use crate::peers::{client, read_message, Client, Dispatcher, Hop, Reply, WAIT};
 use crate::JOB;
 use millrudder_front_grpc::proto::jobs_client::JobsClient;
 use millrudder_front_grpc::proto::SubmitRequest;
 use std::io::Write;
-use std::net::TcpStream;
+use std::net::{TcpListener, TcpStream};
 
 fn with_cancel(allowed: bool) -> impl Fn(String) -> String {
     move |config| config.replace("\"may_cancel\":true", &format!("\"may_cancel\":{allowed}"))
@@ -65,6 +65,49 @@
     assert_eq!(waiting.answer().body, "made");
 }
 
+/// A worker takes a job and its 202 is lost, where no two attempts may be out; gives its listener and another worker.
+fn unheard(allowed: bool) -> (Dispatcher, TcpListener, Hop, Client) {
+    let ((hop, listener), other) = (Hop::by_hand(), Hop::start());
+    let dispatcher = Dispatcher::start_with(&hop, 256, &[], |config| {
+        with_cancel(allowed)(config)
+            .replace("at_most_once", "idempotent")
+            .replace("\"connect_timeout\":5000", "\"connect_timeout\":1000,\"parallel_tries\":false")
+    });
+    let mut watch = dispatcher.watches.recv_timeout(WAIT).expect("a watch is held");
+    let mut waiting = client(&dispatcher.listen);
+    waiting.send(JOB);
+    let mut first = listener.accept().unwrap().0;
+    assert!(read_message(&mut first).unwrap().head.starts_with("POST /api"));
+    let line = other.line("s-2", "active");
+    tell(&mut watch, &format!(r#"{{"generation":2,"reset":false,"instances":[{line}]}}"#));
+    dispatcher.until_counted("map_changes 1\n");
+    assert!(read_message(&mut first).is_none(), "it is waited for no longer");
+    (dispatcher, listener, other, waiting)
+}
+
+#[test]
+fn where_no_two_may_be_out_a_silent_worker_is_called_off_before_another_gets_the_job() {
+    // Its 202 was lost, so closing the connection gave nothing up: the second attempt left at once (counter-desk, split).
+    let (dispatcher, listener, other, mut waiting) = unheard(true);
+    dispatcher.until_counted("calls_off 1\n");
+    let mut told = listener.accept().unwrap().0;
+    assert!(read_message(&mut told).unwrap().head.starts_with("DELETE /jobs/9b1f"));
+    assert!(dispatcher.counters().contains("attempts_sent 1\n"), "{}", dispatcher.counters());
+    told.write_all(b"HTTP/1.1 204 No Content\r\n\r\n").unwrap();
+    other.next().answer(Reply::Accept);
+    assert_eq!(dispatcher.news(r#"{"id":"9b1f","from":"s-2","state":"done","result":"made"}"#), 204);
+    assert_eq!(waiting.answer().body, "made");
+}
+
+#[test]
+fn where_no_two_may_be_out_and_none_called_off_a_silent_worker_is_waited_for() {
+    let (dispatcher, _listener, _other, mut waiting) = unheard(false);
+    assert_eq!(dispatcher.news(r#"{"id":"9b1f","from":"s-1","state":"done","result":"made"}"#), 204);
+    assert_eq!(waiting.answer().body, "made");
+    let counters = dispatcher.counters();
+    assert!(counters.contains("attempts_sent 1\n") && counters.contains("calls_off 0\n"), "{counters}");
+}
+
 #[test]
 fn a_client_that_leaves_while_a_connection_comes_up_is_not_sent_on() {
     for allowed in [true, false] {
