Derive what dispatch kept twice, and share pieces of the crossings' tests

Found on re-reading the change; behaviour is as before: - `Jobs::settle` is given the outcome and says itself whether a next hop is left unheard; `settle_with` and its closure are gone. - `Dispatch::max_attempts` was written and never read since entries take their limits from the settings; `pushed` is asked of them. - Tests share `submit` (gRPC) and `crowded` (a full accept queue). The head of the random orders named a changed permission, which they do not play: removed.

--- a/core/src/dispatch/jobs.rs
+++ b/core/src/dispatch/jobs.rs
@@ -175,22 +175,18 @@
         }
     }
 
-    /// Books the end of an attempt; none if it has had one.
-    pub fn settle(&mut self, id: AttemptId) -> Option<Settled> {
+    /// Books the end of an attempt; none if it has had one. Of a next hop that said nothing it is not known that it does not
+    /// have the job, unless it has been called off.
+    pub fn settle(&mut self, id: AttemptId, outcome: Outcome) -> Option<Settled> {
         let entry = self.entries.get_mut(&id.ticket)?;
         let answered = entry.reply.is_settled();
         let attempt = entry.attempts.get_mut(id.number).filter(|a| a.is_live())?;
-        (attempt.state, attempt.owes) = (AttemptState::Over, None);
+        let unheard = outcome == Outcome::TimedOut && attempt.state != AttemptState::CallingOff;
+        attempt.state = if unheard { AttemptState::Unheard } else { AttemptState::Over };
+        attempt.owes = None;
         Some(Settled { hop: attempt.hop, sent: attempt.sent, answered, was_sent: true, was_accepted: true })
     }
 
-    /// Its next hop said nothing; that it does not have the job is not known.
-    pub fn leave_unheard(&mut self, id: AttemptId) {
-        if let Some(attempt) = self.attempt(id) {
-            attempt.state = AttemptState::Unheard;
-        }
-    }
-
     /// The outcome that waits for this attempt's call-off.
     pub fn owing(&self, id: AttemptId) -> Option<Outcome> {
         self.entries.get(&id.ticket)?.attempts.get(id.number)?.owes
@@ -273,8 +269,8 @@
         // Call-backs repeat and cross call-offs: a second outcome would be booked on the worker twice.
         let mut jobs = jobs();
         assert_eq!(jobs.attempt_at("t1", 7), Some(FIRST));
-        assert!(jobs.settle(FIRST).is_some());
-        assert!(jobs.settle(FIRST).is_none());
+        assert!(jobs.settle(FIRST, Outcome::Ok).is_some());
+        assert!(jobs.settle(FIRST, Outcome::Ok).is_none());
         assert!(jobs.get_mut(1).unwrap().give_up(0, true, None).is_none());
         assert_eq!(jobs.attempt_at("t1", 7), None);
     }
@@ -316,8 +312,7 @@
     fn one_that_was_silent_may_have_the_job_and_gets_it_no_second_time() {
         // Its 202 was lost: found by a random order, seed 22.
         let mut jobs = jobs();
-        assert!(jobs.settle(FIRST).is_some());
-        jobs.leave_unheard(FIRST);
+        assert!(jobs.settle(FIRST, Outcome::TimedOut).is_some());
         let entry = jobs.get_mut(1).unwrap();
         assert_eq!((entry.at(7), entry.live().len()), (Some(AttemptState::Unheard), 0));
         assert_eq!(jobs.attempt_at("t1", 7), None, "its outcome is booked");
@@ -340,7 +335,7 @@
         jobs.forget_if_over(1);
         assert_eq!(jobs.find("t1"), Some(1), "an attempt is out");
         assert_eq!(jobs.owed(), 0);
-        jobs.settle(FIRST);
+        jobs.settle(FIRST, Outcome::Ok);
         jobs.forget_if_over(1);
         assert_eq!(jobs.find("t1"), None);
     }
--- a/core/src/dispatch/mod.rs
+++ b/core/src/dispatch/mod.rs
@@ -44,9 +44,6 @@
 pub struct Dispatch<W = NextHops> {
     balancer: mr::Balancer,
     names: Names,
-    max_attempts: usize,
-    /// Lists come unasked, as the module sees it: the watch is held here, and the module is told of no failure.
-    pushed: bool,
     jobs: Jobs,
     hops: Hops,
     timers: Timers,
@@ -84,8 +81,6 @@
         let settings = config.settings.clone();
         let dropped_stay = settings.rules.dropped_stay_open;
         Dispatch {
-            max_attempts: settings.limits.max_attempts.max(1),
-            pushed: !settings.list_by_ask,
             balancer: mr::Balancer::new(settings, config.seed),
             names: config.names.clone(),
             jobs: Jobs::default(),
@@ -125,13 +120,18 @@
         let known = known.unwrap_or(MapNews { whole: true, generation: None, entries: Vec::new() });
         self.on_map(known, mr::ListKind::Restored);
         legacy.into_iter().for_each(|legacy| self.inherit(legacy));
-        if self.pushed {
+        if self.lists_are_pushed() {
             self.transport_map.ask(Call::Watch);
         }
         self.timers.arm(self.clock.now() + TIDY_MS, Due::Tidy);
         self.timers.arm(self.clock.now() + OVERLOOK_MS, Due::Overlook);
     }
 
+    /// Lists come unasked, as the module sees it: the watch is held here, and the module is told of no failure.
+    fn lists_are_pushed(&self) -> bool {
+        !self.balancer.settings().list_by_ask
+    }
+
     fn fire_due(&mut self) {
         let now = self.clock.now();
         while let Some(due) = self.timers.due(now) {
@@ -161,7 +161,7 @@
                 let kind = if news.whole { mr::ListKind::Replace } else { mr::ListKind::Update };
                 self.on_map(news, kind);
             }
-            Message::MapUnavailable if self.pushed => {
+            Message::MapUnavailable if self.lists_are_pushed() => {
                 self.timers.arm(self.clock.now() + PUSHED_AGAIN_MS, Due::Watch);
             }
             Message::MapUnavailable => {
@@ -196,7 +196,6 @@
         self.next_hops.retime(settings.limits.connect_timeout, conn_idle);
         let classes = (&self.names.classes, self.balancer.settings());
         let from = self.dropped.merge(classes, &mut names, &mut settings, self.clock.now());
-        self.max_attempts = settings.limits.max_attempts.max(1);
         self.names = names;
         self.hops.dropped_stay = settings.rules.dropped_stay_open;
         self.feed(mr::Event::Settings { settings: Box::new(settings), from });
@@ -349,11 +348,7 @@
             AttemptEnd::Refused => drop(self.answer(attempt.ticket, Answer::Failed(Failure::Refused))),
             _ => {}
         }
-        self.settle_with(attempt, translate::outcome(end), load, |jobs| {
-            if end == AttemptEnd::Silent {
-                jobs.leave_unheard(attempt);
-            }
-        });
+        self.settle(attempt, translate::outcome(end), load);
     }
 
     /// The next hop holds a given-up attempt no more: one of the same job that waited for that may go.
@@ -372,19 +367,7 @@
 
     /// Books the one outcome of an attempt; whatever comes later for it is dropped.
     fn settle(&mut self, attempt: AttemptId, outcome: mr::Outcome, load: Option<&LoadReport>) {
-        self.settle_with(attempt, outcome, load, |_| {});
-    }
-
-    /// `note` is taken before the module hears of the outcome.
-    fn settle_with(
-        &mut self,
-        attempt: AttemptId,
-        outcome: mr::Outcome,
-        load: Option<&LoadReport>,
-        note: impl FnOnce(&mut Jobs),
-    ) {
-        let Some(settled) = self.jobs.settle(attempt) else { return };
-        note(&mut self.jobs);
+        let Some(settled) = self.jobs.settle(attempt, outcome) else { return };
         self.jobs.forget_if_over(attempt.ticket);
         let load = load.map(|l| translate::load(&self.names, l));
         self.book(attempt, &settled, outcome, load);
@@ -451,7 +434,7 @@
             match state {
                 AttemptState::Sent => self.next_hops.hold_back(attempt),
                 AttemptState::Parked => {
-                    if let Some(settled) = self.jobs.settle(attempt) {
+                    if let Some(settled) = self.jobs.settle(attempt, mr::Outcome::Ignored) {
                         self.book(attempt, &settled, mr::Outcome::Ignored, None);
                     }
                 }
--- a/core/src/dispatch/orders.rs
+++ b/core/src/dispatch/orders.rs
@@ -1,5 +1,5 @@
 //! Random orders of all that can cross, from fixed seeds: jobs, clients that leave, drains, bans, connections, 202s,
-//! call-backs, call-offs, deadlines, a changed permission, a stop. The network is a model that keeps the real question
+//! call-backs, call-offs, deadlines, a stop. The network is a model that keeps the real question
 //! before a request's first byte and its last (`Stop`); time stands until it is turned on.
 
 use super::*;
--- a/core/src/next_hop/mod.rs
+++ b/core/src/next_hop/mod.rs
@@ -284,12 +284,18 @@
         (hops, hop, job, inbox)
     }
 
-    /// An attempt whose connection waits in a full accept queue until `meanwhile` has happened: it ends as not sent,
-    /// and the next hop sees nothing of it.
-    fn ends_unsent(meanwhile: impl Fn(&NextHops, &Hop)) {
+    /// A listener whose accept queue is full with this one.
+    fn crowded() -> (TcpListener, TcpStream) {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         listen(&listener, Backlog::new(0).unwrap()).unwrap();
         let first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        (listener, first)
+    }
+
+    /// An attempt whose connection waits in a full accept queue until `meanwhile` has happened: it ends as not sent,
+    /// and the next hop sees nothing of it.
+    fn ends_unsent(meanwhile: impl Fn(&NextHops, &Hop)) {
+        let (listener, first) = crowded();
         let (hops, hop, _, inbox) = begun(&listener, 0.0);
         meanwhile(&hops, &hop);
         drop((listener.accept().unwrap(), first));
@@ -333,9 +339,7 @@
     #[test]
     fn a_wait_for_a_descriptor_or_a_connection_is_no_silence_of_the_next_hop() {
         // The answer's time ran from before that wait: a lack here could end as a silent worker.
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listen(&listener, Backlog::new(0).unwrap()).unwrap();
-        let first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (listener, first) = crowded();
         let (hops, _, _, _inbox) = begun(&listener, 0.0);
         let due = || hops.waiting().get(&ATTEMPT).map(|stop| stop.due());
         assert_eq!(due(), Some(f64::INFINITY));
@@ -348,9 +352,7 @@
     #[test]
     fn how_long_a_client_waits_is_told_as_of_the_requests_first_byte() {
         // It was told as of before the wait for a connection, up to a second and a half too long.
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        listen(&listener, Backlog::new(0).unwrap()).unwrap();
-        let first = TcpStream::connect(listener.local_addr().unwrap()).unwrap();
+        let (listener, first) = crowded();
         let (hops, _, job, _inbox) = begun(&listener, 0.0);
         let (clock, began) = (hops.0.clock, hops.0.clock.now());
         while clock.now() < began + 20.0 {
--- a/dispatcher/tests/crossings/mod.rs
+++ b/dispatcher/tests/crossings/mod.rs
@@ -5,6 +5,7 @@
 use crate::JOB;
 use millrudder_front_grpc::proto::jobs_client::JobsClient;
 use millrudder_front_grpc::proto::SubmitRequest;
+use std::future::Future;
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
 
@@ -124,6 +125,13 @@
     }
 }
 
+/// One job over gRPC, up to its answer.
+fn submit(to: &str) -> impl Future<Output = bool> {
+    let to = tonic::transport::Endpoint::from_shared(format!("http://{to}")).unwrap();
+    let request = SubmitRequest { job_class: "copy-issue".to_owned(), ..SubmitRequest::default() };
+    async move { JobsClient::new(to.connect().await.unwrap()).submit(request).await.is_ok() }
+}
+
 #[test]
 fn a_grpc_client_that_leaves_while_a_connection_comes_up_is_not_sent_on() {
     let runtime = tokio::runtime::Runtime::new().unwrap();
@@ -132,11 +140,7 @@
         let grpc = Some("fronts: {grpc: {listen: 'GRPC'}}\n");
         let dispatcher = Dispatcher::spawn_with(&hop, 512, &[], grpc, with_cancel(allowed));
         assert!(dispatcher.log_shows("serving gRPC"));
-        let to = tonic::transport::Endpoint::from_shared(format!("http://{}", dispatcher.grpc)).unwrap();
-        let call = runtime.spawn(async move {
-            let request = SubmitRequest { job_class: "copy-issue".to_owned(), ..SubmitRequest::default() };
-            JobsClient::new(to.connect().await.unwrap()).submit(request).await
-        });
+        let call = runtime.spawn(submit(&dispatcher.grpc));
         dispatcher.until_counted("attempts_sent 1\n");
         call.abort();
         dispatcher.until_counted("withdrawn 1\n");
@@ -164,11 +168,7 @@
         let (mut gone, mut stays) = (client(&dispatcher.listen), client(&dispatcher.listen));
         gone.send(JOB);
         dispatcher.until_counted("taken 1\n");
-        let to = tonic::transport::Endpoint::from_shared(format!("http://{}", dispatcher.grpc)).unwrap();
-        let call = runtime.spawn(async move {
-            let request = SubmitRequest { job_class: "copy-issue".to_owned(), ..SubmitRequest::default() };
-            JobsClient::new(to.connect().await.unwrap()).submit(request).await
-        });
+        let call = runtime.spawn(submit(&dispatcher.grpc));
         dispatcher.until_counted("taken 2\n");
         stays.send(&JOB.replace("9b1f", "9b20"));
         dispatcher.until_counted("taken 3\n");
