--- /dev/null
+++ b/system/contact/src/freshness.rs
@@ -0,0 +1,54 @@
+//! How old a process's copy of the control state is.
+
+/// A copy that no core machine has confirmed for so long is reported as old.
+pub const OLD_AFTER_MS: u64 = 2000;
+
+/// The copy has become old, or is current again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FreshnessChange {
+    Old { age_ms: u64 },
+    Current { was_old_for_ms: u64 },
+}
+
+/// Since when a copy may be outdated.
+#[derive(Clone, Debug, Default)]
+pub struct Freshness {
+    /// At this moment a majority of the core had nothing newer.
+    confirmed_at: Option<u64>,
+    old: bool,
+}
+
+impl Freshness {
+    /// A core machine has confirmed, `age_ms` ago, that the copy is current.
+    pub fn confirmed(&mut self, now: u64, age_ms: u64) -> Option<FreshnessChange> {
+        let moment = now.saturating_sub(age_ms);
+        let before = self.confirmed_at;
+        self.confirmed_at = before.max(Some(moment));
+        if !self.old || self.age_ms(now).is_none_or(|age| age >= OLD_AFTER_MS) {
+            return None;
+        }
+        self.old = false;
+        let was_old_for_ms = now.saturating_sub(before.unwrap_or(now));
+        Some(FreshnessChange::Current { was_old_for_ms })
+    }
+
+    /// Whether a majority has confirmed the copy at any time of this process's life.
+    pub fn was_confirmed(&self) -> bool {
+        self.confirmed_at.is_some()
+    }
+
+    /// Age of the last confirmation; `None` before the first.
+    pub fn age_ms(&self, now: u64) -> Option<u64> {
+        Some(now.saturating_sub(self.confirmed_at?))
+    }
+
+    /// Notes the passing of time.
+    pub fn poll(&mut self, now: u64) -> Option<FreshnessChange> {
+        let age_ms = self.age_ms(now)?;
+        if self.old || age_ms < OLD_AFTER_MS {
+            return None;
+        }
+        self.old = true;
+        Some(FreshnessChange::Old { age_ms })
+    }
+}
--- /dev/null
+++ b/system/contact/src/gate.rs
@@ -0,0 +1,314 @@
+//! What a core machine may tell its registrants, and when.
+
+use crate::state::{ConnectionId, StateNumbers};
+use std::collections::BTreeMap;
+
+/// Pause between the starts of two confirming reads.
+pub const CONFIRM_EVERY_MS: u64 = 300;
+/// A confirmation counts for so long from the start of its read. Longer than a change of the core's view takes.
+pub const MOST_AGE_MS: u64 = 1500;
+
+/// Number of a confirming read of this process.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct RoundNumber(pub u64);
+
+impl RoundNumber {
+    fn next(self) -> RoundNumber {
+        RoundNumber(self.0 + 1)
+    }
+}
+
+/// What kind of process has registered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    Dispatcher,
+    Store,
+}
+
+/// What happens at a core machine.
+#[derive(Clone, Copy, Debug)]
+pub enum Input {
+    /// A process has registered and has these versions.
+    Registered {
+        connection: ConnectionId,
+        kind: Kind,
+        has: StateNumbers,
+    },
+    Closed {
+        connection: ConnectionId,
+    },
+    /// This machine's state has these versions now.
+    State(StateNumbers),
+    /// The read sees all that was committed before its start.
+    ReadReady {
+        round: RoundNumber,
+    },
+    Tick,
+    /// This machine is about to end.
+    Leaving,
+}
+
+/// A part of the control state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Part {
+    Configuration,
+    Placement,
+    Workers,
+}
+
+/// What the machine is to do.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Output {
+    /// Start a linearizable read, and report [`Input::ReadReady`].
+    StartRead { round: RoundNumber },
+    /// Nobody waits for this read any more.
+    AbandonRead { round: RoundNumber },
+    /// Tell a part of the state as it is now.
+    Tell { connection: ConnectionId, part: Part },
+    /// Confirm that what was told on this connection was current `age_ms` ago.
+    Vouch { connection: ConnectionId, age_ms: u64 },
+    /// Say that this machine cannot confirm its state.
+    NoMajority { connection: ConnectionId },
+    /// Send the process elsewhere: this machine ends.
+    TryAnother { connection: ConnectionId },
+}
+
+/// How a registrant stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Standing {
+    /// Told nothing before this round, or a later one, is confirmed.
+    Waiting { round: RoundNumber, since: u64, refused: bool },
+    /// Told everything that comes into force.
+    Admitted,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Registrant {
+    kind: Kind,
+    told: StateNumbers,
+    standing: Standing,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Read {
+    round: RoundNumber,
+    started: u64,
+}
+
+/// Lets registrants hear this machine's state only while a majority of the core has confirmed it of late.
+#[derive(Clone, Debug)]
+pub struct Gate {
+    state: StateNumbers,
+    registrants: BTreeMap<ConnectionId, Registrant>,
+    last_round: RoundNumber,
+    reading: Option<Read>,
+    next_read: u64,
+    /// Start of the last confirmed read.
+    confirmed_at: Option<u64>,
+    contact: bool,
+    leaving: bool,
+}
+
+impl Gate {
+    /// A gate that is closed until a first read is confirmed; `state` is what the disk holds.
+    pub fn new(state: StateNumbers) -> Gate {
+        Gate {
+            state,
+            registrants: BTreeMap::new(),
+            last_round: RoundNumber::default(),
+            reading: None,
+            next_read: 0,
+            confirmed_at: None,
+            contact: false,
+            leaving: false,
+        }
+    }
+
+    /// Whether a majority has confirmed this machine's state of late, so that answers may rest on it.
+    pub fn has_majority(&self, now: u64) -> bool {
+        let recent = |at: u64| now.saturating_sub(at) < MOST_AGE_MS;
+        self.contact && self.confirmed_at.is_some_and(recent)
+    }
+
+    /// Whether this machine takes orders: not when it is cut off, and not when it ends.
+    pub fn takes_orders(&self, now: u64) -> bool {
+        self.has_majority(now) && !self.leaving
+    }
+
+    /// Age of the last confirmation; `None` before the first.
+    pub fn age_ms(&self, now: u64) -> Option<u64> {
+        Some(now.saturating_sub(self.confirmed_at?))
+    }
+
+    /// Registrants that are told what comes into force.
+    pub fn admitted(&self) -> impl Iterator<Item = ConnectionId> + '_ {
+        let admitted = self.registrants.iter().filter(|(_, one)| one.standing == Standing::Admitted);
+        admitted.map(|(connection, _)| *connection)
+    }
+
+    /// When [`Input::Tick`] is due; a change of contact is to be told at once.
+    pub fn next_deadline(&self) -> Option<u64> {
+        let read = match self.reading {
+            Some(read) => Some(read.started + MOST_AGE_MS),
+            None => Some(self.next_read).filter(|_| self.may_read()),
+        };
+        let confirmed = self.confirmed_at.map(|at| at + MOST_AGE_MS);
+        let confirmed = confirmed.filter(|_| self.admitted().next().is_some());
+        let waiting = self.registrants.values().filter_map(|one| match one.standing {
+            Standing::Waiting { since, refused: false, .. } => Some(since + MOST_AGE_MS),
+            _ => None,
+        });
+        waiting.chain(confirmed).chain(read).min()
+    }
+
+    /// Handles one input. `contact` tells whether this machine hears a majority of the core now, and is heard by it.
+    pub fn handle(&mut self, now: u64, contact: bool, input: Input, out: &mut Vec<Output>) {
+        if contact && !self.contact {
+            self.next_read = now;
+        }
+        self.contact = contact;
+        self.expire_read(now, out);
+        self.refuse_unconfirmed(now, out);
+        match input {
+            Input::Registered { connection, kind, has } => self.on_registered(now, connection, kind, has, out),
+            Input::Closed { connection } => {
+                self.registrants.remove(&connection);
+            }
+            Input::State(state) => self.on_state(state, out),
+            Input::ReadReady { round } => self.on_ready(now, round, out),
+            Input::Tick => {}
+            Input::Leaving => self.on_leaving(out),
+        }
+        self.start_read_if_due(now, out);
+    }
+
+    fn on_registered(
+        &mut self,
+        now: u64,
+        connection: ConnectionId,
+        kind: Kind,
+        has: StateNumbers,
+        out: &mut Vec<Output>,
+    ) {
+        if self.leaving {
+            out.push(Output::TryAnother { connection });
+            return;
+        }
+        let refused = !self.contact;
+        if refused {
+            out.push(Output::NoMajority { connection });
+        }
+        let standing = Standing::Waiting { round: self.last_round.next(), since: now, refused };
+        self.registrants.insert(connection, Registrant { kind, told: has, standing });
+        self.next_read = now;
+    }
+
+    fn on_state(&mut self, state: StateNumbers, out: &mut Vec<Output>) {
+        self.state = state;
+        for (connection, registrant) in &mut self.registrants {
+            if registrant.standing == Standing::Admitted {
+                registrant.tell_newer(*connection, &state, out);
+            }
+        }
+    }
+
+    fn on_ready(&mut self, now: u64, round: RoundNumber, out: &mut Vec<Output>) {
+        let Some(read) = self.reading.take_if(|read| read.round == round) else { return };
+        if !self.contact {
+            return;
+        }
+        self.confirmed_at = Some(read.started);
+        let age_ms = now.saturating_sub(read.started);
+        for (connection, registrant) in &mut self.registrants {
+            if registrant.is_admitted_by(round) {
+                registrant.standing = Standing::Admitted;
+                registrant.tell_newer(*connection, &self.state, out);
+                out.push(Output::Vouch { connection: *connection, age_ms });
+            }
+        }
+        if self.has_fresh_waiters() {
+            self.next_read = now;
+        }
+    }
+
+    fn on_leaving(&mut self, out: &mut Vec<Output>) {
+        self.leaving = true;
+        let connections = std::mem::take(&mut self.registrants);
+        out.extend(connections.into_keys().map(|connection| Output::TryAnother { connection }));
+    }
+
+    /// Gives up a read that has taken so long that its confirmation would not count.
+    fn expire_read(&mut self, now: u64, out: &mut Vec<Output>) {
+        let is_late = |read: &mut Read| now.saturating_sub(read.started) >= MOST_AGE_MS;
+        if let Some(read) = self.reading.take_if(is_late) {
+            out.push(Output::AbandonRead { round: read.round });
+            self.next_read = now;
+        }
+    }
+
+    /// Takes back the admission of all when the state cannot be confirmed, and says so to those who wait too long.
+    fn refuse_unconfirmed(&mut self, now: u64, out: &mut Vec<Output>) {
+        let (contact, has_majority) = (self.contact, self.has_majority(now));
+        let next = self.last_round.next();
+        for (connection, registrant) in &mut self.registrants {
+            let is_refused = match registrant.standing {
+                Standing::Admitted => !has_majority,
+                Standing::Waiting { refused: true, .. } => false,
+                Standing::Waiting { since, .. } => !contact || now.saturating_sub(since) >= MOST_AGE_MS,
+            };
+            if is_refused {
+                registrant.standing = Standing::Waiting { round: next, since: now, refused: true };
+                out.push(Output::NoMajority { connection: *connection });
+            }
+        }
+    }
+
+    fn start_read_if_due(&mut self, now: u64, out: &mut Vec<Output>) {
+        if self.reading.is_some() || now < self.next_read || !self.may_read() {
+            return;
+        }
+        let round = self.last_round.next();
+        self.last_round = round;
+        self.reading = Some(Read { round, started: now });
+        self.next_read = now + CONFIRM_EVERY_MS;
+        out.push(Output::StartRead { round });
+    }
+
+    /// Without contact a read would not end.
+    fn may_read(&self) -> bool {
+        self.contact && !self.leaving
+    }
+
+    /// Whether somebody waits for a read that has not been started.
+    fn has_fresh_waiters(&self) -> bool {
+        let last = self.last_round;
+        let mut standings = self.registrants.values().map(|registrant| registrant.standing);
+        standings.any(|standing| matches!(standing, Standing::Waiting { round, .. } if round > last))
+    }
+}
+
+impl Registrant {
+    fn is_admitted_by(&self, confirmed: RoundNumber) -> bool {
+        match self.standing {
+            Standing::Admitted => true,
+            Standing::Waiting { round, .. } => round <= confirmed,
+        }
+    }
+
+    /// Tells what is newer than what was told last.
+    fn tell_newer(&mut self, connection: ConnectionId, state: &StateNumbers, out: &mut Vec<Output>) {
+        let mut tell = |part| out.push(Output::Tell { connection, part });
+        if state.configuration_version > self.told.configuration_version {
+            tell(Part::Configuration);
+            self.told.configuration_version = state.configuration_version;
+        }
+        if state.placement_epoch > self.told.placement_epoch {
+            tell(Part::Placement);
+            self.told.placement_epoch = state.placement_epoch;
+        }
+        if self.kind == Kind::Dispatcher && state.workers > self.told.workers {
+            tell(Part::Workers);
+            self.told.workers = state.workers;
+        }
+    }
+}
--- /dev/null
+++ b/system/contact/src/state.rs
@@ -0,0 +1,30 @@
+//! Numbers that tell which of two copies of the control state is newer.
+
+/// One connection to a core machine; never used again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ConnectionId(pub u64);
+
+/// Number of a list of workers: the fencing number of its reader's lease, then the reader's count of changes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ListNumber {
+    pub fencing: u64,
+    pub number: u64,
+}
+
+/// Versions of the parts of the control state that one process has.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct StateNumbers {
+    /// 0 before the first configuration.
+    pub configuration_version: u64,
+    /// 0 before the first placement.
+    pub placement_epoch: u64,
+    pub workers: ListNumber,
+}
+
+impl StateNumbers {
+    /// Whether no part is older than in `other`, the list of workers aside.
+    pub fn covers(&self, other: &StateNumbers) -> bool {
+        self.configuration_version >= other.configuration_version
+            && self.placement_epoch >= other.placement_epoch
+    }
+}
