Tell the control state only while a majority confirms it

Cause: a core machine answered any registrant and any repeated order from the state it happened to have. Orders are answered from the chain or not at all, within 850 ms. A process leaves core machines that do not vouch; a dispatcher is ready only with a confirmed state, and reports when what it holds grows old. core/host.rs is split by concern.

--- a/system/contact/src/gate.rs
+++ b/system/contact/src/gate.rs
@@ -170,7 +170,9 @@
         self.expire_read(now, out);
         self.refuse_unconfirmed(now, out);
         match input {
-            Input::Registered { connection, kind, has } => self.on_registered(now, connection, kind, has, out),
+            Input::Registered { connection, kind, has } => {
+                self.on_registered(now, connection, kind, has, out)
+            }
             Input::Closed { connection } => {
                 self.registrants.remove(&connection);
             }
--- a/system/contact/src/state.rs
+++ b/system/contact/src/state.rs
@@ -20,11 +20,3 @@
     pub placement_epoch: u64,
     pub workers: ListNumber,
 }
-
-impl StateNumbers {
-    /// Whether no part is older than in `other`, the list of workers aside.
-    pub fn covers(&self, other: &StateNumbers) -> bool {
-        self.configuration_version >= other.configuration_version
-            && self.placement_epoch >= other.placement_epoch
-    }
-}
--- a/system/contact/tests/gate.rs
+++ b/system/contact/tests/gate.rs
@@ -181,7 +181,10 @@
     assert_eq!(told(&store, FIRST), vec![]);
     assert_eq!(told(&dispatcher, SECOND), vec![Part::Workers]);
     let older = ListNumber { fencing: 3, number: 9 };
-    assert_eq!(machine.give(Input::State(StateNumbers { workers: older, ..StateNumbers::default() })), vec![]);
+    assert_eq!(
+        machine.give(Input::State(StateNumbers { workers: older, ..StateNumbers::default() })),
+        vec![]
+    );
 }
 
 impl Machine {
--- a/system/node/src/control_link.rs
+++ b/system/node/src/control_link.rs
@@ -1,10 +1,12 @@
 //! Connections of a dispatcher or a store to core machines.
 //!
 //! Seeds are asked where they listen; what a core machine tells of the others is kept. A process is connected to as
-//! many of them as it wants; one that is closed for long, or that sends it away, is replaced by another.
+//! many of them as it wants; a [`LinkPlan`] chooses them.
 
+use crate::clock::SteadyClock;
 use crate::core::ToCorePort;
 use crate::locate;
+use millrudder_contact::{FreshnessChange, LinkPlan, LinkStep};
 use millrudder_protocol::control::{FromCore, Registrant, ToCore};
 use millrudder_system_http::client::{Client, ClientLimits};
 use millrudder_transport::dialer::Dialer;
@@ -14,15 +16,16 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::task::JoinSet;
-use tokio::time::{sleep, Instant};
+use tokio::time::{sleep, timeout};
 
-/// A connection that is not open for so long is replaced, where another machine is known.
-const REPLACE_AFTER: Duration = Duration::from_millis(1200);
-/// Connections are looked after this often while all is well ...
+/// Connections are looked after this often, and when a core machine sends this process away.
 const LOOK_EVERY: Duration = Duration::from_millis(400);
-/// ... and seeds are asked this often while too few are open.
-const SEEDS_EVERY: Duration = Duration::from_millis(250);
+/// Pause between two rounds of questions to seeds while too few core machines are known or none vouches ...
+const SEEDS_FIRST: Duration = Duration::from_millis(250);
+/// ... doubled after each that brings nothing new, up to this.
+const SEEDS_LONGEST: Duration = Duration::from_secs(2);
 
 /// What this process has of the control state, told at each registration so that only news is sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -31,26 +34,47 @@
     pub placement_epoch: u64,
 }
 
-struct Link {
-    dialer: Dialer,
-    open: bool,
-    since: Instant,
+impl Held {
+    /// Nothing that `other` tells of is newer than this.
+    pub fn covers(self, other: Held) -> bool {
+        self.configuration_version >= other.configuration_version
+            && self.placement_epoch >= other.placement_epoch
+    }
+}
+
+/// Logs that what a process holds has grown old, or that this is over.
+pub fn report_freshness(change: Option<FreshnessChange>) {
+    match change {
+        Some(FreshnessChange::Old { age_ms }) => {
+            log::warn!("no core machine has confirmed for {age_ms} ms what is held here");
+        }
+        Some(FreshnessChange::Current { was_old_for_ms }) => {
+            log::info!("what is held here is confirmed again, after {was_old_for_ms} ms");
+        }
+        None => {}
+    }
 }
 
 struct Shared {
-    most: usize,
+    clock: SteadyClock,
+    plan: LinkPlan,
     registrant: Registrant,
     held: Held,
     seeds: Vec<SocketAddr>,
-    known: Vec<SocketAddr>,
-    links: BTreeMap<SocketAddr, Link>,
-    /// The next of the known addresses to try.
-    next: usize,
+    links: BTreeMap<SocketAddr, Dialer>,
+}
+
+/// What the connections and their keeper share.
+#[derive(Clone)]
+struct Handle {
+    shared: Rc<RefCell<Shared>>,
+    /// A connection is to be replaced.
+    refused: Rc<Notify>,
 }
 
 /// The connections; dropped, they end.
 pub struct ControlLink {
-    shared: Rc<RefCell<Shared>>,
+    handle: Handle,
     keeper: tokio::task::JoinHandle<()>,
 }
 
@@ -67,43 +91,42 @@
         F: Fn(FromCore) + Clone + 'static,
     {
         let shared = Shared {
-            most,
+            clock: SteadyClock::start(),
+            plan: LinkPlan::new(most, seed),
             registrant,
             held: Held::default(),
             seeds,
-            known: Vec::new(),
             links: BTreeMap::new(),
-            next: seed as usize,
         };
-        let shared = Rc::new(RefCell::new(shared));
-        let keeper = tokio::task::spawn_local(keep(Rc::clone(&shared), deliver));
-        ControlLink { shared, keeper }
+        let handle = Handle { shared: Rc::new(RefCell::new(shared)), refused: Rc::default() };
+        let keeper = tokio::task::spawn_local(keep(handle.clone(), deliver));
+        ControlLink { handle, keeper }
     }
 
     /// What is held from now on.
     pub fn hold(&self, held: Held) {
-        self.shared.borrow_mut().held = held;
+        self.handle.shared.borrow_mut().held = held;
     }
 
     /// Other seeds, from settings that were read again.
     pub fn set_seeds(&self, seeds: Vec<SocketAddr>) {
-        self.shared.borrow_mut().seeds = seeds;
+        self.handle.shared.borrow_mut().seeds = seeds;
     }
 
     /// Core machines that a core machine has told of.
     pub fn know(&self, addresses: impl Iterator<Item = SocketAddr>) {
-        let mut shared = self.shared.borrow_mut();
+        let mut shared = self.handle.shared.borrow_mut();
         for address in addresses {
-            shared.know(address);
+            shared.plan.know(address);
         }
     }
 
     /// Tells every core machine that is connected.
     pub fn tell_all(&self, message: &ToCore) {
         let message = ToCorePort::Client { message: message.clone() };
-        for link in self.shared.borrow().links.values() {
+        for dialer in self.handle.shared.borrow().links.values() {
             // One that is closed is registered with again, and told then.
-            let _ = link.dialer.outbox().send(&message);
+            let _ = dialer.outbox().send(&message);
         }
     }
 }
@@ -111,71 +134,74 @@
 impl Drop for ControlLink {
     fn drop(&mut self) {
         self.keeper.abort();
-        self.shared.borrow_mut().links.clear();
+        self.handle.shared.borrow_mut().links.clear();
     }
 }
 
 impl Shared {
-    /// True if the address was not known.
-    fn know(&mut self, address: SocketAddr) -> bool {
-        let is_new = !self.known.contains(&address);
-        if is_new {
-            self.known.push(address);
-        }
-        is_new
+    /// Tells the plan what happened on the connection to an address.
+    fn report(&mut self, address: SocketAddr, event: fn(&mut LinkPlan, u64, SocketAddr)) {
+        event(&mut self.plan, self.clock.millis(), address);
     }
 
-    fn open(&self) -> usize {
-        self.links.values().filter(|link| link.open).count()
+    /// Whether seeds may tell of core machines that are needed.
+    fn wants_seeds(&self) -> bool {
+        !self.plan.is_served() || self.plan.known() < self.seeds.len()
     }
+}
 
-    /// Drops what has been closed for long, where another address can take its place.
-    fn drop_stale(&mut self) {
-        if self.known.len() <= self.links.len() {
-            return;
-        }
-        self.links.retain(|_, link| link.open || link.since.elapsed() < REPLACE_AFTER);
+async fn keep<F: Fn(FromCore) + Clone + 'static>(handle: Handle, deliver: F) {
+    let asking = tokio::task::spawn_local(ask_for_more(handle.clone()));
+    let _asking = AbortOnDrop(asking);
+    loop {
+        follow_plan(&handle, &deliver);
+        // Refused or not, the plan is asked again.
+        let _ = timeout(LOOK_EVERY, handle.refused.notified()).await;
     }
+}
 
-    /// The next known address without a connection.
-    fn candidate(&mut self) -> Option<SocketAddr> {
-        if self.links.len() >= self.most.min(self.known.len()) {
-            return None;
-        }
-        for _ in 0..self.known.len() {
-            self.next = self.next.wrapping_add(1);
-            let address = self.known[self.next % self.known.len()];
-            if !self.links.contains_key(&address) {
-                return Some(address);
-            }
+/// Ends a task together with its owner.
+struct AbortOnDrop(tokio::task::JoinHandle<()>);
+
+impl Drop for AbortOnDrop {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+fn follow_plan<F: Fn(FromCore) + Clone + 'static>(handle: &Handle, deliver: &F) {
+    let steps = {
+        let mut shared = handle.shared.borrow_mut();
+        let now = shared.clock.millis();
+        shared.plan.poll(now)
+    };
+    for step in steps {
+        match step {
+            LinkStep::Close(address) => drop(handle.shared.borrow_mut().links.remove(&address)),
+            LinkStep::Open(address) => dial(handle, address, deliver.clone()),
         }
-        None
     }
 }
 
-async fn keep<F: Fn(FromCore) + Clone + 'static>(shared: Rc<RefCell<Shared>>, deliver: F) {
+/// Asks seeds, as long as there is need, and ever less often while they tell nothing new.
+async fn ask_for_more(handle: Handle) {
     let client = Client::new(ClientLimits::default());
+    let mut pause = SEEDS_FIRST;
     loop {
-        shared.borrow_mut().drop_stale();
-        loop {
-            let candidate = shared.borrow_mut().candidate();
-            let Some(address) = candidate else { break };
-            dial(&shared, address, deliver.clone());
-        }
-        let wanting = {
-            let shared = shared.borrow();
-            shared.open() == 0 || shared.known.len() < shared.seeds.len()
-        };
-        let pause = if wanting { SEEDS_EVERY } else { LOOK_EVERY };
-        if !wanting || !ask_seeds(&shared, &client).await {
-            sleep(pause).await;
+        let wanting = handle.shared.borrow().wants_seeds();
+        if wanting && ask_seeds(&handle, &client).await {
+            handle.refused.notify_one();
+            pause = SEEDS_FIRST;
+            continue;
         }
+        sleep(pause).await;
+        pause = if wanting { (pause * 2).min(SEEDS_LONGEST) } else { SEEDS_FIRST };
     }
 }
 
 /// Asks all seeds at once, and goes on with the first that tells an address that was not known. True if one did.
-async fn ask_seeds(shared: &Rc<RefCell<Shared>>, client: &Client) -> bool {
-    let seeds = shared.borrow().seeds.clone();
+async fn ask_seeds(handle: &Handle, client: &Client) -> bool {
+    let seeds = handle.shared.borrow().seeds.clone();
     let mut questions = JoinSet::new();
     for seed in seeds {
         let client = client.clone();
@@ -183,41 +209,57 @@
     }
     while let Some(answer) = questions.join_next().await {
         let Ok(Some(address)) = answer else { continue };
-        if shared.borrow_mut().know(address) {
+        if handle.shared.borrow_mut().plan.know(address) {
             return true;
         }
     }
     false
 }
 
-fn dial<F: Fn(FromCore) + 'static>(shared: &Rc<RefCell<Shared>>, address: SocketAddr, deliver: F) {
-    let state = Rc::clone(shared);
+fn dial<F: Fn(FromCore) + 'static>(handle: &Handle, address: SocketAddr, deliver: F) {
+    let this = handle.clone();
     let report = move |outbox: &Outbox, event: LinkEvent<FromCore>| match event {
         LinkEvent::Opened => {
-            mark(&state, address, true);
-            register(&state, outbox);
+            this.shared.borrow_mut().report(address, LinkPlan::opened);
+            register(&this.shared.borrow(), outbox);
         }
         LinkEvent::Closed(reason) => {
             log::info!("core machine {address} is lost: {reason}");
-            mark(&state, address, false);
+            this.shared.borrow_mut().report(address, LinkPlan::closed);
+        }
+        LinkEvent::Message(message) => {
+            this.note(address, outbox, &message);
+            deliver(message);
         }
-        LinkEvent::Message(FromCore::TryAnother) => outbox.close(),
-        LinkEvent::Message(message) => deliver(message),
     };
     let dialer = Dialer::start(address, report);
-    let link = Link { dialer, open: false, since: Instant::now() };
-    shared.borrow_mut().links.insert(address, link);
+    handle.shared.borrow_mut().links.insert(address, dialer);
 }
 
-fn mark(shared: &Rc<RefCell<Shared>>, address: SocketAddr, open: bool) {
-    if let Some(link) = shared.borrow_mut().links.get_mut(&address) {
-        link.open = open;
-        link.since = Instant::now();
+impl Handle {
+    /// Takes note of what a message tells of the machine that sent it.
+    fn note(&self, address: SocketAddr, outbox: &Outbox, message: &FromCore) {
+        match message {
+            FromCore::Heartbeat { .. } => self.shared.borrow_mut().report(address, LinkPlan::vouched),
+            FromCore::NoMajority => {
+                log::info!("core machine {address} has no majority");
+                self.refuse(address);
+            }
+            FromCore::TryAnother => {
+                self.refuse(address);
+                outbox.close();
+            }
+            _ => {}
+        }
+    }
+
+    fn refuse(&self, address: SocketAddr) {
+        self.shared.borrow_mut().report(address, LinkPlan::refused);
+        self.refused.notify_one();
     }
 }
 
-fn register(shared: &Rc<RefCell<Shared>>, outbox: &Outbox) {
-    let shared = shared.borrow();
+fn register(shared: &Shared, outbox: &Outbox) {
     let message = ToCore::Register {
         registrant: shared.registrant.clone(),
         configuration_version: shared.held.configuration_version,
--- /dev/null
+++ b/system/node/src/core/host/mod.rs
@@ -0,0 +1,281 @@
+//! Owner of a core machine's state: one queue of events, one at a time.
+
+mod commits;
+mod inbound;
+mod serving;
+
+use crate::clock::SteadyClock;
+use crate::core::journal::{Journal, Report};
+use crate::core::messages::ToCorePort;
+use crate::core::operator::{Order, Outcome};
+use crate::core::orders::{Orders, Step};
+use crate::core::peers::Peers;
+use crate::core::reader::{Reader, ReaderEvent};
+use crate::core::registrants::Registrants;
+use crate::error::RoleError;
+use arc_swap::ArcSwap;
+use millrudder_chain::{CoreNode, Input, NodeId, RequestId};
+use millrudder_contact::{ConnectionId, Gate, Input as GateInput, RoundNumber};
+use millrudder_control_state::ControlState;
+use millrudder_placement::{Input as PlacementInput, PlacementManager};
+use millrudder_protocol::control::WorkerList;
+use millrudder_settings::Settings;
+use millrudder_system_http::client::Client;
+use millrudder_transport::{LinkEvent, Outbox};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
+use tokio::time::sleep_until;
+
+/// Orders whose callers have gone are looked for this often.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// What happens at a core machine.
+pub enum Event {
+    Inbound {
+        connection: ConnectionId,
+        outbox: Outbox,
+        event: LinkEvent<ToCorePort>,
+    },
+    PeerOpened {
+        address: SocketAddr,
+    },
+    SeedFound {
+        address: SocketAddr,
+    },
+    Operator {
+        order: Order,
+        reply: oneshot::Sender<Outcome>,
+    },
+    Reader(ReaderEvent),
+    Reload {
+        file: PathBuf,
+    },
+    /// This process is about to end.
+    Leaving,
+}
+
+/// Owns the replicated state machine, the placement manager, the reader and all connections.
+pub struct CoreHost {
+    clock: SteadyClock,
+    node: CoreNode<ControlState>,
+    manager: PlacementManager,
+    reader: Reader,
+    orders: Orders,
+    journal: Journal,
+    peers: Peers,
+    /// Connections that others have opened.
+    inbound: BTreeMap<ConnectionId, Outbox>,
+    /// Who opened which connection, of other core machines.
+    peer_ids: BTreeMap<ConnectionId, NodeId>,
+    addresses: BTreeMap<NodeId, SocketAddr>,
+    registrants: Registrants,
+    /// Decides what the registrants are told.
+    gate: Gate,
+    /// The read under way that confirms this machine's state.
+    confirming: Option<Confirming>,
+    /// Dispatchers that other core machines serve, by their connection.
+    others_dispatchers: BTreeMap<ConnectionId, u32>,
+    told_dispatchers: u32,
+    workers: WorkerList,
+    had_majority: bool,
+    /// Versions that were taken note of when they came into force.
+    followed_version: u64,
+    followed_epoch: u64,
+    settings: Settings,
+    seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
+    client: Client,
+    swept: u64,
+}
+
+/// A read that confirms this machine's state.
+struct Confirming {
+    request_id: RequestId,
+    round: RoundNumber,
+}
+
+impl CoreHost {
+    pub fn new(
+        node: CoreNode<ControlState>,
+        settings: Settings,
+        internal: SocketAddr,
+        journal: Journal,
+        client: Client,
+        events: UnboundedSender<Event>,
+    ) -> Self {
+        let seed = crate::clock::seed();
+        let mut manager = PlacementManager::new(settings.fault_tolerance.machines);
+        manager.handle(0, PlacementInput::Committed(node.machine().placement().clone()));
+        CoreHost {
+            clock: SteadyClock::start(),
+            manager,
+            reader: Reader::new(&settings, client.clone(), seed, events.clone()),
+            orders: Orders::new(seed),
+            journal,
+            peers: Peers::new(node.id(), internal, events),
+            inbound: BTreeMap::new(),
+            peer_ids: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            registrants: Registrants::default(),
+            gate: Gate::new(serving::numbers(node.machine(), &WorkerList::default())),
+            confirming: None,
+            others_dispatchers: BTreeMap::new(),
+            told_dispatchers: 0,
+            workers: WorkerList::default(),
+            had_majority: false,
+            followed_version: node.machine().configuration().version,
+            followed_epoch: node.machine().placement().epoch.0,
+            seeds: Arc::new(ArcSwap::from_pointee(settings.seeds.clone())),
+            settings,
+            client,
+            swept: 0,
+            node,
+        }
+    }
+
+    pub fn client(&self) -> Client {
+        self.client.clone()
+    }
+
+    pub fn seeds(&self) -> Arc<ArcSwap<Vec<SocketAddr>>> {
+        Arc::clone(&self.seeds)
+    }
+
+    /// Connects to these core machines, and to those of the view.
+    pub fn know(&mut self, addresses: &[SocketAddr]) {
+        for address in addresses {
+            self.peers.know(*address);
+        }
+        if let Some(view) = self.node.view().cloned() {
+            self.know_view(&view);
+        }
+    }
+
+    /// Works through events until the disk fails.
+    ///
+    /// # Errors
+    /// The disk failed: nothing more can be promised.
+    pub async fn run(
+        &mut self,
+        queue: &mut UnboundedReceiver<Event>,
+        reports: &mut UnboundedReceiver<Report>,
+    ) -> Result<(), RoleError> {
+        self.reader.read_once(self.clock.millis());
+        loop {
+            let deadline = self.next_deadline();
+            tokio::select! {
+                biased;
+                event = queue.recv() => {
+                    let Some(event) = event else { return Ok(()) };
+                    self.take(event);
+                }
+                report = reports.recv() => {
+                    let Some(report) = report else { return Ok(()) };
+                    self.take_report(report)?;
+                }
+                () = sleep_until(deadline) => {}
+            }
+            while let Ok(event) = queue.try_recv() {
+                self.take(event);
+            }
+            if tokio::time::Instant::now() >= deadline {
+                self.tick();
+            }
+            self.guard(GateInput::Tick);
+            self.carry_out();
+        }
+    }
+
+    /// Ends all connections: what was said on them is not known any more.
+    pub fn disconnect(&mut self) {
+        for outbox in self.inbound.values() {
+            outbox.close();
+        }
+    }
+
+    fn next_deadline(&self) -> tokio::time::Instant {
+        let now = self.clock.millis();
+        let node = self.clock.at_micros(self.node.next_deadline());
+        let manager = self.manager.next_deadline(now).map(|due| self.clock.at_millis(due));
+        let reader = self.reader.next_deadline().map(|due| self.clock.at_millis(due));
+        let gate = self.gate.next_deadline().map(|due| self.clock.at_millis(due));
+        [Some(node), manager, reader, gate].into_iter().flatten().min().unwrap_or(node)
+    }
+
+    fn tick(&mut self) {
+        self.node.handle(self.clock.micros(), Input::Tick);
+        self.manage(PlacementInput::Tick);
+        let now = self.clock.millis();
+        self.reader.tick(now);
+        if now.saturating_sub(self.swept) >= SWEEP.as_millis() as u64 {
+            self.swept = now;
+            for request_id in self.orders.take_abandoned() {
+                self.node.handle(self.clock.micros(), Input::Abandon { request_id });
+            }
+        }
+    }
+
+    fn take_report(&mut self, report: Report) -> Result<(), RoleError> {
+        match report {
+            Report::Persisted { token } => {
+                self.node.handle(self.clock.micros(), Input::Persisted { token });
+                Ok(())
+            }
+            Report::Failed { error } => Err(error.into()),
+        }
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Inbound { connection, outbox, event } => self.on_inbound(connection, &outbox, event),
+            Event::PeerOpened { address } => {
+                let list = self.workers.clone();
+                self.peers.send(address, &ToCorePort::Workers { list });
+                let count = self.registrants.dispatchers();
+                self.peers.send(address, &ToCorePort::Dispatchers { count });
+            }
+            Event::SeedFound { address } => self.peers.know(address),
+            Event::Operator { order, reply } => self.on_order(order, reply),
+            Event::Reader(event) => {
+                let now = self.clock.millis();
+                if let Some(list) = self.reader.take(now, event) {
+                    self.adopt_own_list(list);
+                }
+            }
+            Event::Reload { file } => self.reload(&file),
+            Event::Leaving => {
+                self.guard(GateInput::Leaving);
+                self.node.handle(self.clock.micros(), Input::Leave);
+            }
+        }
+    }
+
+    fn on_order(&mut self, order: Order, reply: oneshot::Sender<Outcome>) {
+        let open = self.gate.takes_orders(self.clock.millis());
+        let step = self.orders.take(order, reply, open);
+        let now = self.clock.micros();
+        match step {
+            Step::Done => {}
+            Step::Submit { request_id, command } => {
+                self.node.handle(now, Input::Submit { request_id, command });
+            }
+            Step::Read { request_id } => self.node.handle(now, Input::Read { request_id }),
+        }
+    }
+
+    fn reload(&mut self, file: &std::path::Path) {
+        match Settings::load(file) {
+            Ok(settings) => {
+                self.seeds.store(Arc::new(settings.seeds.clone()));
+                self.reader.configure(&settings);
+                self.settings = settings;
+                log::info!("{} reads its settings again", self.settings.node_name);
+            }
+            Err(error) => log::warn!("the settings stay as they were: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/system/node/src/core/host/serving.rs
@@ -0,0 +1,142 @@
+//! What registrants are told, as the gate decides.
+
+use super::{Confirming, CoreHost, GateInput};
+use crate::core::messages::ToCorePort;
+use crate::core::CONTROLLER;
+use millrudder_chain::{Input, RequestId, Role};
+use millrudder_contact::{ConnectionId, ListNumber, Output, Part, RoundNumber, StateNumbers};
+use millrudder_control_state::ControlState;
+use millrudder_protocol::control::{FromCore, WorkerList};
+use millrudder_protocol::Address;
+
+/// The versions of a machine's state.
+pub(super) fn numbers(state: &ControlState, list: &WorkerList) -> StateNumbers {
+    StateNumbers {
+        configuration_version: state.configuration().version,
+        placement_epoch: state.placement().epoch.0,
+        workers: ListNumber { fencing: list.fencing, number: list.number },
+    }
+}
+
+impl CoreHost {
+    /// Gives the gate an input and does what it asks for.
+    pub(super) fn guard(&mut self, input: GateInput) {
+        let mut output = Vec::new();
+        let (now, had_majority) = (self.clock.millis(), self.had_majority);
+        self.gate.handle(now, self.has_contact(), input, &mut output);
+        self.had_majority = self.gate.has_majority(now);
+        if self.had_majority != had_majority {
+            let has = if self.had_majority { "is confirmed by" } else { "is not confirmed any more by" };
+            log::info!("the state here {has} a majority of the core");
+        }
+        for output in output {
+            self.follow(output);
+        }
+    }
+
+    /// Whether this machine hears a majority of the core, and is heard by it.
+    fn has_contact(&self) -> bool {
+        self.node.view().is_some()
+    }
+
+    fn follow(&mut self, output: Output) {
+        match output {
+            Output::StartRead { round } => self.start_confirming(round),
+            Output::AbandonRead { round } => self.stop_confirming(round),
+            Output::Tell { connection, part } => self.tell_part(connection, part),
+            Output::Vouch { connection, age_ms } => self.vouch(connection, age_ms),
+            Output::NoMajority { connection } => self.registrants.tell(connection, &FromCore::NoMajority),
+            Output::TryAnother { connection } => self.registrants.tell(connection, &FromCore::TryAnother),
+        }
+    }
+
+    fn start_confirming(&mut self, round: RoundNumber) {
+        let request_id = self.orders.own_request();
+        self.confirming = Some(Confirming { request_id, round });
+        self.node.handle(self.clock.micros(), Input::Read { request_id });
+    }
+
+    fn stop_confirming(&mut self, round: RoundNumber) {
+        if let Some(confirming) = self.confirming.take_if(|confirming| confirming.round == round) {
+            let request_id = confirming.request_id;
+            self.node.handle(self.clock.micros(), Input::Abandon { request_id });
+        }
+    }
+
+    /// A read has ended: one that confirms this machine's state, or an operator's.
+    pub(super) fn on_read_ready(&mut self, request_id: RequestId) {
+        match self.confirming.take_if(|confirming| confirming.request_id == request_id) {
+            Some(confirming) => self.guard(GateInput::ReadReady { round: confirming.round }),
+            None => self.orders.read_ready(request_id, self.node.machine()),
+        }
+    }
+
+    fn tell_part(&self, connection: ConnectionId, part: Part) {
+        let state = self.node.machine();
+        let message = match part {
+            Part::Configuration => FromCore::Configuration { configuration: state.configuration().clone() },
+            Part::Placement => FromCore::Placement { placement: state.placement().clone() },
+            Part::Workers => FromCore::Workers { list: self.workers.clone() },
+        };
+        self.registrants.tell(connection, &message);
+    }
+
+    fn vouch(&mut self, connection: ConnectionId, age_ms: u64) {
+        let state = self.node.machine();
+        let message = FromCore::Heartbeat {
+            configuration_version: state.configuration().version,
+            placement_epoch: state.placement().epoch.0,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        };
+        self.registrants.tell(connection, &message);
+        self.registrants.tell_count(connection, self.told_dispatchers);
+    }
+
+    /// Reports this machine's present state to the gate, which has it told to whom it may concern.
+    pub(super) fn tell_news(&mut self) {
+        let numbers = numbers(self.node.machine(), &self.workers);
+        self.guard(GateInput::State(numbers));
+    }
+
+    /// Counts the dispatchers anew, and tells everybody when there are more or fewer.
+    pub(super) fn count_dispatchers(&mut self) {
+        let own = self.registrants.dispatchers();
+        let count = own + self.others_dispatchers.values().sum::<u32>();
+        if count == self.told_dispatchers {
+            return;
+        }
+        self.told_dispatchers = count;
+        self.peers.send_all(&ToCorePort::Dispatchers { count: own });
+        for connection in self.gate.admitted() {
+            self.registrants.tell_count(connection, count);
+        }
+    }
+
+    pub(super) fn core_addresses(&self) -> FromCore {
+        let addresses = self.peers.addresses().into_iter().map(Address).collect();
+        FromCore::Core { addresses }
+    }
+
+    /// Takes a list that this machine has read, if it still holds the lease under which it was read.
+    pub(super) fn adopt_own_list(&mut self, list: WorkerList) {
+        let role = Role(CONTROLLER.to_owned());
+        let held = self.node.holds(self.clock.micros(), &role).map(|fencing| fencing.0);
+        if list.is_without_lease() || held == Some(list.fencing) {
+            self.adopt_workers(list, true);
+        }
+    }
+
+    /// Takes over a newer list; one that this machine read itself goes to the other core machines too.
+    pub(super) fn adopt_workers(&mut self, list: WorkerList, own: bool) {
+        if !list.is_newer_than(&self.workers) {
+            return;
+        }
+        if own {
+            self.peers.send_all(&ToCorePort::Workers { list: list.clone() });
+        } else {
+            self.reader.has_list();
+        }
+        self.workers = list;
+        self.tell_news();
+    }
+}
--- a/system/node/src/core/operator.rs
+++ b/system/node/src/core/operator.rs
@@ -13,8 +13,8 @@
 use tokio::time::timeout;
 
 const IF_VERSION: HeaderName = HeaderName::from_static("x-if-version");
-/// Callers move on after a second of silence; what is not known by then has no clear answer.
-const PATIENCE: Duration = Duration::from_millis(2500);
+/// Callers move on after a second of silence; what is not known in time has no clear answer, and is told so.
+const PATIENCE: Duration = Duration::from_millis(850);
 
 /// What the operator asks the owner of the state.
 #[derive(Debug)]
@@ -38,6 +38,8 @@
     },
     /// No configuration was ever accepted.
     Nothing,
+    /// This machine is cut off from the core, or ends; the order was not taken.
+    NotServed,
 }
 
 /// Answers requests to the operator's address.
@@ -84,15 +86,22 @@
         }
         Some(Outcome::Invalid { reason }) => refuse(StatusCode::BAD_REQUEST, &reason),
         Some(Outcome::Configuration { json }) => Response::json(StatusCode::OK, json),
+        Some(Outcome::NotServed) => come_again(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "this machine cannot ask the core; another one may; nothing was done here",
+        ),
         Some(Outcome::Nothing) => refuse(StatusCode::NOT_FOUND, "there is no configuration yet"),
-        None => {
-            let again = HeaderValue::from_static("1");
-            refuse(StatusCode::GATEWAY_TIMEOUT, "the core did not agree in time")
-                .with_header(RETRY_AFTER, again)
-        }
+        None => come_again(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the core did not agree in time; the order may still come into force",
+        ),
     }
 }
 
+fn come_again(status: StatusCode, reason: &str) -> Response {
+    refuse(status, reason).with_header(RETRY_AFTER, HeaderValue::from_static("1"))
+}
+
 fn refuse(status: StatusCode, reason: &str) -> Response {
     let text = serde_json::json!({ "error": reason }).to_string();
     Response::json(status, text)
--- a/system/node/src/core/orders.rs
+++ b/system/node/src/core/orders.rs
@@ -37,28 +37,23 @@
         Orders { random: fastrand::Rng::with_seed(seed), waiting: BTreeMap::new() }
     }
 
-    /// Takes an order; what is invalid, or known to be accepted already, is answered at once.
-    pub fn take(&mut self, order: Order, reply: oneshot::Sender<Outcome>, state: &ControlState) -> Step {
+    /// Takes an order. What cannot be read is refused at once; every other answer rests on the state, so that it comes
+    /// from the chain, and a machine that is not `open` gives none.
+    pub fn take(&mut self, order: Order, reply: oneshot::Sender<Outcome>, open: bool) -> Step {
+        if !open {
+            answer(reply, Outcome::NotServed);
+            return Step::Done;
+        }
         match order {
             Order::Get => {
                 let request_id = self.wait(reply);
                 Step::Read { request_id }
             }
-            Order::Put { expected_version, body } => self.put(expected_version, &body, reply, state),
+            Order::Put { expected_version, body } => self.put(expected_version, &body, reply),
         }
     }
 
-    fn put(
-        &mut self,
-        expected_version: u64,
-        body: &Bytes,
-        reply: oneshot::Sender<Outcome>,
-        state: &ControlState,
-    ) -> Step {
-        if state.has_accepted(body) {
-            answer(reply, Outcome::Accepted);
-            return Step::Done;
-        }
+    fn put(&mut self, expected_version: u64, body: &Bytes, reply: oneshot::Sender<Outcome>) -> Step {
         let version = match Configuration::from_json(body) {
             Ok(configuration) => configuration.version().0,
             Err(error) => {
--- a/system/node/src/core/reader.rs
+++ b/system/node/src/core/reader.rs
@@ -23,9 +23,6 @@
 /// Between reading as often as the list changes and as seldom as drains allow: calls cost little.
 const ECONOMY: f64 = 0.5;
 
-/// Below every fencing number.
-const WITHOUT_LEASE: u64 = 0;
-
 /// A call has ended.
 pub enum ReaderEvent {
     Answered { call: CallId, page: Page },
@@ -65,14 +62,14 @@
     /// when earlier ones have run out. Every list of a lease holder replaces this one.
     pub fn read_once(&mut self, now_ms: u64) {
         if self.list.is_none() {
-            self.list = Some(self.leading(now_ms, WITHOUT_LEASE));
+            self.list = Some(self.leading(now_ms, WorkerList::WITHOUT_LEASE));
             self.tick(now_ms);
         }
     }
 
     /// There is a list of a lease holder.
     pub fn has_list(&mut self) {
-        self.list.take_if(|leading| leading.told.fencing == WITHOUT_LEASE);
+        self.list.take_if(|leading| leading.told.is_without_lease());
     }
 
     fn leading(&self, now_ms: u64, fencing: u64) -> Leading {
@@ -120,7 +117,7 @@
         leading.told.number += 1;
         leading.seen = round.list;
         let told = leading.told.clone();
-        if told.fencing == WITHOUT_LEASE {
+        if told.is_without_lease() {
             self.list = None;
         }
         Some(told)
--- a/system/node/src/core/registrants.rs
+++ b/system/node/src/core/registrants.rs
@@ -1,17 +1,16 @@
 //! Dispatchers and stores that are connected to this core machine, and what each has been told.
 
+use millrudder_contact::ConnectionId;
 use millrudder_protocol::control::{FromCore, Registrant};
 use millrudder_protocol::StoreId;
 use millrudder_transport::Outbox;
 use std::collections::BTreeMap;
 
-/// One connection to this machine; never used again.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub struct ConnectionId(pub u64);
-
 struct Connected {
     outbox: Outbox,
     registrant: Registrant,
+    /// How many dispatchers there are, as it was told last.
+    told_count: Option<u32>,
 }
 
 /// All connections that have registered.
@@ -22,7 +21,7 @@
 
 impl Registrants {
     pub fn add(&mut self, connection: ConnectionId, outbox: Outbox, registrant: Registrant) {
-        self.connected.insert(connection, Connected { outbox, registrant });
+        self.connected.insert(connection, Connected { outbox, registrant, told_count: None });
     }
 
     pub fn remove(&mut self, connection: ConnectionId) {
@@ -42,12 +41,13 @@
         }
     }
 
-    /// Only dispatchers need workers.
-    pub fn tell_dispatchers(&self, message: &FromCore) {
-        for (connection, connected) in &self.connected {
-            if matches!(connected.registrant, Registrant::Dispatcher { .. }) {
-                self.tell(*connection, message);
-            }
+    /// Tells a dispatcher how many dispatchers there are, where that is news.
+    pub fn tell_count(&mut self, connection: ConnectionId, count: u32) {
+        let Some(connected) = self.connected.get_mut(&connection) else { return };
+        let is_news = connected.told_count != Some(count);
+        if is_news && matches!(connected.registrant, Registrant::Dispatcher { .. }) {
+            connected.told_count = Some(count);
+            let _ = connected.outbox.send(&FromCore::Dispatchers { count });
         }
     }
 
--- a/system/node/src/edge/host.rs
+++ b/system/node/src/edge/host.rs
@@ -1,13 +1,14 @@
 //! Owner of a dispatcher's state: one queue of events, one at a time.
 
 use crate::clock::{self, SteadyClock};
-use crate::control_link::{ControlLink, Held};
+use crate::control_link::{report_freshness, ControlLink, Held};
 use crate::edge::bodies::Bodies;
 use crate::edge::calls::Calls;
 use crate::edge::front::Submitted;
 use crate::edge::routes::InForce;
 use crate::edge::store_links::StoreLinks;
 use arc_swap::{ArcSwap, ArcSwapOption};
+use millrudder_contact::Freshness;
 use millrudder_delivery as delivery;
 use millrudder_delivery::{AttemptId, AttemptResult, CallBackResult, Delivery};
 use millrudder_intake as intake;
@@ -76,6 +77,8 @@
     calls: Calls,
     bodies: Bodies,
     held: Held,
+    /// Since when what is held may be outdated.
+    freshness: Freshness,
     placement: Placement,
     in_force: Arc<ArcSwapOption<InForce>>,
     limits: Arc<ArcSwap<RequestLimits>>,
@@ -112,6 +115,7 @@
             calls: Calls::new(Client::new(ClientLimits::default()), events),
             bodies: Bodies::default(),
             held: Held::default(),
+            freshness: Freshness::default(),
             placement: Placement::default(),
             in_force,
             limits,
@@ -163,10 +167,13 @@
             self.ping_at = now + PING_MS;
             self.stores.send_all(&FromDispatcher::Ping);
         }
+        report_freshness(self.freshness.poll(now));
     }
 
+    /// A dispatcher whose state has grown old goes on with it; one that has none a majority confirmed does not begin.
     fn show(&self) {
-        let can_take = self.in_force.load().is_some() && self.stores.any_open();
+        let has_state = self.in_force.load().is_some() && self.freshness.was_confirmed();
+        let can_take = has_state && self.stores.any_open();
         self.shown.ready.set(can_take && !self.leaving);
         self.shown.idle.set(self.delivery.idle() && self.submissions.is_empty());
     }
@@ -328,6 +335,13 @@
             FromCore::Dispatchers { count } => {
                 self.give_delivery(delivery::Input::Dispatchers { count });
             }
+            FromCore::Heartbeat { configuration_version, placement_epoch, age_ms } => {
+                let confirmed = Held { configuration_version, placement_epoch };
+                if self.held.covers(confirmed) {
+                    let now = self.clock.millis();
+                    report_freshness(self.freshness.confirmed(now, u64::from(age_ms)));
+                }
+            }
             FromCore::Core { addresses } => {
                 self.control.know(addresses.into_iter().map(|address| address.0));
             }
--- a/system/node/src/storage/host.rs
+++ b/system/node/src/storage/host.rs
@@ -1,12 +1,13 @@
 //! Owner of a store's state: one queue of events, one at a time.
 
 use crate::clock::SteadyClock;
-use crate::control_link::{ControlLink, Held};
+use crate::control_link::{report_freshness, ControlLink, Held};
 use crate::error::RoleError;
 use crate::storage::disk::{Disk, Opened, Report};
 use crate::storage::filled::Filled;
 use crate::storage::links::StoreLinks;
 use millrudder_configuration::Configuration;
+use millrudder_contact::Freshness;
 use millrudder_protocol::control::{FromCore, Registrant, ToCore};
 use millrudder_protocol::store::{
     BetweenStores, FromDispatcher, NotAccepted, ServiceRate, ToDispatcher, ToStore,
@@ -70,6 +71,8 @@
     outboxes: BTreeMap<ConnectionId, Outbox>,
     control: ControlLink,
     held: Held,
+    /// Since when what is held may be outdated.
+    freshness: Freshness,
     me: StoreId,
     filled: Filled,
     heartbeat_at: u64,
@@ -115,6 +118,7 @@
             outboxes: BTreeMap::new(),
             control: ControlLink::start(usize::MAX, registrant, settings.seeds.clone(), seed, deliver),
             held: Held::default(),
+            freshness: Freshness::default(),
             me,
             filled: Filled::default(),
             heartbeat_at: 0,
@@ -175,6 +179,7 @@
             if let Some(shards) = self.filled.due(now) {
                 self.control.tell_all(&ToCore::CaughtUp { shards });
             }
+            report_freshness(self.freshness.poll(now));
         }
     }
 
@@ -296,6 +301,13 @@
                 self.control.hold(self.held);
                 self.configure(&configuration.json);
             }
+            FromCore::Heartbeat { configuration_version, placement_epoch, age_ms } => {
+                let confirmed = Held { configuration_version, placement_epoch };
+                if self.held.covers(confirmed) {
+                    let now = self.clock.millis();
+                    report_freshness(self.freshness.confirmed(now, u64::from(age_ms)));
+                }
+            }
             FromCore::Core { addresses } => {
                 self.control.know(addresses.into_iter().map(|address| address.0));
             }
--- a/system/protocol/src/control.rs
+++ b/system/protocol/src/control.rs
@@ -75,6 +75,14 @@
 }
 
 impl WorkerList {
+    /// Below every fencing number of a lease.
+    pub const WITHOUT_LEASE: u64 = 0;
+
+    /// Read by a machine that held no lease, while nobody had a list.
+    pub fn is_without_lease(&self) -> bool {
+        self.fencing == WorkerList::WITHOUT_LEASE
+    }
+
     /// Later than `other`.
     pub fn is_newer_than(&self, other: &WorkerList) -> bool {
         (self.fencing, self.number) > (other.fencing, other.number)
@@ -101,10 +109,12 @@
     Workers {
         list: WorkerList,
     },
-    /// Answers a heartbeat; what this core machine has, so that the other end can tell whether it missed something.
+    /// A majority of the core had nothing newer than this `age_ms` milliseconds ago; everything that was newer than
+    /// what the other end has was told before.
     Heartbeat {
         configuration_version: u64,
         placement_epoch: u64,
+        age_ms: u32,
     },
     /// Where the core machines listen for the system's processes.
     Core {
@@ -114,6 +124,8 @@
     Dispatchers {
         count: u32,
     },
-    /// This core machine stops, or is cut off from the rest of the core: register elsewhere.
+    /// This core machine stops: register elsewhere.
     TryAnother,
+    /// This core machine hears no majority of the core, and tells nothing before it does; another one may.
+    NoMajority,
 }
