Define the types for names in one place

Eight types for names of the settings, the configuration and the platform's list, and two of the membership package, wrote the same derives and methods out. The first eight come from one macro in a package of its own; membership, which is to be embedded without the rest, has a macro of its own for its two.

--- a/coordination/membership/src/identity.rs
+++ b/coordination/membership/src/identity.rs
@@ -32,68 +32,48 @@
     Ok(())
 }
 
-/// Name of a member, unique in its group and kept over restarts of the member's process.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
-pub struct MemberName(#[speedy(length_type = u8)] String);
-
-impl MemberName {
-    /// Checks and wraps a name.
-    ///
-    /// # Errors
-    /// [`NameError`] when the name is empty or longer than [`MAX_NAME_BYTES`].
-    pub fn new(name: impl Into<String>) -> Result<Self, NameError> {
-        let name = name.into();
-        check_name(&name)?;
-        Ok(Self(name))
-    }
-
-    /// The name as text.
-    #[must_use]
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-
-    pub(crate) fn check(&self) -> Result<(), NameError> {
-        check_name(&self.0)
-    }
+macro_rules! bounded_names {
+    ($($(#[$attribute:meta])* pub struct $name:ident;)+) => {$(
+        $(#[$attribute])*
+        #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
+        pub struct $name(#[speedy(length_type = u8)] String);
+
+        impl $name {
+            /// Checks and wraps a name.
+            ///
+            /// # Errors
+            /// [`NameError`] when the name is empty or longer than [`MAX_NAME_BYTES`].
+            pub fn new(name: impl Into<String>) -> Result<Self, NameError> {
+                let name = name.into();
+                check_name(&name)?;
+                Ok(Self(name))
+            }
+
+            /// The name as text.
+            #[must_use]
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+
+            pub(crate) fn check(&self) -> Result<(), NameError> {
+                check_name(&self.0)
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+                formatter.write_str(&self.0)
+            }
+        }
+    )+};
 }
 
-impl fmt::Display for MemberName {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
-    }
-}
+bounded_names! {
+    /// Name of a member, unique in its group and kept over restarts of the member's process.
+    pub struct MemberName;
 
-/// Name of the zone that a member runs in.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Readable, Writable)]
-pub struct Zone(#[speedy(length_type = u8)] String);
-
-impl Zone {
-    /// Checks and wraps a zone's name.
-    ///
-    /// # Errors
-    /// [`NameError`] when the name is empty or longer than [`MAX_NAME_BYTES`].
-    pub fn new(name: impl Into<String>) -> Result<Self, NameError> {
-        let name = name.into();
-        check_name(&name)?;
-        Ok(Self(name))
-    }
-
-    /// The zone's name as text.
-    #[must_use]
-    pub fn as_str(&self) -> &str {
-        &self.0
-    }
-
-    pub(crate) fn check(&self) -> Result<(), NameError> {
-        check_name(&self.0)
-    }
-}
-
-impl fmt::Display for Zone {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(&self.0)
-    }
+    /// Name of the zone that a member runs in.
+    pub struct Zone;
 }
 
 /// Tells one process of a member from its earlier and later ones.
--- a/system/platform/src/instance.rs
+++ b/system/platform/src/instance.rs
@@ -1,7 +1,6 @@
 //! One worker as the platform lists it.
 
 use crate::address::WorkerAddress;
-use derive_more::{AsRef, Deref, Display, From};
 use millrudder_configuration::ServiceName;
 use millrudder_settings::Zone;
 use serde::{Deserialize, Deserializer};
@@ -14,50 +13,13 @@
 /// `state` of a worker that takes requests.
 const READY: &str = "ready";
 
-/// Identity of a worker; each of its starts has a new one.
-#[derive(
-    Clone,
-    Debug,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    AsRef,
-    Deref,
-    Deserialize,
-    Display,
-    From,
-    Readable,
-    Writable,
-)]
-#[as_ref(str)]
-#[deref(forward)]
-#[from(&str, String)]
-pub struct InstanceId(Box<str>);
+millrudder_names::text_types! {
+    /// Identity of a worker; each of its starts has a new one.
+    pub struct InstanceId;
 
-/// Version of a worker's software.
-#[derive(
-    Clone,
-    Debug,
-    Default,
-    PartialEq,
-    Eq,
-    PartialOrd,
-    Ord,
-    Hash,
-    AsRef,
-    Deref,
-    Deserialize,
-    Display,
-    From,
-    Readable,
-    Writable,
-)]
-#[as_ref(str)]
-#[deref(forward)]
-#[from(&str, String)]
-pub struct SoftwareVersion(Box<str>);
+    /// Version of a worker's software.
+    pub struct SoftwareVersion;
+}
 
 /// Whether a worker takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Readable, Writable)]
--- a/system/platform/src/page.rs
+++ b/system/platform/src/page.rs
@@ -1,16 +1,13 @@
 //! One page of the list.
 
 use crate::instance::Instance;
-use derive_more::{AsRef, Deref, Display, From};
 use serde::Deserialize;
 use thiserror::Error;
 
-/// Names the page that follows; made by the platform.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, AsRef, Deref, Deserialize, Display, From)]
-#[as_ref(str)]
-#[deref(forward)]
-#[from(&str, String)]
-pub struct PageToken(Box<str>);
+millrudder_names::text_types! {
+    /// Names the page that follows; made by the platform.
+    pub struct PageToken;
+}
 
 /// The answer to one call.
 #[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
