Prove contact with a majority by round trips

A core machine that is cut off could not tell: nothing in the node says when a majority was last heard.

Heartbeats carry the sender's time (stamp, with a random number of its process) and name the newest stamp from each peer, so that a heartbeat that comes back proves that its sender was there after a known own time. A majority of voters that had accepted no later view proves that no later view was decided before; the tail's commit point proves that the state is not older. CoreNode::has_majority_contact(now), contact_age, state_age, Output::ContactGained and ContactLost, a deadline of its own. Contact expires after the silence that makes a peer suspect, so before a cut member is replaced; the proof by the tail bridges 1.5 s, so that the replacement of a tail ends nobody's contact.

Messages tests: the heartbeat has more fields, nothing else changed.

--- a/coordination/chain/src/config.rs
+++ b/coordination/chain/src/config.rs
@@ -23,6 +23,11 @@
     pub lease: LeaseConfig,
     /// Roles for which this node campaigns.
     pub roles: Vec<Role>,
+    /// Contact with a majority that is proven no later than this long ago counts. Not longer than the silence after
+    /// which a peer is suspected, so that a node that is cut off knows that before others replace it.
+    pub contact_within: Duration,
+    /// The same for the proof that the state is not older. It bridges the replacement of the tail.
+    pub state_within: Duration,
     /// Pause before an unanswered message is sent again.
     pub retry_after: Duration,
     /// A checkpoint is asked for after records of this many bytes.
@@ -46,6 +51,8 @@
             detector: DetectorConfig::default(),
             lease: LeaseConfig::default(),
             roles: Vec::new(),
+            contact_within: DetectorConfig::default().suspect_after,
+            state_within: Duration::from_millis(1500),
             retry_after: Duration::from_millis(200),
             checkpoint_bytes: 1 << 20,
             kept_entries: 1024,
@@ -65,6 +72,10 @@
             let (minimum, maximum) = (self.minimum_members, self.maximum_members);
             return Err(ConfigError::SizesOfView { minimum, maximum });
         }
+        if self.contact_within > self.detector.suspect_after {
+            let (contact, suspect) = (self.contact_within, self.detector.suspect_after);
+            return Err(ConfigError::ContactTooLong { contact, suspect });
+        }
         let founders = self.founders.len();
         if founders > 0 && founders < self.minimum_members {
             return Err(ConfigError::TooFewFounders { founders, minimum: self.minimum_members });
@@ -85,6 +96,9 @@
     /// The founding view would be smaller than allowed.
     #[error("{founders} founders are fewer than the {minimum} members of the smallest view")]
     TooFewFounders { founders: usize, minimum: usize },
+    /// A node that is cut off would take itself for connected while it is being replaced.
+    #[error("contact would count for {contact:?}, longer than the silence of {suspect:?} after which a peer is suspected")]
+    ContactTooLong { contact: Duration, suspect: Duration },
     /// The times of the failure detector do not fit together.
     #[error(transparent)]
     Detector(#[from] DetectorConfigError),
--- a/coordination/chain/src/lib.rs
+++ b/coordination/chain/src/lib.rs
@@ -69,6 +69,7 @@
 #![forbid(unsafe_code)]
 
 mod config;
+mod contact;
 mod durable;
 mod entry;
 mod link;
@@ -82,6 +83,7 @@
 mod store;
 
 pub use config::{ConfigError, CoreConfig};
+pub use contact::{Heard, Stamp};
 pub use durable::{DurableState, Record, Snapshot};
 pub use entry::{Entry, Position, RequestId, Sequence};
 pub use log::Log;
--- a/coordination/chain/src/message.rs
+++ b/coordination/chain/src/message.rs
@@ -1,11 +1,11 @@
 //! Messages between core nodes.
 
 use millrudder_lease::{LeaseAnswer, LeaseRequest};
-use millrudder_view::{Epoch, NodeId, ViewMessage};
+use millrudder_view::{Epoch, ViewMessage};
 use speedy::{Readable, Writable};
 use thiserror::Error;
 
-use crate::{Entry, Position, RequestId, Sequence, Snapshot};
+use crate::{Entry, Heard, Position, RequestId, Sequence, Snapshot, Stamp};
 
 /// Sent to every peer at a fixed pace. Its fields repeat what a lost message may have said.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -14,14 +14,18 @@
     pub epoch: Epoch,
     /// Address of the sender.
     pub address: String,
-    /// Peers that the sender hears.
-    pub heard: Vec<NodeId>,
+    /// The moment at which this was made.
+    pub stamp: Stamp,
+    /// Peers that the sender hears, each with its newest stamp.
+    pub heard: Vec<Heard>,
     /// End of the sender's durable log.
     pub end: Position,
     /// The last command that the sender knows to be committed.
     pub committed: Sequence,
     /// Whether the sender has caught up with its predecessor in this view.
     pub synced: bool,
+    /// Whether the sender votes in its view and has accepted no later one.
+    pub vouches: bool,
     /// Whether the sender is about to end.
     pub leaving: bool,
 }
--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The whole core node as one state machine.
 
 mod campaign;
+mod contact;
 mod messages;
 mod outbox;
 mod peers;
@@ -16,6 +17,7 @@
 use self::outbox::{Effect, Outbox};
 use self::peers::PeerStatus;
 use self::requests::{PendingRead, PendingSubmit};
+use crate::contact::MajorityContact;
 use crate::reads::Confirmations;
 use crate::replica::{Replica, ReplicaLimits, ReplicaOutput};
 use crate::store::{KeptLog, Store};
@@ -72,6 +74,10 @@
     LeaseGranted { role: Role, fencing: Fencing },
     /// This node must not exercise a role any more.
     LeaseLost { role: Role, fencing: Fencing },
+    /// [`CoreNode::has_majority_contact`] has become true.
+    ContactGained,
+    /// [`CoreNode::has_majority_contact`] has become false.
+    ContactLost,
 }
 
 /// Why a node cannot start.
@@ -99,6 +105,9 @@
     voter: Voter,
     holders: Vec<Holder>,
     confirmations: Confirmations,
+    contact: MajorityContact,
+    /// When the contact that was reported expires unless it is renewed.
+    contact_until: Option<u64>,
     submits: BTreeMap<RequestId, PendingSubmit>,
     reads: BTreeMap<RequestId, PendingRead>,
     peers: BTreeMap<NodeId, PeerStatus>,
@@ -156,6 +165,8 @@
             voter: Voter::new(&config.lease, state.lease, now),
             holders: holders.collect(),
             confirmations: Confirmations::new(random.u64(..)),
+            contact: MajorityContact::new(random.u64(1..)),
+            contact_until: None,
             submits: BTreeMap::new(),
             reads: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -212,7 +223,7 @@
     /// When [`Input::Tick`] is due.
     pub fn next_deadline(&self) -> u64 {
         let holders = self.holders.iter().filter_map(Holder::next_deadline);
-        let others = holders.chain(self.proposal_due).min();
+        let others = holders.chain(self.proposal_due).chain(self.contact_until).min();
         others.map_or(self.next_heartbeat, |due| due.min(self.next_heartbeat))
     }
 
@@ -224,6 +235,7 @@
     /// Handles one input; take the outputs with [`next_output`](CoreNode::next_output).
     pub fn handle(&mut self, now: u64, input: Input<M::Command>) {
         self.detector.poll(now);
+        self.check_contact(now);
         match input {
             Input::Message { from, message } => self.on_message(now, from, message),
             Input::Tick => self.on_tick(now),
@@ -235,6 +247,7 @@
             Input::PeerSeen { id, address } => self.on_peer_seen(now, id, address),
         }
         self.settle(now);
+        self.renew_contact(now);
     }
 
     fn on_tick(&mut self, now: u64) {
--- a/coordination/chain/src/node/peers.rs
+++ b/coordination/chain/src/node/peers.rs
@@ -62,10 +62,12 @@
         let heartbeat = Heartbeat {
             epoch: self.agreement.epoch(),
             address: self.config.address.clone(),
-            heard: self.detector.heard(now),
+            stamp: self.contact.stamp(now),
+            heard: self.contact.echo(self.detector.heard(now)),
             end: self.replica.end(),
             committed: self.replica.committed(),
             synced: self.replica.is_synced(),
+            vouches: self.may_vouch(),
             leaving: self.leaving,
         };
         self.send(to, CoreMessage::Heartbeat(heartbeat));
@@ -77,14 +79,16 @@
     }
 
     pub(super) fn on_heartbeat(&mut self, now: u64, from: NodeId, heartbeat: Heartbeat) {
-        self.detector.heartbeat(now, from, heartbeat.heard.contains(&self.id));
+        let hears_us = heartbeat.heard.iter().any(|heard| heard.peer == self.id);
+        self.detector.heartbeat(now, from, hears_us);
+        self.note_contact(from, &heartbeat);
         if heartbeat.leaving {
             self.detector.leaving(from);
             self.consider_view(now);
         }
         self.on_peer_seen(now, from, heartbeat.address);
         if let Some(peer) = self.peers.get_mut(&from) {
-            peer.heard = heartbeat.heard;
+            peer.heard = heartbeat.heard.iter().map(|heard| heard.peer).collect();
         }
         let epoch = self.agreement.epoch();
         if heartbeat.epoch < epoch {
@@ -104,5 +108,7 @@
         let view = self.agreement.view();
         let in_view = |id: &NodeId| view.is_some_and(|view| view.contains(*id));
         self.peers.retain(|id, peer| in_view(id) || now.saturating_sub(peer.last_seen) < FORGET_AFTER_MICROS);
+        let peers = &self.peers;
+        self.contact.forget(|id| !peers.contains_key(&id));
     }
 }
--- a/coordination/chain/src/node/reconfigure.rs
+++ b/coordination/chain/src/node/reconfigure.rs
@@ -19,6 +19,7 @@
             return;
         };
         self.replica.activate(now, &view);
+        self.contact.view_changed(view.epoch);
         for id in view.ids().filter(|id| *id != self.id) {
             self.detector.watch(now, id);
         }
--- a/coordination/chain/tests/cores/simulation.rs
+++ b/coordination/chain/tests/cores/simulation.rs
@@ -20,6 +20,7 @@
     reads: usize,
     views: usize,
     leases: usize,
+    claims: usize,
     failed: usize,
 }
 
@@ -30,6 +31,7 @@
         self.reads += other.reads;
         self.views += other.views;
         self.leases += other.leases;
+        self.claims += other.claims;
         self.failed += other.failed;
     }
 }
@@ -56,6 +58,7 @@
         reads: world.checker.finished_reads,
         views: world.checker.views(),
         leases: world.checker.granted_leases,
+        claims: world.checker.claims,
         failed: usize::from(result.is_err()),
     }
 }
--- a/coordination/chain/tests/cores/simulator/checker.rs
+++ b/coordination/chain/tests/cores/simulator/checker.rs
@@ -7,16 +7,52 @@
 /// A broken promise.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Violation {
-    TwoViewsInOneEpoch { first: View, second: View },
-    CommittedTwoCommandsAtOnePlace { sequence: u64, first: u64, second: u64 },
-    AppliedTwice { value: u64, first: u64, second: u64 },
-    AnsweredDifferently { value: u64, first: u64, second: u64 },
-    StaleRead { wanted: u64, seen: u64 },
-    AcknowledgedWriteLost { value: u64 },
-    TwoHolders { first: usize, second: usize },
-    FencingNotHigher { before: Fencing, now: Fencing },
-    ViewTooSmall { view: View },
-    Stuck { what: &'static str },
+    TwoViewsInOneEpoch {
+        first: View,
+        second: View,
+    },
+    CommittedTwoCommandsAtOnePlace {
+        sequence: u64,
+        first: u64,
+        second: u64,
+    },
+    AppliedTwice {
+        value: u64,
+        first: u64,
+        second: u64,
+    },
+    AnsweredDifferently {
+        value: u64,
+        first: u64,
+        second: u64,
+    },
+    StaleRead {
+        wanted: u64,
+        seen: u64,
+    },
+    AcknowledgedWriteLost {
+        value: u64,
+    },
+    TwoHolders {
+        first: usize,
+        second: usize,
+    },
+    FencingNotHigher {
+        before: Fencing,
+        now: Fencing,
+    },
+    ViewTooSmall {
+        view: View,
+    },
+    /// A node with contact lacks a command that was acknowledged before its state can have been that old.
+    OlderThanClaimed {
+        machine: usize,
+        wanted: u64,
+        seen: u64,
+    },
+    Stuck {
+        what: &'static str,
+    },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -32,14 +68,27 @@
     committed: BTreeMap<u64, u64>,
     places: BTreeMap<u64, u64>,
     acknowledged: BTreeMap<u64, u64>,
+    /// The highest place acknowledged so far, by time.
+    acknowledged_at: BTreeMap<u64, u64>,
     reads: BTreeMap<RequestId, ReadOperation>,
     observed: u64,
     highest_fencing: Fencing,
     pub finished_reads: usize,
     pub granted_leases: usize,
+    pub claims: usize,
 }
 
 impl Checker {
+    /// A machine claims that its state, which ends at `seen`, holds all that was acknowledged before `as_of`.
+    pub fn claimed(&mut self, machine: usize, as_of: u64, seen: u64) -> Result<(), Violation> {
+        self.claims += 1;
+        let wanted = self.acknowledged_at.range(..as_of).next_back().map_or(0, |(_, highest)| *highest);
+        if seen < wanted {
+            return Err(Violation::OlderThanClaimed { machine, wanted, seen });
+        }
+        Ok(())
+    }
+
     pub fn view(&mut self, view: &View, minimum: usize) -> Result<(), Violation> {
         if view.members.len() < minimum {
             return Err(Violation::ViewTooSmall { view: view.clone() });
@@ -68,7 +117,9 @@
         Ok(())
     }
 
-    pub fn acknowledged(&mut self, value: u64, reply: u64) -> Result<(), Violation> {
+    pub fn acknowledged(&mut self, now: u64, value: u64, reply: u64) -> Result<(), Violation> {
+        let highest = self.acknowledged_at.last_key_value().map_or(0, |(_, highest)| *highest);
+        self.acknowledged_at.insert(now, reply.max(highest));
         let first = *self.acknowledged.entry(value).or_insert(reply);
         if first != reply {
             return Err(Violation::AnsweredDifferently { value, first, second: reply });
--- a/coordination/chain/tests/cores/simulator/outputs.rs
+++ b/coordination/chain/tests/cores/simulator/outputs.rs
@@ -37,7 +37,7 @@
                 if let Some(fault) = self.armed.take() {
                     self.schedule(self.now, EventKind::Fault(fault));
                 }
-                self.checker.acknowledged(value, reply)
+                self.checker.acknowledged(self.now, value, reply)
             }
             Output::ReadReady { request_id } => {
                 let seen = self.hosts[machine].node.as_ref().map_or(0, |node| node.machine().last_sequence());
@@ -48,7 +48,10 @@
                 self.checker.view(&view, self.plan.minimum_members)
             }
             Output::LeaseGranted { fencing, .. } => self.lease_granted(machine, fencing),
-            Output::LeaseLost { .. } | Output::Replaced { .. } => Ok(()),
+            Output::LeaseLost { .. }
+            | Output::Replaced { .. }
+            | Output::ContactGained
+            | Output::ContactLost => Ok(()),
         };
         if let Err(violation) = checked {
             self.violation.get_or_insert(violation);
--- a/coordination/chain/tests/cores/simulator/world.rs
+++ b/coordination/chain/tests/cores/simulator/world.rs
@@ -239,9 +239,28 @@
         for output in outputs {
             self.output(machine, output);
         }
+        self.check_claim(machine);
         self.arm(machine);
     }
 
+    /// What a machine says of the age of its state is true.
+    fn check_claim(&mut self, machine: usize) {
+        let host = &self.hosts[machine];
+        let Some(node) = &host.node else {
+            return;
+        };
+        let clock = host.clock(self.now);
+        let Some(age) = node.state_age(clock).filter(|_| node.has_majority_contact(clock)) else {
+            return;
+        };
+        // A clock that runs fast shows more than true time, so that the age is at least the true one.
+        let as_of = self.now.saturating_sub(age.as_micros() as u64);
+        let seen = node.machine().last_sequence();
+        if let Err(violation) = self.checker.claimed(machine, as_of, seen) {
+            self.violation.get_or_insert(violation);
+        }
+    }
+
     fn arm(&mut self, machine: usize) {
         let lateness = self.random.u64(TIMER_LATENESS_MICROS);
         let host = &mut self.hosts[machine];
--- a/coordination/chain/tests/messages.rs
+++ b/coordination/chain/tests/messages.rs
@@ -1,7 +1,8 @@
 //! Messages as bytes: what was written is read, and garbage is refused without harm.
 
 use millrudder_chain::{
-    AppendBatch, CoreMessage, Entry, Epoch, Heartbeat, MessageError, NodeId, Position, RequestId, Sequence,
+    AppendBatch, CoreMessage, Entry, Epoch, Heard, Heartbeat, MessageError, NodeId, Position, RequestId,
+    Sequence, Stamp,
 };
 use proptest::prelude::*;
 
@@ -25,10 +26,15 @@
         CoreMessage::Heartbeat(Heartbeat {
             epoch: end.epoch,
             address,
-            heard: heard.into_iter().map(NodeId).collect(),
+            stamp: Stamp { process: end.epoch.0, micros: end.sequence.0 },
+            heard: heard
+                .into_iter()
+                .map(|peer| Heard { peer: NodeId(peer), stamp: Stamp::default() })
+                .collect(),
             end,
             committed: end.sequence,
             synced: flag,
+            vouches: flag,
             leaving: !flag,
         })
     });
--- a/coordination/chain/tests/model.rs
+++ b/coordination/chain/tests/model.rs
@@ -6,8 +6,8 @@
 use std::hash::{DefaultHasher, Hasher};
 
 use millrudder_chain::{
-    CoreConfig, CoreMessage, CoreNode, DurableState, Epoch, Heartbeat, Input, Machine, Member, NodeId,
-    Output, PersistToken, Position, Record, RequestId, RestoreError, Sequence, View,
+    CoreConfig, CoreMessage, CoreNode, DurableState, Epoch, Heard, Heartbeat, Input, Machine, Member, NodeId,
+    Output, PersistToken, Position, Record, RequestId, RestoreError, Sequence, Stamp, View,
 };
 use millrudder_view::ViewRecord;
 use speedy::{Readable, Writable};
@@ -292,10 +292,12 @@
         let heartbeat = Heartbeat {
             epoch: self.nodes[&at].epoch(),
             address: address(from),
-            heard: NODES.to_vec(),
+            stamp: Stamp::default(),
+            heard: NODES.iter().map(|peer| Heard { peer: *peer, stamp: Stamp::default() }).collect(),
             end: Position::default(),
             committed: Sequence(0),
             synced: true,
+            vouches: true,
             leaving,
         };
         self.input(at, Input::Message { from, message: CoreMessage::Heartbeat(heartbeat) });
--- a/system/node/src/core/host.rs
+++ b/system/node/src/core/host.rs
@@ -394,6 +394,7 @@
                 Output::ViewChanged(view) => self.on_view(&view),
                 Output::LeaseGranted { role, fencing } => self.on_lease(&role, Some(fencing.0)),
                 Output::LeaseLost { role, .. } => self.on_lease(&role, None),
+                Output::ContactGained | Output::ContactLost => {}
             }
         }
     }
