--- a/system/node/src/core/host/commits.rs
+++ b/system/node/src/core/host/commits.rs
@@ -1,6 +1,6 @@
 //! What the core node asks for, and what comes into force by it.
 
-use super::CoreHost;
+use super::{CoreHost, GateInput};
 use crate::core::messages::ToCorePort;
 use crate::core::CONTROLLER;
 use millrudder_chain::{Input, NodeId, Output, Role, View};
@@ -22,6 +22,7 @@
                 Output::ViewChanged(view) => self.on_view(&view),
                 Output::LeaseGranted { role, fencing } => self.on_lease(&role, Some(fencing.0)),
                 Output::LeaseLost { role, .. } => self.on_lease(&role, None),
+                Output::ContactGained | Output::ContactLost => self.guard(GateInput::Tick),
             }
         }
     }
--- a/system/node/src/core/host/serving.rs
+++ b/system/node/src/core/host/serving.rs
@@ -23,7 +23,8 @@
     pub(super) fn guard(&mut self, input: GateInput) {
         let mut output = Vec::new();
         let (now, had_majority) = (self.clock.millis(), self.had_majority);
-        self.gate.handle(now, self.has_contact(), input, &mut output);
+        let contact = self.node.has_majority_contact(self.clock.micros());
+        self.gate.handle(now, contact, input, &mut output);
         self.had_majority = self.gate.has_majority(now);
         if self.had_majority != had_majority {
             let has = if self.had_majority { "is confirmed by" } else { "is not confirmed any more by" };
@@ -34,11 +35,6 @@
         }
     }
 
-    /// Whether this machine hears a majority of the core, and is heard by it.
-    fn has_contact(&self) -> bool {
-        self.node.view().is_some()
-    }
-
     fn follow(&mut self, output: Output) {
         match output {
             Output::StartRead { round } => self.start_confirming(round),
