--- a/system/node/tests/system/main.rs
+++ b/system/node/tests/system/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod command_line;
 mod configuration;
+mod contact;
 mod hostile;
 mod messages;
 mod recovery;
