Append what a taking-over store hears before it counts or tells it

Cause: a store that took a shard over joined other replicas' facts into its memory only. If it lost the shard before it served, or served without any need to write, it told those facts to the next primary, which counted its disk as a holder. A message that a client sent again was then acknowledged with one disk, and changes of such messages were written and acknowledged on a disk that lacked the message itself.

Ruled out: telling before the promise is synced (the dump waits for that sync), writes learnt before their sync (the promise is appended after them), and recovered records that were never synced (segments sync what they recover).

Change: what is heard, early or late, is appended as a whole as soon as it adds to what is known; the own disk counts once the last such append is synced. Besides, answers to writes count only by the exact number, and numbers begin at a drawn one in each life: an answer to a former life's write acknowledged everything below its number.

Tests seen failing without it: what_a_store_only_heard_while_taking_over_is_ not_told_as_held, what_a_former_primary_only_heard_bears_no_further_facts, an_answer_to_a_write_of_a_former_life_counts_for_nothing. The test of the late replica passed before too, as too few disks had that message; it stays.

--- a/system/queue/src/entry.rs
+++ b/system/queue/src/entry.rs
@@ -45,6 +45,14 @@
     pub callback_done: bool,
 }
 
+/// What must be on the local disk before it may be told: an entry that differs in it knows more or less.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Knowledge {
+    facts: Facts,
+    sequence: Sequence,
+    body_bytes: Option<usize>,
+}
+
 impl Facts {
     pub fn of_state(state: &MessageState) -> Facts {
         Facts {
@@ -89,6 +97,14 @@
         }
     }
 
+    pub fn knowledge(&self) -> Knowledge {
+        Knowledge {
+            facts: self.facts(),
+            sequence: self.sequence,
+            body_bytes: self.message.as_ref().map(|message| message.body.len()),
+        }
+    }
+
     /// Adds what a state says that was sent or written `state_age_ms` ago.
     pub fn join(&mut self, state: MessageState, now: Time, state_age_ms: u64) {
         self.sequence = self.sequence.max(state.sequence);
--- a/system/queue/src/peers.rs
+++ b/system/queue/src/peers.rs
@@ -52,10 +52,11 @@
 }
 
 impl Peer {
-    pub fn new(now: Time) -> Self {
+    /// `first_number`: of its writes; drawn, so that no answer to a former life of this process matches one of them.
+    pub fn new(now: Time, first_number: u64) -> Self {
         Peer {
             connected: false,
-            next_number: 1,
+            next_number: first_number,
             outstanding: VecDeque::new(),
             overdue: 0,
             usual_ms: FIRST_USUAL_MS,
@@ -75,9 +76,12 @@
         number
     }
 
-    /// Everything up to `number` is on its disk; gives what that is.
+    /// Everything up to `number` is on its disk; gives what that is. A number that nothing waits for says nothing.
     pub fn written(&mut self, number: RequestNumber, now: Time) -> Vec<Sent> {
         let mut messages = Vec::new();
+        if self.outstanding.binary_search_by_key(&number, |sent| sent.number).is_err() {
+            return messages;
+        }
         while self.outstanding.front().is_some_and(|oldest| oldest.number <= number) {
             let Some(oldest) = self.outstanding.pop_front() else { break };
             self.overdue = self.overdue.saturating_sub(1);
@@ -143,7 +147,7 @@
 
     /// Shards whose filling is on its disk.
     pub fn take_filled(&mut self) -> Vec<ShardId> {
-        let last = RequestNumber(self.next_number - 1);
+        let last = RequestNumber(self.next_number.saturating_sub(1));
         for (shard, sent) in &mut self.filling {
             let first = MessageId { shard: *shard, unique: 0 };
             let end = MessageId { shard: *shard, unique: u64::MAX };
--- a/system/queue/src/reign.rs
+++ b/system/queue/src/reign.rs
@@ -13,12 +13,22 @@
     pub facts: Facts,
 }
 
+/// How often what others told of a message was appended to the local disk, and how many of these appends are synced.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Joined {
+    pub appended: u32,
+    pub synced: u32,
+}
+
 /// What is gathered before the shard is served.
 #[derive(Debug, Default)]
 pub(crate) struct Takeover {
     /// The promise to itself is on the local disk.
     pub own_promise: bool,
+    /// What each replica has on its disk; of this store, what it had at the start.
     pub seen: BTreeMap<MessageId, Vec<Seen>>,
+    /// Messages of which others told more than the local disk had.
+    pub joined: BTreeMap<MessageId, Joined>,
     /// What dispatchers withdrew meanwhile.
     pub withdrawals: Vec<Withdrawal>,
 }
--- a/system/queue/src/repair.rs
+++ b/system/queue/src/repair.rs
@@ -7,6 +7,10 @@
 use millrudder_protocol::store::{BetweenStores, Record};
 use millrudder_protocol::{MessageId, ShardId, StoreId};
 use std::collections::BTreeMap;
+use std::ops::Range;
+
+/// Number of the first write to a store in one life of this process: far below the end of all numbers.
+const FIRST_NUMBERS: Range<u64> = 1..1 << 48;
 
 impl StoreNode {
     /// Lets further stores be sent a message that too few have and may be expected to have soon.
@@ -147,7 +151,8 @@
     pub(crate) fn store_connected(&mut self, store: StoreId) {
         self.store_closed(store);
         let now = self.now;
-        self.peers.entry(store).or_insert_with(|| Peer::new(now)).connected = true;
+        let first_number = self.random.u64(FIRST_NUMBERS);
+        self.peers.entry(store).or_insert_with(|| Peer::new(now, first_number)).connected = true;
         let pending: Vec<MessageId> = self.pending.iter().copied().collect();
         for id in pending {
             self.assign(id);
--- a/system/queue/src/replication.rs
+++ b/system/queue/src/replication.rs
@@ -205,6 +205,7 @@
     }
 
     pub(crate) fn own_synced(&mut self, sent: Sent) {
+        self.joined_synced(sent);
         self.on_disk(self.me, sent);
     }
 }
--- a/system/queue/src/takeover.rs
+++ b/system/queue/src/takeover.rs
@@ -1,12 +1,17 @@
 //! Becoming a shard's primary: a read quorum promises the shard and tells what it knows; what is known together is
 //! served, and what too few disks hold is written to more of them meanwhile.
+//!
+//! What is heard is appended to the local disk before anything else is done with it. So nothing is ever known here that
+//! a later promise does not find synced: a store tells another only what its disk holds.
 
+use crate::api::DiskRecord;
 use crate::disk::Synced;
 use crate::entry::{Entry, Facts};
 use crate::grants::order_key;
 use crate::lead::{Effect, Holding, Lead, Stage, Told, Waiting};
 use crate::node::StoreNode;
-use crate::reign::{Reign, Seen};
+use crate::peers::Sent;
+use crate::reign::{Joined, Reign, Seen};
 use crate::schedule::ServiceIndex;
 use millrudder_protocol::message::MessageState;
 use millrudder_protocol::store::{BetweenStores, Record};
@@ -122,15 +127,51 @@
         self.try_serve(shard);
     }
 
+    /// A replica that is waited for tells what its disk holds.
     fn join_early(&mut self, from: StoreId, state: MessageState) {
-        let (now, id, facts) = (self.now, state.id, Facts::of_state(&state));
+        let (id, facts) = (state.id, Facts::of_state(&state));
         let Some(takeover) = self.reigns.get_mut(&id.shard).and_then(|reign| reign.takeover.as_mut()) else {
             return;
         };
         let seen = takeover.seen.entry(id).or_default();
         seen.retain(|seen| seen.store != from);
         seen.push(Seen { store: from, facts });
+        let appended = takeover.joined.get(&id).map_or(0, |joined| joined.appended);
+        if !self.join_and_append(state, appended + 1) {
+            return;
+        }
+        let takeover = self.reigns.get_mut(&id.shard).and_then(|reign| reign.takeover.as_mut());
+        if let Some(takeover) = takeover {
+            takeover.joined.entry(id).or_default().appended += 1;
+        }
+    }
+
+    /// Joins what another store told and appends the whole, as this version, if it is more than was known; `false` if
+    /// nothing is new.
+    fn join_and_append(&mut self, state: MessageState, version: u32) -> bool {
+        let (now, id) = (self.now, state.id);
+        let Some(since) = self.reigns.get(&id.shard).map(|reign| reign.since) else { return false };
+        let before = self.table.get(id).map(Entry::knowledge);
         self.table.change(id, now, |entry| entry.join(state, now, 0));
+        let Some(entry) = self.table.get(id).filter(|entry| before != Some(entry.knowledge())) else {
+            return false;
+        };
+        let record = Record::State { state: Box::new(entry.state(now)) };
+        let then = Synced::Own(Sent { id, since, version });
+        self.disk.append(DiskRecord::Message { record }, then, now, &mut self.out);
+        true
+    }
+
+    /// What was heard of a message before the shard is served is on the local disk.
+    pub(crate) fn joined_synced(&mut self, sent: Sent) {
+        let Some(reign) = self.reigns.get_mut(&sent.id.shard).filter(|reign| reign.since == sent.since)
+        else {
+            return;
+        };
+        let joined = reign.takeover.as_mut().and_then(|takeover| takeover.joined.get_mut(&sent.id));
+        if let Some(joined) = joined {
+            joined.synced = joined.synced.max(sent.version);
+        }
     }
 
     /// Serves the shard if enough replicas were heard.
@@ -143,7 +184,8 @@
         }
         let Some(takeover) = reign.takeover.take() else { return };
         for (id, seen) in takeover.seen {
-            self.lead_message(id, &seen);
+            let joined = takeover.joined.get(&id).copied();
+            self.lead_message(id, &seen, joined);
         }
         self.empty_ceilings(shard);
         self.schedule_shard(shard);
@@ -156,16 +198,20 @@
         }
     }
 
-    /// Starts to keep for a message what a primary keeps.
-    fn lead_message(&mut self, id: MessageId, seen: &[Seen]) {
-        let now = self.now;
+    /// Starts to keep for a message what a primary keeps. `joined`: what the local disk was given since the start; it
+    /// holds the whole once the last of that is synced.
+    fn lead_message(&mut self, id: MessageId, seen: &[Seen], joined: Option<Joined>) {
+        let (now, me) = (self.now, self.me);
         let Some(entry) = self.table.get_mut(id) else { return };
         let facts = entry.facts();
         let mut lead = Lead::new(Stage::Storing, now);
-        lead.version = FIRST_VERSION;
+        let version = joined.map_or(FIRST_VERSION, |joined| joined.appended.max(FIRST_VERSION));
+        lead.version = version;
         let holders = seen.iter().filter(|seen| seen.facts == facts);
-        let holding = |seen: &Seen| Holding { store: seen.store, sent: FIRST_VERSION, acked: FIRST_VERSION };
+        let holders = holders.filter(|seen| seen.store != me || joined.is_none());
+        let holding = |seen: &Seen| Holding { store: seen.store, sent: version, acked: version };
         lead.holdings = holders.map(holding).collect();
+        lead.holdings.extend(joined.map(|joined| Holding { store: me, sent: version, acked: joined.synced }));
         if let Some(reign) = self.reigns.get_mut(&id.shard) {
             reign.count_past(entry.sequence, entry.grant.map(|grant| grant.token).unwrap_or_default());
             lead.durable = lead.version_on(&reign.replicas, reign.write_quorum);
@@ -234,7 +280,7 @@
             self.owe_callback(id);
             return;
         }
-        lead.waiting.push(Waiting { version: FIRST_VERSION, effect: Effect::Ended });
+        lead.waiting.push(Waiting { version: lead.version, effect: Effect::Ended });
     }
 
     fn empty_ceilings(&mut self, shard: ShardId) {
@@ -284,9 +330,10 @@
 
     /// A message that only a replica knows which was not waited for: it was never acknowledged, yet may be kept.
     fn join_unknown(&mut self, id: MessageId, from: StoreId, state: MessageState) {
-        let (now, facts) = (self.now, Facts::of_state(&state));
-        self.table.change(id, now, |entry| entry.join(state, now, 0));
-        self.lead_message(id, &[Seen { store: from, facts }]);
+        let facts = Facts::of_state(&state);
+        let is_new = self.join_and_append(state, FIRST_VERSION);
+        let joined = is_new.then_some(Joined { appended: FIRST_VERSION, synced: 0 });
+        self.lead_message(id, &[Seen { store: from, facts }], joined);
         self.join_key(id);
         self.adopt_grant(id);
         self.place(id);
--- a/system/queue/tests/replicas.rs
+++ b/system/queue/tests/replicas.rs
@@ -471,3 +471,95 @@
     assert_eq!(wired.places[0].node.as_ref().unwrap().health(wired.now_ms).serving, 1);
     assert!(wired.state(0, id).is_some());
 }
+
+/// The process ends and its disk is lost: it starts without anything.
+fn lose_disk(wired: &mut Wired, store: usize) {
+    wired.kill(store);
+    wired.places[store].records.clear();
+}
+
+#[test]
+fn what_a_store_only_heard_while_taking_over_is_not_told_as_held() {
+    let mut wired = three_stores();
+    wired.places[0].stalled = true;
+    wired.set_link(0, 2, false);
+    let id = wired.accept(0, 1, message(), true);
+    wired.kill(0);
+    wired.places[0].records.retain(|(_, record)| !matches!(record, DiskRecord::Message { .. }));
+    wired.places[0].stalled = false;
+    assert_eq!(wired.acceptances(), 0, "only the disk of store 1 has it");
+    wired.places[2].stalled = true;
+    wired.move_primary(2);
+    wired.move_primary(1);
+    wired.places[2].stalled = false;
+    wired.sync(2);
+    wired.input(2, Input::Tick);
+    announce(&mut wired, 1, Vec::new());
+    wired.accept_as(1, 2, id, message(), true);
+    assert_eq!(wired.acceptances(), 1);
+    lose_disk(&mut wired, 1);
+    wired.kill(2);
+    wired.start(0);
+    wired.start(2);
+    wired.move_primary(2);
+    assert!(wired.state(2, id).is_some(), "acknowledged, and lost with one disk");
+}
+
+#[test]
+fn what_a_former_primary_only_heard_bears_no_further_facts() {
+    let mut wired = three_stores();
+    let id = wired.accept(0, 1, message(), true);
+    let token = accepted_token(&wired);
+    wired.places[2].stalled = true;
+    wired.move_primary(2);
+    wired.places[2].stalled = false;
+    wired.sync(2);
+    wired.input(2, Input::Tick);
+    assert!(wired.state(2, id).is_some(), "stores 0 and 1 told it");
+    wired.places[0].held = true;
+    wired.move_primary(1);
+    announce(&mut wired, 1, vec![HeldLease { id, token }]);
+    wired.attempted(1, 2, id, token, success());
+    assert!(wired.is_recorded(id, token));
+    lose_disk(&mut wired, 1);
+    wired.kill(2);
+    wired.kill(0);
+    wired.places[0].held = false;
+    wired.start(0);
+    wired.start(2);
+    wired.move_primary(2);
+    assert_eq!(wired.state(2, id).unwrap().end, completed(), "recorded, and lost with one disk");
+}
+
+#[test]
+fn an_answer_to_a_write_of_a_former_life_counts_for_nothing() {
+    let mut wired = three_stores();
+    wired.places[1].held = true;
+    wired.places[2].held = true;
+    wired.accept(0, 1, message(), true);
+    for number in [7, u64::MAX] {
+        let answer = BetweenStores::Written { number: RequestNumber(number) };
+        wired.input(0, Input::Store { from: store_id(1), message: answer });
+    }
+    assert_eq!(wired.acceptances(), 0);
+    wired.release(1);
+    assert_eq!(wired.acceptances(), 1);
+}
+
+#[test]
+fn what_a_late_replica_told_is_on_the_primarys_disk() {
+    let mut wired = three_stores();
+    wired.places[0].stalled = true;
+    wired.set_link(0, 2, false);
+    let id = wired.accept(0, 1, message(), true);
+    wired.kill(0);
+    wired.places[1].held = true;
+    wired.places[0].records.retain(|(_, record)| !matches!(record, DiskRecord::Message { .. }));
+    wired.places[0].stalled = false;
+    wired.start(0);
+    wired.set_link(0, 2, true);
+    wired.move_primary(2);
+    wired.release(1);
+    let is_of = |record: &DiskRecord| matches!(record, DiskRecord::Message { record } if record.id() == id);
+    assert!(wired.places[2].records.iter().any(|(_, record)| is_of(record)));
+}
