--- a/system/queue/tests/replicas.rs
+++ b/system/queue/tests/replicas.rs
@@ -505,6 +505,28 @@
     assert!(wired.state(2, id).is_some(), "acknowledged, and lost with one disk");
 }
 
+#[test]
+fn what_was_joined_counts_on_the_own_disk_once_it_is_synced() {
+    let mut wired = three_stores();
+    wired.places[0].stalled = true;
+    wired.set_link(0, 2, false);
+    // A delay, so that no grant adds to what is known.
+    let later = || Message { delay_ms: 20_000, ..message() };
+    let id = wired.accept(0, 1, later(), false);
+    wired.kill(0);
+    wired.places[1].held = true;
+    wired.move_primary(2);
+    wired.places[2].stalled = true;
+    wired.release(1);
+    announce(&mut wired, 2, Vec::new());
+    wired.accept_as(2, 3, id, later(), false);
+    assert_eq!(wired.acceptances(), 0, "only the disk of store 1 has it");
+    wired.places[2].stalled = false;
+    wired.sync(2);
+    wired.input(2, Input::Tick);
+    assert_eq!(wired.acceptances(), 1);
+}
+
 #[test]
 fn what_a_former_primary_only_heard_bears_no_further_facts() {
     let mut wired = three_stores();
