Say that a message is unknown only by replicas of the present placement

Cause: a question went on with the replicas that it began with when another placement came into force, and a store answered "unknown" for shards that it holds no more. A repair that moves replicas could so make a dispatcher say 404 for a message that the present replicas hold. The 503 came after 1.7 s, of the two seconds that callers wait with both ways included.

Ruled out: a wiped store answering for its former disk (connections name the store), a replica that forgot too early (every replica's expiry lies behind the end's by the margin), withdrawn names (never acknowledged).

Change: a new placement with other replicas starts the question anew; a store that is no replica says NotReplica, which counts for nothing; answers are due after 1.5 s. Four tests, each seen failing without it.

--- a/system/intake/src/lib.rs
+++ b/system/intake/src/lib.rs
@@ -106,6 +106,7 @@
             Input::Placement(placement) => {
                 self.stores.set_placement(placement);
                 self.accepts.on_stores_changed(now, &self.stores, out);
+                self.queries.on_placement(now, &self.stores, out);
             }
             Input::StoreConnected { store } => {
                 self.stores.connected(now, store);
--- a/system/intake/src/query.rs
+++ b/system/intake/src/query.rs
@@ -9,8 +9,8 @@
 
 /// After this long (ms) without an answer the next replica is asked as well.
 const NEXT_REPLICA_MS: u64 = 250;
-/// Callers wait two seconds; by then (ms) they get what is known.
-const ANSWER_WITHIN_MS: u64 = 1700;
+/// Callers wait two seconds, of which the ways there and back take a part; by then (ms) they get what is known.
+const ANSWER_WITHIN_MS: u64 = 1500;
 
 /// What a caller is told of a message.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -93,6 +93,24 @@
         }
     }
 
+    /// Another placement is in force: where it names other replicas, what the former ones did not know says nothing.
+    pub fn on_placement(&mut self, now: u64, stores: &Stores, out: &mut Vec<Output>) {
+        let is_moved = |query: &Query| query.holders != stores.holders(query.id.shard);
+        let moved = self.queries.iter().filter(|(_, query)| is_moved(query));
+        let calls: Vec<CallNumber> = moved.map(|(call, _)| *call).collect();
+        for call in calls {
+            if let Some(query) = self.queries.get_mut(&call) {
+                for request in std::mem::take(&mut query.awaited).into_keys() {
+                    self.by_request.remove(&request);
+                }
+                query.holders = stores.holders(query.id.shard);
+                query.asked = 0;
+                query.unknown = 0;
+            }
+            self.ask_next(now, call, stores, out);
+        }
+    }
+
     pub fn on_closed(&mut self, now: u64, store: StoreId, stores: &Stores, out: &mut Vec<Output>) {
         let waits = |query: &Query| query.awaited.values().any(|other| *other == store);
         let waiting = self.queries.iter().filter(|(_, query)| waits(query));
@@ -130,6 +148,8 @@
                 query.unknown += 1;
                 self.ask_next(now, call, stores, out);
             }
+            // It may never have been told of the message.
+            QueryAnswer::NotReplica => self.ask_next(now, call, stores, out),
         }
     }
 
--- a/system/intake/tests/intake.rs
+++ b/system/intake/tests/intake.rs
@@ -9,6 +9,7 @@
 const HERE: StoreId = StoreId(1);
 const THERE: StoreId = StoreId(2);
 const FAR: StoreId = StoreId(3);
+const NEW: StoreId = StoreId(4);
 const CALL: CallNumber = CallNumber(7);
 
 fn placement(epoch: u64, primaries: [StoreId; 3]) -> Placement {
@@ -269,6 +270,48 @@
     assert_eq!(result_in(&out), Some(QueryResult::Unknown));
 }
 
+#[test]
+fn a_store_that_is_no_replica_proves_nothing() {
+    let mut rig = Rig::new();
+    let mut asked = queries_in(&rig.give(0, Input::Query { call: CALL, id: ASKED, body: false }));
+    let answers = [QueryAnswer::Unknown, QueryAnswer::NotReplica, QueryAnswer::Unknown];
+    let mut result = None;
+    for answer in answers {
+        let (store, request) = asked[0];
+        let out = rig.store_says(5, store, ToDispatcher::State { request, answer });
+        result = result_in(&out);
+        asked = queries_in(&out);
+    }
+    assert_eq!(result, Some(QueryResult::Unavailable));
+}
+
+#[test]
+fn what_former_replicas_did_not_know_says_nothing_of_the_present_ones() {
+    let mut rig = Rig::new();
+    let mut asked = queries_in(&rig.give(0, Input::Query { call: CALL, id: ASKED, body: false }));
+    let (store, request) = asked[0];
+    assert_eq!(store, THERE);
+    asked =
+        queries_in(&rig.store_says(5, store, ToDispatcher::State { request, answer: QueryAnswer::Unknown }));
+    let late = asked[0];
+    let mut next = placement(2, [HERE, NEW, FAR]);
+    next.shards[1].replicas = vec![HERE, NEW, FAR];
+    let out = rig.give(6, Input::Placement(next));
+    assert_eq!(queries_in(&out).len(), 1, "the replicas in force are asked from the first one on");
+    let out =
+        rig.store_says(7, late.0, ToDispatcher::State { request: late.1, answer: QueryAnswer::Unknown });
+    assert_eq!(result_in(&out), None, "an answer to a former question counts for nothing");
+    let all = rig.run(3_000);
+    assert!(!all.iter().any(|output| matches!(output, Output::Known { result: QueryResult::Unknown, .. })));
+}
+
+#[test]
+fn an_answer_comes_well_before_callers_leave() {
+    let mut rig = Rig::new();
+    rig.give(0, Input::Query { call: CALL, id: ASKED, body: false });
+    assert_eq!(result_in(&rig.run(1_600)), Some(QueryResult::Unavailable));
+}
+
 #[test]
 fn silence_ends_as_unavailable_in_time() {
     let mut rig = Rig::new();
--- a/system/protocol/src/store.rs
+++ b/system/protocol/src/store.rs
@@ -93,6 +93,8 @@
 pub enum QueryAnswer {
     /// This replica has no such message.
     Unknown,
+    /// By its placement this store is no replica of the message's shard: that it lacks the message says nothing.
+    NotReplica,
     Queued,
     Ended {
         end: End,
--- a/system/queue/src/accept.rs
+++ b/system/queue/src/accept.rs
@@ -158,6 +158,11 @@
         self.set_expiry(id);
     }
 
+    /// By the placement in force here, this store is told of every message of that shard, or of most.
+    fn is_replica(&self, id: MessageId) -> bool {
+        self.placement.shard(id.shard).is_some_and(|shard| shard.replicas.contains(&self.me))
+    }
+
     /// Answers from what this replica knows, whoever is primary.
     pub(crate) fn query(
         &mut self,
@@ -167,7 +172,8 @@
         body: bool,
     ) {
         let answer = match self.table.get(id) {
-            None => QueryAnswer::Unknown,
+            None if self.is_replica(id) => QueryAnswer::Unknown,
+            None => QueryAnswer::NotReplica,
             Some(entry) => match (&entry.end, &entry.message) {
                 (None | Some(End::DeadLetter), Some(message)) if body => {
                     QueryAnswer::Body { body: message.body.clone() }
--- a/system/queue/tests/replicas.rs
+++ b/system/queue/tests/replicas.rs
@@ -376,6 +376,24 @@
     assert!(wired.told.iter().any(|(_, message)| *message == answer));
 }
 
+#[test]
+fn a_store_that_holds_a_shard_no_more_does_not_say_that_a_message_is_unknown() {
+    let mut wired = three_stores();
+    let id = wired.name();
+    let ask = |wired: &mut Wired| {
+        wired.told.clear();
+        wired.say(1, 2, FromDispatcher::Query { request: RequestNumber(1), id, body: false });
+        let (_, told) = wired.told.pop().expect("an answer");
+        told
+    };
+    let state = |answer: QueryAnswer| ToDispatcher::State { request: RequestNumber(1), answer };
+    assert_eq!(ask(&mut wired), state(QueryAnswer::Unknown));
+    wired.placement.epoch = Epoch(2);
+    wired.placement.shards[0].replicas = vec![store_id(0), store_id(2)];
+    wired.spread();
+    assert_eq!(ask(&mut wired), state(QueryAnswer::NotReplica));
+}
+
 #[test]
 fn a_learner_is_filled_and_may_take_a_lost_stores_place() {
     let mut wired = three_stores();
