--- a/system/queue/tests/replicas.rs
+++ b/system/queue/tests/replicas.rs
@@ -376,6 +376,24 @@
     assert!(wired.told.iter().any(|(_, message)| *message == answer));
 }
 
+#[test]
+fn a_store_that_holds_a_shard_no_more_does_not_say_that_a_message_is_unknown() {
+    let mut wired = three_stores();
+    let id = wired.name();
+    let ask = |wired: &mut Wired| {
+        wired.told.clear();
+        wired.say(1, 2, FromDispatcher::Query { request: RequestNumber(1), id, body: false });
+        let (_, told) = wired.told.pop().expect("an answer");
+        told
+    };
+    let state = |answer: QueryAnswer| ToDispatcher::State { request: RequestNumber(1), answer };
+    assert_eq!(ask(&mut wired), state(QueryAnswer::Unknown));
+    wired.placement.epoch = Epoch(2);
+    wired.placement.shards[0].replicas = vec![store_id(0), store_id(2)];
+    wired.spread();
+    assert_eq!(ask(&mut wired), state(QueryAnswer::NotReplica));
+}
+
 #[test]
 fn a_learner_is_filled_and_may_take_a_lost_stores_place() {
     let mut wired = three_stores();
@@ -471,3 +489,117 @@
     assert_eq!(wired.places[0].node.as_ref().unwrap().health(wired.now_ms).serving, 1);
     assert!(wired.state(0, id).is_some());
 }
+
+/// The process ends and its disk is lost: it starts without anything.
+fn lose_disk(wired: &mut Wired, store: usize) {
+    wired.kill(store);
+    wired.places[store].records.clear();
+}
+
+#[test]
+fn what_a_store_only_heard_while_taking_over_is_not_told_as_held() {
+    let mut wired = three_stores();
+    wired.places[0].stalled = true;
+    wired.set_link(0, 2, false);
+    let id = wired.accept(0, 1, message(), true);
+    wired.kill(0);
+    wired.places[0].records.retain(|(_, record)| !matches!(record, DiskRecord::Message { .. }));
+    wired.places[0].stalled = false;
+    assert_eq!(wired.acceptances(), 0, "only the disk of store 1 has it");
+    wired.places[2].stalled = true;
+    wired.move_primary(2);
+    wired.move_primary(1);
+    wired.places[2].stalled = false;
+    wired.sync(2);
+    wired.input(2, Input::Tick);
+    announce(&mut wired, 1, Vec::new());
+    wired.accept_as(1, 2, id, message(), true);
+    assert_eq!(wired.acceptances(), 1);
+    lose_disk(&mut wired, 1);
+    wired.kill(2);
+    wired.start(0);
+    wired.start(2);
+    wired.move_primary(2);
+    assert!(wired.state(2, id).is_some(), "acknowledged, and lost with one disk");
+}
+
+#[test]
+fn what_was_joined_counts_on_the_own_disk_once_it_is_synced() {
+    let mut wired = three_stores();
+    wired.places[0].stalled = true;
+    wired.set_link(0, 2, false);
+    // A delay, so that no grant adds to what is known.
+    let later = || Message { delay_ms: 20_000, ..message() };
+    let id = wired.accept(0, 1, later(), false);
+    wired.kill(0);
+    wired.places[1].held = true;
+    wired.move_primary(2);
+    wired.places[2].stalled = true;
+    wired.release(1);
+    announce(&mut wired, 2, Vec::new());
+    wired.accept_as(2, 3, id, later(), false);
+    assert_eq!(wired.acceptances(), 0, "only the disk of store 1 has it");
+    wired.places[2].stalled = false;
+    wired.sync(2);
+    wired.input(2, Input::Tick);
+    assert_eq!(wired.acceptances(), 1);
+}
+
+#[test]
+fn what_a_former_primary_only_heard_bears_no_further_facts() {
+    let mut wired = three_stores();
+    let id = wired.accept(0, 1, message(), true);
+    let token = accepted_token(&wired);
+    wired.places[2].stalled = true;
+    wired.move_primary(2);
+    wired.places[2].stalled = false;
+    wired.sync(2);
+    wired.input(2, Input::Tick);
+    assert!(wired.state(2, id).is_some(), "stores 0 and 1 told it");
+    wired.places[0].held = true;
+    wired.move_primary(1);
+    announce(&mut wired, 1, vec![HeldLease { id, token }]);
+    wired.attempted(1, 2, id, token, success());
+    assert!(wired.is_recorded(id, token));
+    lose_disk(&mut wired, 1);
+    wired.kill(2);
+    wired.kill(0);
+    wired.places[0].held = false;
+    wired.start(0);
+    wired.start(2);
+    wired.move_primary(2);
+    assert_eq!(wired.state(2, id).unwrap().end, completed(), "recorded, and lost with one disk");
+}
+
+#[test]
+fn an_answer_to_a_write_of_a_former_life_counts_for_nothing() {
+    let mut wired = three_stores();
+    wired.places[1].held = true;
+    wired.places[2].held = true;
+    wired.accept(0, 1, message(), true);
+    for number in [7, u64::MAX] {
+        let answer = BetweenStores::Written { number: RequestNumber(number) };
+        wired.input(0, Input::Store { from: store_id(1), message: answer });
+    }
+    assert_eq!(wired.acceptances(), 0);
+    wired.release(1);
+    assert_eq!(wired.acceptances(), 1);
+}
+
+#[test]
+fn what_a_late_replica_told_is_on_the_primarys_disk() {
+    let mut wired = three_stores();
+    wired.places[0].stalled = true;
+    wired.set_link(0, 2, false);
+    let id = wired.accept(0, 1, message(), true);
+    wired.kill(0);
+    wired.places[1].held = true;
+    wired.places[0].records.retain(|(_, record)| !matches!(record, DiskRecord::Message { .. }));
+    wired.places[0].stalled = false;
+    wired.start(0);
+    wired.set_link(0, 2, true);
+    wired.move_primary(2);
+    wired.release(1);
+    let is_of = |record: &DiskRecord| matches!(record, DiskRecord::Message { record } if record.id() == id);
+    assert!(wired.places[2].records.iter().any(|(_, record)| is_of(record)));
+}
