Take a list of workers only from the holder of the reader's lease

The gate is asked only when it is due, and the control link's questions to seeds have a file of their own.

--- a/system/contact/src/gate.rs
+++ b/system/contact/src/gate.rs
@@ -107,6 +107,8 @@
     confirmed_at: Option<u64>,
     contact: bool,
     leaving: bool,
+    /// When something is to be done next; kept, since it takes a look at all registrants.
+    due: Option<u64>,
 }
 
 impl Gate {
@@ -121,6 +123,7 @@
             confirmed_at: None,
             contact: false,
             leaving: false,
+            due: Some(0),
         }
     }
 
@@ -148,17 +151,12 @@
 
     /// When [`Input::Tick`] is due; a change of contact is to be told at once.
     pub fn next_deadline(&self) -> Option<u64> {
-        let read = match self.reading {
-            Some(read) => Some(read.started + MOST_AGE_MS),
-            None => Some(self.next_read).filter(|_| self.may_read()),
-        };
-        let confirmed = self.confirmed_at.map(|at| at + MOST_AGE_MS);
-        let confirmed = confirmed.filter(|_| self.admitted().next().is_some());
-        let waiting = self.registrants.values().filter_map(|one| match one.standing {
-            Standing::Waiting { since, refused: false, .. } => Some(since + MOST_AGE_MS),
-            _ => None,
-        });
-        waiting.chain(confirmed).chain(read).min()
+        self.due
+    }
+
+    /// Whether [`Input::Tick`] is due.
+    pub fn is_due(&self, now: u64, contact: bool) -> bool {
+        contact != self.contact || self.due.is_some_and(|due| due <= now)
     }
 
     /// Handles one input. `contact` tells whether this machine hears a majority of the core now, and is heard by it.
@@ -182,6 +180,21 @@
             Input::Leaving => self.on_leaving(out),
         }
         self.start_read_if_due(now, out);
+        self.due = self.find_deadline();
+    }
+
+    fn find_deadline(&self) -> Option<u64> {
+        let read = match self.reading {
+            Some(read) => Some(read.started + MOST_AGE_MS),
+            None => Some(self.next_read).filter(|_| self.may_read()),
+        };
+        let confirmed = self.confirmed_at.map(|at| at + MOST_AGE_MS);
+        let confirmed = confirmed.filter(|_| self.admitted().next().is_some());
+        let waiting = self.registrants.values().filter_map(|one| match one.standing {
+            Standing::Waiting { since, refused: false, .. } => Some(since + MOST_AGE_MS),
+            _ => None,
+        });
+        waiting.chain(confirmed).chain(read).min()
     }
 
     fn on_registered(
--- a/system/contact/src/lib.rs
+++ b/system/contact/src/lib.rs
@@ -10,10 +10,12 @@
 
 mod freshness;
 mod gate;
+mod lists;
 mod plan;
 mod state;
 
 pub use freshness::{Freshness, FreshnessChange, OLD_AFTER_MS};
 pub use gate::{Gate, Input, Kind, Output, Part, RoundNumber, CONFIRM_EVERY_MS, MOST_AGE_MS};
+pub use lists::CurrentList;
 pub use plan::{LinkPlan, LinkStep, FIRST_REST_MS, LONGEST_REST_MS, OPEN_WITHIN_MS, VOUCH_WITHIN_MS};
 pub use state::{ConnectionId, ListNumber, StateNumbers};
--- a/system/contact/src/state.rs
+++ b/system/contact/src/state.rs
@@ -11,6 +11,16 @@
     pub number: u64,
 }
 
+impl ListNumber {
+    /// Below every fencing number of a lease: a list that was read while nobody held one.
+    pub const WITHOUT_LEASE: u64 = 0;
+
+    /// Whether it was read while nobody held a lease.
+    pub fn is_without_lease(&self) -> bool {
+        self.fencing == ListNumber::WITHOUT_LEASE
+    }
+}
+
 /// Versions of the parts of the control state that one process has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StateNumbers {
--- a/system/node/src/control_link.rs
+++ b/system/node/src/control_link/mod.rs
@@ -3,12 +3,12 @@
 //! Seeds are asked where they listen; what a core machine tells of the others is kept. A process is connected to as
 //! many of them as it wants; a [`LinkPlan`] chooses them.
 
+mod seeds;
+
 use crate::clock::SteadyClock;
 use crate::core::ToCorePort;
-use crate::locate;
 use millrudder_contact::{FreshnessChange, LinkPlan, LinkStep};
 use millrudder_protocol::control::{FromCore, Registrant, ToCore};
-use millrudder_system_http::client::{Client, ClientLimits};
 use millrudder_transport::dialer::Dialer;
 use millrudder_transport::{LinkEvent, Outbox};
 use std::cell::RefCell;
@@ -17,16 +17,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::Notify;
-use tokio::task::JoinSet;
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 /// Connections are looked after this often, and when a core machine sends this process away.
 const LOOK_EVERY: Duration = Duration::from_millis(400);
-/// Pause between two rounds of questions to seeds while too few core machines are known or none vouches ...
-const SEEDS_FIRST: Duration = Duration::from_millis(250);
-/// ... doubled after each that brings nothing new, up to this.
-const SEEDS_LONGEST: Duration = Duration::from_secs(2);
-
 /// What this process has of the control state, told at each registration so that only news is sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Held {
@@ -151,7 +145,7 @@
 }
 
 async fn keep<F: Fn(FromCore) + Clone + 'static>(handle: Handle, deliver: F) {
-    let asking = tokio::task::spawn_local(ask_for_more(handle.clone()));
+    let asking = tokio::task::spawn_local(seeds::ask_for_more(handle.clone()));
     let _asking = AbortOnDrop(asking);
     loop {
         follow_plan(&handle, &deliver);
@@ -183,39 +177,6 @@
     }
 }
 
-/// Asks seeds, as long as there is need, and ever less often while they tell nothing new.
-async fn ask_for_more(handle: Handle) {
-    let client = Client::new(ClientLimits::default());
-    let mut pause = SEEDS_FIRST;
-    loop {
-        let wanting = handle.shared.borrow().wants_seeds();
-        if wanting && ask_seeds(&handle, &client).await {
-            handle.refused.notify_one();
-            pause = SEEDS_FIRST;
-            continue;
-        }
-        sleep(pause).await;
-        pause = if wanting { (pause * 2).min(SEEDS_LONGEST) } else { SEEDS_FIRST };
-    }
-}
-
-/// Asks all seeds at once, and goes on with the first that tells an address that was not known. True if one did.
-async fn ask_seeds(handle: &Handle, client: &Client) -> bool {
-    let seeds = handle.shared.borrow().seeds.clone();
-    let mut questions = JoinSet::new();
-    for seed in seeds {
-        let client = client.clone();
-        questions.spawn_local(async move { locate::internal_address(&client, seed).await });
-    }
-    while let Some(answer) = questions.join_next().await {
-        let Ok(Some(address)) = answer else { continue };
-        if handle.shared.borrow_mut().plan.know(address) {
-            return true;
-        }
-    }
-    false
-}
-
 fn dial<F: Fn(FromCore) + 'static>(handle: &Handle, address: SocketAddr, deliver: F) {
     let this = handle.clone();
     let report = move |outbox: &Outbox, event: LinkEvent<FromCore>| match event {
--- a/system/node/src/core/host/inbound.rs
+++ b/system/node/src/core/host/inbound.rs
@@ -32,7 +32,7 @@
                     self.node.handle(self.clock.micros(), Input::Message { from, message });
                 }
             }
-            ToCorePort::Workers { list } => self.adopt_workers(list, false),
+            ToCorePort::Workers { list } => self.adopt_told_list(list),
             ToCorePort::Dispatchers { count } => {
                 self.others_dispatchers.insert(connection, count);
                 self.count_dispatchers();
--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -15,7 +15,7 @@
 use crate::error::RoleError;
 use arc_swap::ArcSwap;
 use millrudder_chain::{CoreNode, Input, NodeId, RequestId};
-use millrudder_contact::{ConnectionId, Gate, Input as GateInput, RoundNumber};
+use millrudder_contact::{ConnectionId, CurrentList, Gate, Input as GateInput, RoundNumber};
 use millrudder_control_state::ControlState;
 use millrudder_placement::{Input as PlacementInput, PlacementManager};
 use millrudder_protocol::control::WorkerList;
@@ -82,6 +82,7 @@
     others_dispatchers: BTreeMap<ConnectionId, u32>,
     told_dispatchers: u32,
     workers: WorkerList,
+    current_list: CurrentList,
     had_majority: bool,
     /// Versions that were taken note of when they came into force.
     followed_version: u64,
@@ -126,6 +127,7 @@
             others_dispatchers: BTreeMap::new(),
             told_dispatchers: 0,
             workers: WorkerList::default(),
+            current_list: CurrentList::default(),
             had_majority: false,
             followed_version: node.machine().configuration().version,
             followed_epoch: node.machine().placement().epoch.0,
@@ -185,7 +187,7 @@
             if tokio::time::Instant::now() >= deadline {
                 self.tick();
             }
-            self.guard(GateInput::Tick);
+            self.look_at_gate();
             self.carry_out();
         }
     }
--- a/system/node/src/core/host/serving.rs
+++ b/system/node/src/core/host/serving.rs
@@ -14,11 +14,23 @@
     StateNumbers {
         configuration_version: state.configuration().version,
         placement_epoch: state.placement().epoch.0,
-        workers: ListNumber { fencing: list.fencing, number: list.number },
+        workers: number(list),
     }
 }
 
+fn number(list: &WorkerList) -> ListNumber {
+    ListNumber { fencing: list.fencing, number: list.number }
+}
+
 impl CoreHost {
+    /// Has the gate look at the time, where that is due.
+    pub(super) fn look_at_gate(&mut self) {
+        let contact = self.node.has_majority_contact(self.clock.micros());
+        if self.gate.is_due(self.clock.millis(), contact) {
+            self.guard(GateInput::Tick);
+        }
+    }
+
     /// Gives the gate an input and does what it asks for.
     pub(super) fn guard(&mut self, input: GateInput) {
         let mut output = Vec::new();
@@ -113,25 +125,25 @@
         FromCore::Core { addresses }
     }
 
-    /// Takes a list that this machine has read, if it still holds the lease under which it was read.
+    /// Takes a list that this machine has read, and tells it to the other core machines too.
     pub(super) fn adopt_own_list(&mut self, list: WorkerList) {
         let role = Role(CONTROLLER.to_owned());
-        let held = self.node.holds(self.clock.micros(), &role).map(|fencing| fencing.0);
-        if list.is_without_lease() || held == Some(list.fencing) {
-            self.adopt_workers(list, true);
+        let lease = self.node.holds(self.clock.micros(), &role).map(|fencing| fencing.0);
+        if self.current_list.take_own(number(&list), lease) {
+            self.peers.send_all(&ToCorePort::Workers { list: list.clone() });
+            self.adopt_workers(list);
         }
     }
 
-    /// Takes over a newer list; one that this machine read itself goes to the other core machines too.
-    pub(super) fn adopt_workers(&mut self, list: WorkerList, own: bool) {
-        if !list.is_newer_than(&self.workers) {
-            return;
-        }
-        if own {
-            self.peers.send_all(&ToCorePort::Workers { list: list.clone() });
-        } else {
+    /// Takes a list that another core machine has told.
+    pub(super) fn adopt_told_list(&mut self, list: WorkerList) {
+        if self.current_list.take_told(number(&list)) {
             self.reader.has_list();
+            self.adopt_workers(list);
         }
+    }
+
+    fn adopt_workers(&mut self, list: WorkerList) {
         self.workers = list;
         self.tell_news();
     }
--- a/system/node/src/core/reader.rs
+++ b/system/node/src/core/reader.rs
@@ -4,6 +4,7 @@
 use http::header::RETRY_AFTER;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, StatusCode};
+use millrudder_contact::ListNumber;
 use millrudder_platform::{
     difference, Call, CallFailure, CallId, Instance, InstanceState, ListReader, Pace, Page, ReaderInput,
     ReaderOutput, Round,
@@ -62,14 +63,14 @@
     /// when earlier ones have run out. Every list of a lease holder replaces this one.
     pub fn read_once(&mut self, now_ms: u64) {
         if self.list.is_none() {
-            self.list = Some(self.leading(now_ms, WorkerList::WITHOUT_LEASE));
+            self.list = Some(self.leading(now_ms, ListNumber::WITHOUT_LEASE));
             self.tick(now_ms);
         }
     }
 
     /// There is a list of a lease holder.
     pub fn has_list(&mut self) {
-        self.list.take_if(|leading| leading.told.is_without_lease());
+        self.list.take_if(|leading| leading.told.fencing == ListNumber::WITHOUT_LEASE);
     }
 
     fn leading(&self, now_ms: u64, fencing: u64) -> Leading {
@@ -117,7 +118,7 @@
         leading.told.number += 1;
         leading.seen = round.list;
         let told = leading.told.clone();
-        if told.is_without_lease() {
+        if told.fencing == ListNumber::WITHOUT_LEASE {
             self.list = None;
         }
         Some(told)
--- a/system/protocol/src/control.rs
+++ b/system/protocol/src/control.rs
@@ -75,14 +75,6 @@
 }
 
 impl WorkerList {
-    /// Below every fencing number of a lease.
-    pub const WITHOUT_LEASE: u64 = 0;
-
-    /// Read by a machine that held no lease, while nobody had a list.
-    pub fn is_without_lease(&self) -> bool {
-        self.fencing == WorkerList::WITHOUT_LEASE
-    }
-
     /// Later than `other`.
     pub fn is_newer_than(&self, other: &WorkerList) -> bool {
         (self.fencing, self.number) > (other.fencing, other.number)
