--- a/system/placement/src/health.rs
+++ b/system/placement/src/health.rs
@@ -35,7 +35,7 @@
 }
 
 /// All stores that registered since this manager watches.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Stores {
     seen: BTreeMap<StoreId, Seen>,
 }
--- a/system/placement/src/manager.rs
+++ b/system/placement/src/manager.rs
@@ -42,6 +42,7 @@
 }
 
 /// Proposes the placements of the system; see the crate's documentation.
+#[derive(Clone)]
 pub struct PlacementManager {
     tolerated_losses: u32,
     stores: Stores,
--- a/system/queue/src/callbacks.rs
+++ b/system/queue/src/callbacks.rs
@@ -15,7 +15,7 @@
     pub token: LeaseToken,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Callback {
     receiver: u32,
     /// Time before which it must not be tried again.
@@ -24,7 +24,7 @@
     lease: Option<CallbackLease>,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Receiver {
     waiting: BTreeSet<(Time, MessageId)>,
     out: u32,
@@ -34,7 +34,7 @@
 }
 
 /// All call-backs that are owed by shards of this primary.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Callbacks {
     owed: BTreeMap<MessageId, Callback>,
     by_name: BTreeMap<String, u32>,
--- a/system/queue/src/ceiling.rs
+++ b/system/queue/src/ceiling.rs
@@ -12,7 +12,7 @@
 const UNTOLD_S: f64 = 0.15;
 
 /// Permits of one service.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Ceiling {
     per_second: f64,
     permits: f64,
--- a/system/queue/src/credits.rs
+++ b/system/queue/src/credits.rs
@@ -28,7 +28,7 @@
 type Rank = (bool, u32, DispatcherId);
 
 /// Credits of one service.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Credits {
     dispatchers: BTreeMap<DispatcherId, Credit>,
     free: BTreeSet<Rank>,
--- a/system/queue/src/disk.rs
+++ b/system/queue/src/disk.rs
@@ -21,7 +21,7 @@
     Promise { store: StoreId, shard: ShardId, since: Epoch },
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Unsynced {
     ticket: Ticket,
     at: Time,
@@ -29,7 +29,7 @@
 }
 
 /// The local disk's queue.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Disk {
     next: Ticket,
     unsynced: VecDeque<Unsynced>,
--- a/system/queue/src/dispatchers.rs
+++ b/system/queue/src/dispatchers.rs
@@ -17,7 +17,7 @@
 }
 
 /// One life of a dispatcher process.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Life {
     pub connection: Option<ConnectionId>,
     /// It is in this store's zone.
@@ -65,7 +65,7 @@
 }
 
 /// All dispatchers that are connected or hold something.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Dispatchers {
     lives: BTreeMap<DispatcherId, Life>,
     connections: BTreeMap<ConnectionId, DispatcherId>,
--- a/system/queue/src/entry.rs
+++ b/system/queue/src/entry.rs
@@ -10,7 +10,7 @@
 const OVERHEAD_BYTES: usize = 400;
 
 /// What one store knows of one message.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Entry {
     pub id: MessageId,
     pub sequence: Sequence,
--- a/system/queue/src/follower.rs
+++ b/system/queue/src/follower.rs
@@ -11,7 +11,7 @@
 use millrudder_protocol::{Epoch, MessageId, RequestNumber, ShardId, StoreId};
 
 /// States of a shard on their way to its new primary.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Dump {
     since: Epoch,
     next: MessageId,
--- a/system/queue/src/keys.rs
+++ b/system/queue/src/keys.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Messages of one key that have not ended.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct KeyQueue {
     waiting: BTreeSet<(Sequence, MessageId)>,
     /// The one on its way.
@@ -12,7 +12,7 @@
 }
 
 /// All order keys of the shards that this store is primary of.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Keys {
     queues: BTreeMap<ShardId, BTreeMap<String, KeyQueue>>,
 }
--- a/system/queue/src/lead.rs
+++ b/system/queue/src/lead.rs
@@ -79,7 +79,7 @@
 }
 
 /// What only a shard's primary keeps of a message.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Lead {
     /// Counts what became known in this reign.
     pub version: u32,
--- a/system/queue/src/node.rs
+++ b/system/queue/src/node.rs
@@ -22,7 +22,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// All decisions of one store process.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct StoreNode {
     pub(crate) config: Config,
     pub(crate) me: StoreId,
--- a/system/queue/src/peers.rs
+++ b/system/queue/src/peers.rs
@@ -25,7 +25,7 @@
 }
 
 /// A `Write` without an answer yet.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Outstanding {
     number: RequestNumber,
     sent_at: Time,
@@ -34,7 +34,7 @@
 }
 
 /// One other store.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Peer {
     pub connected: bool,
     next_number: u64,
--- a/system/queue/src/reign.rs
+++ b/system/queue/src/reign.rs
@@ -7,14 +7,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 /// What a replica knew of a message at the start of the reign.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Seen {
     pub store: StoreId,
     pub facts: Facts,
 }
 
 /// What is gathered before the shard is served.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Takeover {
     /// The promise to itself is on the local disk.
     pub own_promise: bool,
@@ -31,7 +31,7 @@
 }
 
 /// A shard that this store is primary of.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Reign {
     pub since: Epoch,
     pub replicas: Vec<StoreId>,
--- a/system/queue/src/replication.rs
+++ b/system/queue/src/replication.rs
@@ -12,7 +12,7 @@
 use std::collections::BTreeMap;
 
 /// Something that became known of a message and is not written yet.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Change {
     id: MessageId,
     /// Absent where the whole state is to be written.
@@ -20,7 +20,7 @@
 }
 
 /// Records for one store and shard.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub(crate) struct Batch {
     pub records: Vec<Record>,
     pub messages: Vec<Sent>,
--- a/system/queue/src/schedule.rs
+++ b/system/queue/src/schedule.rs
@@ -26,7 +26,7 @@
 }
 
 /// One service.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub(crate) struct Service {
     pub name: String,
     pub ready: BTreeSet<ReadyKey>,
@@ -60,7 +60,7 @@
 }
 
 /// All services that messages or settings named.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Services {
     by_name: BTreeMap<String, ServiceIndex>,
     services: Vec<Service>,
--- a/system/queue/src/table.rs
+++ b/system/queue/src/table.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 
 /// All messages that this store knows, by name.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Table {
     entries: BTreeMap<MessageId, Box<Entry>>,
     bytes: u64,
--- a/system/queue/src/timers.rs
+++ b/system/queue/src/timers.rs
@@ -27,7 +27,7 @@
 }
 
 /// Timers by time. A timer that was set twice goes off twice.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub(crate) struct Timers {
     due: BTreeSet<(Time, Timer)>,
 }
--- /dev/null
+++ b/system/simulation/src/checks.rs
@@ -0,0 +1,192 @@
+//! What must hold at all times, checked from what machines were seen to do.
+
+use crate::event::Observation;
+use crate::history::{Answer, History, Operation, Order};
+use crate::ledger::Ledger;
+use crate::linearizability::{is_linearizable, shrunk};
+use crate::place::Place;
+use crate::violation::Violation;
+use crate::{MILLISECOND, SECOND};
+use millrudder_chain::{Epoch, RequestId, View};
+use millrudder_control_state::{Command, Reply};
+use speedy::Readable;
+use std::collections::BTreeMap;
+
+/// What a core machine tells may be so much older than what was acknowledged last (microseconds): the longest time
+/// for which a confirmation by a majority allows serving, and the way of a message.
+pub const STALE_BOUND: u64 = 1_500 * MILLISECOND;
+/// A dispatcher that can reach a machine which is in touch with a majority learns of a version within this time.
+pub const LEARN_BOUND: u64 = 6 * SECOND;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Adopted {
+    configuration: u64,
+    placement: u64,
+    workers: (u64, u64),
+}
+
+/// The record of everything that was promised.
+#[derive(Clone, Debug, Default)]
+pub struct Checks {
+    pub history: History,
+    pub ledger: Ledger,
+    views: BTreeMap<Epoch, View>,
+    committed: BTreeMap<u64, Vec<u8>>,
+    /// By which request each configuration came into force.
+    effects: BTreeMap<Vec<u8>, RequestId>,
+    /// Versions that were acknowledged, each higher than all before, with their times.
+    acknowledged: Vec<(u64, u64)>,
+    highest_fencing: u64,
+    highest_act: u64,
+    adopted: BTreeMap<usize, Adopted>,
+    pub leases: usize,
+}
+
+impl Checks {
+    /// Something was seen at a place at a true time. `stood_still`: the machine's clock has stood still before.
+    pub fn seen(
+        &mut self,
+        place: Place,
+        now: u64,
+        stood_still: bool,
+        seen: Observation,
+    ) -> Result<(), Violation> {
+        match seen {
+            Observation::ToldConfiguration { version } => self.told(place, now, stood_still, version),
+            Observation::Committed { sequence, request_id, command, reply } => {
+                self.committed(sequence, request_id, command, reply)
+            }
+            Observation::ViewEntered { view } => self.view(view),
+            Observation::LeaseGranted { fencing } => self.lease_granted(fencing.0),
+            Observation::ActedAsHolder { fencing } if !stood_still => self.acted(place, now, fencing.0),
+            Observation::ActedAsHolder { .. } | Observation::Queried { .. } => Ok(()),
+            Observation::Adopted { .. } => self.adopted(place, seen),
+            Observation::Accepted { id } => {
+                if let Place::Dispatcher(dispatcher) = place {
+                    self.ledger.accepted(dispatcher, id, now);
+                }
+                Ok(())
+            }
+            Observation::Ran { id } if self.ledger.is_recorded(id) => Err(Violation::RanAgain { id }),
+            Observation::Ran { .. } => Ok(()),
+            Observation::Recorded { id } => {
+                self.ledger.recorded(id);
+                Ok(())
+            }
+        }
+    }
+
+    /// A core machine answers an operator.
+    pub fn answered(&mut self, order: Order, answer: Answer, now: u64) {
+        let Order::Put { configuration, .. } = order else { return };
+        let highest = self.acknowledged.last().map_or(0, |(_, version)| *version);
+        if answer == Answer::Accepted && configuration.version > highest {
+            self.acknowledged.push((now, configuration.version));
+        }
+    }
+
+    /// The highest version acknowledged up to a time.
+    pub fn acknowledged_at(&self, time: u64) -> u64 {
+        let before = self.acknowledged.partition_point(|(at, _)| *at <= time);
+        before.checked_sub(1).map_or(0, |index| self.acknowledged[index].1)
+    }
+
+    /// When a version was first acknowledged that is as high as this.
+    fn acknowledged_since(&self, version: u64) -> u64 {
+        self.acknowledged.iter().find(|(_, known)| *known > version).map_or(0, |(at, _)| *at)
+    }
+
+    /// Whether operators were answered rightly all the time.
+    pub fn check_history(&self) -> Result<(), Violation> {
+        let operations: &[Operation] = self.history.operations();
+        if is_linearizable(operations) {
+            return Ok(());
+        }
+        Err(Violation::NotLinearizable { history: shrunk(operations) })
+    }
+
+    fn told(&self, machine: Place, now: u64, stood_still: bool, told: u64) -> Result<(), Violation> {
+        let acknowledged = self.acknowledged_at(now.saturating_sub(STALE_BOUND));
+        if told >= acknowledged || stood_still {
+            return Ok(());
+        }
+        let age = now - self.acknowledged_since(told);
+        Err(Violation::StaleTold { machine, told, acknowledged, at: now, age })
+    }
+
+    fn view(&mut self, view: View) -> Result<(), Violation> {
+        let first = self.views.entry(view.epoch).or_insert_with(|| view.clone());
+        if *first == view {
+            return Ok(());
+        }
+        Err(Violation::TwoViews { first: first.clone(), second: view })
+    }
+
+    fn committed(
+        &mut self,
+        sequence: u64,
+        request_id: RequestId,
+        command: Vec<u8>,
+        reply: Reply,
+    ) -> Result<(), Violation> {
+        let first = self.committed.entry(sequence).or_insert_with(|| command.clone());
+        if *first != command {
+            return Err(Violation::TwoCommands { sequence });
+        }
+        if reply != Reply::ConfigurationAccepted {
+            return Ok(());
+        }
+        let Ok(Command::PutConfiguration { configuration, .. }) = Command::read_from_buffer(&command) else {
+            return Ok(());
+        };
+        let text = String::from_utf8_lossy(&configuration.json).into_owned();
+        // The reply to a request that comes twice is remembered; nothing is done a second time then.
+        let first = *self.effects.entry(configuration.json).or_insert(request_id);
+        match first == request_id {
+            true => Ok(()),
+            false => Err(Violation::SecondEffect { text }),
+        }
+    }
+
+    fn lease_granted(&mut self, number: u64) -> Result<(), Violation> {
+        let before = self.highest_fencing;
+        if number <= before {
+            return Err(Violation::FencingNotHigher { before, number });
+        }
+        self.highest_fencing = number;
+        self.leases += 1;
+        Ok(())
+    }
+
+    fn acted(&mut self, machine: Place, at: u64, number: u64) -> Result<(), Violation> {
+        let later = self.highest_act;
+        if number < later {
+            return Err(Violation::ActedAfterSuccessor { machine, number, later, at });
+        }
+        self.highest_act = number;
+        Ok(())
+    }
+
+    /// A dispatcher's process has begun afresh.
+    pub fn restarted(&mut self, dispatcher: usize) {
+        self.adopted.remove(&dispatcher);
+    }
+
+    fn adopted(&mut self, place: Place, seen: Observation) -> Result<(), Violation> {
+        let (Place::Dispatcher(index), Observation::Adopted { configuration, placement, workers }) =
+            (place, &seen)
+        else {
+            return Ok(());
+        };
+        let (configuration, placement, workers) = (*configuration, *placement, *workers);
+        let now = Adopted { configuration, placement, workers };
+        let Some(before) = self.adopted.insert(index, now) else { return Ok(()) };
+        let back =
+            before.configuration > configuration || before.placement > placement || before.workers > workers;
+        if !back {
+            return Ok(());
+        }
+        let (before, now) = (format!("{before:?}"), format!("{now:?}"));
+        Err(Violation::WentBack { dispatcher: place, before, now })
+    }
+}
--- /dev/null
+++ b/system/simulation/src/core_machine.rs
@@ -0,0 +1,553 @@
+//! A core machine: the true node and placement manager in a shell like that of the system's program.
+
+use crate::clock::Clock;
+use crate::control_machine::ControlMachine;
+use crate::core_disk::CoreDisk;
+use crate::event::{Call, Connection, Effect, Happening, Observation, Payload, Target};
+use crate::history::{Answer, Order};
+use crate::mechanism::{Mechanism, Mutant};
+use crate::orders::{Orders, Step};
+use crate::{MILLISECOND, SECOND};
+use millrudder_chain::{CoreConfig, CoreNode, Fencing, Input, NodeId, Output, RequestId, Role};
+use millrudder_control_state::{Command, Reply};
+use millrudder_placement::{Input as PlacementInput, PlacementManager};
+use millrudder_protocol::control::{FromCore, Registrant, ToCore, WorkerList};
+use millrudder_protocol::{Address, StoreId};
+use speedy::Writable;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// One role for all that one core machine does for all of them.
+const CONTROLLER: &str = "controller";
+/// Pause between two confirmed reads by which a machine shows itself that it is in touch with a majority.
+const CONTACT_EVERY: u64 = 150 * MILLISECOND;
+/// A confirmed read allows serving for so long after it was asked for.
+const CONTACT_LASTS: u64 = 700 * MILLISECOND;
+/// Pause between two readings of the platform's list.
+const READ_LIST_EVERY: u64 = 400 * MILLISECOND;
+/// Orders that have waited too long are looked for this often.
+const SWEEP: u64 = SECOND / 4;
+/// A checkpoint after records of this many bytes, so that hundreds of changes bring many.
+const CHECKPOINT_BYTES: usize = 4 << 10;
+/// Commands kept in memory, so few that peers that were away need a snapshot.
+const KEPT_ENTRIES: usize = 20;
+
+/// What does not change while the machine lives.
+#[derive(Clone, Debug)]
+pub struct CoreSettings {
+    pub address: SocketAddr,
+    pub seeds: Vec<SocketAddr>,
+    /// The machine may take part in the founding of a core.
+    pub bootstrap: bool,
+    pub tolerated_losses: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Registered {
+    registrant: Registrant,
+}
+
+/// The running process of a core machine.
+#[derive(Clone)]
+pub struct CoreProcess<M: ControlMachine> {
+    pub node: CoreNode<M>,
+    manager: PlacementManager,
+    settings: CoreSettings,
+    mutant: Mutant,
+    orders: Orders,
+    /// Connections to other core machines, by address.
+    dialed: BTreeMap<SocketAddr, Connection>,
+    known: Vec<SocketAddr>,
+    peers: BTreeMap<Connection, NodeId>,
+    addresses: BTreeMap<NodeId, SocketAddr>,
+    registrants: BTreeMap<Connection, Registered>,
+    workers: WorkerList,
+    told_version: u64,
+    told_epoch: u64,
+    fencing: Option<Fencing>,
+    read_list_at: u64,
+    contact_asked: BTreeMap<RequestId, u64>,
+    contact_until: u64,
+    ask_contact_at: u64,
+    sweep_at: u64,
+    was_in_contact: bool,
+}
+
+/// Gives the process its happenings together with what it works on.
+pub struct CoreScene<'a> {
+    /// Steady clock of the machine (microseconds).
+    pub now: u64,
+    pub disk: &'a mut CoreDisk,
+    pub effects: &'a mut Vec<Effect>,
+}
+
+impl<M: ControlMachine> CoreProcess<M> {
+    /// Starts on what the disk holds.
+    pub fn start(settings: CoreSettings, mutant: Mutant, disk: &CoreDisk, seed: u64, now: u64) -> Self {
+        let state = match mutant.has(Mechanism::RecordsReplayed) {
+            true => disk.state(),
+            false => disk.checkpoint_alone(),
+        };
+        let mut config = CoreConfig::new(settings.address.to_string());
+        config.minimum_members = settings.tolerated_losses as usize + 1;
+        config.roles = vec![Role(CONTROLLER.to_owned())];
+        config.checkpoint_bytes = CHECKPOINT_BYTES;
+        config.kept_entries = KEPT_ENTRIES;
+        if settings.bootstrap && state.is_none() {
+            config.founders = settings.seeds.iter().map(SocketAddr::to_string).collect();
+        }
+        let node = CoreNode::<M>::new(config, state, seed, now).expect("the settings fit together");
+        let mut manager = PlacementManager::new(settings.tolerated_losses);
+        let held = node.machine().state();
+        manager.handle(now / MILLISECOND, PlacementInput::Committed(held.placement().clone()));
+        let mut process = CoreProcess {
+            manager,
+            orders: Orders::new(seed),
+            dialed: BTreeMap::new(),
+            known: settings.seeds.clone(),
+            peers: BTreeMap::new(),
+            addresses: BTreeMap::new(),
+            registrants: BTreeMap::new(),
+            workers: WorkerList::default(),
+            told_version: held.configuration().version,
+            told_epoch: held.placement().epoch.0,
+            fencing: None,
+            read_list_at: u64::MAX,
+            contact_asked: BTreeMap::new(),
+            contact_until: 0,
+            ask_contact_at: now,
+            sweep_at: now,
+            was_in_contact: false,
+            settings,
+            mutant,
+            node,
+        };
+        process.know_view();
+        process
+    }
+
+    /// Switches mechanisms off or on again.
+    pub fn set_mutant(&mut self, mutant: Mutant) {
+        self.mutant = mutant;
+    }
+
+    /// Addresses to which a connection is wanted.
+    pub fn wanted(&self) -> Vec<Target> {
+        let others = self.known.iter().filter(|address| **address != self.settings.address);
+        others.filter(|address| !self.dialed.contains_key(address)).copied().map(Target::core).collect()
+    }
+
+    /// When a tick is due, by the machine's steady clock (microseconds).
+    pub fn next_deadline(&self, now: u64) -> u64 {
+        let manager = self.manager.next_deadline(now / MILLISECOND).map(|due| due * MILLISECOND);
+        let own = self.read_list_at.min(self.ask_contact_at).min(self.sweep_at);
+        self.node.next_deadline().min(own).min(manager.unwrap_or(u64::MAX))
+    }
+
+    /// Takes one happening and does what follows.
+    pub fn handle(&mut self, scene: &mut CoreScene<'_>, happening: Happening) {
+        match happening {
+            Happening::Dialed { connection, target } => self.on_dialed(scene, connection, target.address),
+            Happening::Accepted { .. } => {}
+            Happening::Closed { connection } => self.on_closed(connection),
+            Happening::Arrived { connection, payload } => self.on_payload(scene, connection, payload),
+            Happening::Synced => {}
+            Happening::Tick => self.on_tick(scene),
+            Happening::Leaving => {
+                self.tell_all(scene, &FromCore::TryAnother);
+                self.node.handle(scene.now, Input::Leave);
+            }
+            Happening::Called { call, order } => self.on_order(scene, call, order),
+        }
+        self.carry_out(scene);
+        self.heed_contact(scene);
+    }
+
+    /// Everything up to this write is durable.
+    pub fn persisted(&mut self, scene: &mut CoreScene<'_>, token: millrudder_chain::PersistToken) {
+        self.node.handle(scene.now, Input::Persisted { token });
+        self.carry_out(scene);
+        self.heed_contact(scene);
+    }
+
+    /// Whether the machine may serve what it holds.
+    pub fn may_serve(&self, now: u64) -> bool {
+        !self.mutant.has(Mechanism::MajorityContact) || now < self.contact_until
+    }
+
+    /// Whether this process acts as holder of the lease.
+    pub fn holds(&self, now: u64) -> Option<Fencing> {
+        self.node.holds(now, &Role(CONTROLLER.to_owned()))
+    }
+
+    fn on_dialed(&mut self, scene: &mut CoreScene<'_>, connection: Connection, address: SocketAddr) {
+        self.dialed.insert(address, connection);
+        let payload = Payload::Peer { id: self.node.id(), address: self.settings.address.to_string() };
+        scene.effects.push(Effect::Send { connection, payload });
+        let payload = Payload::Workers { list: self.workers.clone() };
+        scene.effects.push(Effect::Send { connection, payload });
+    }
+
+    fn on_closed(&mut self, connection: Connection) {
+        self.dialed.retain(|_, dialed| *dialed != connection);
+        self.peers.remove(&connection);
+        self.registrants.remove(&connection);
+    }
+
+    fn on_payload(&mut self, scene: &mut CoreScene<'_>, connection: Connection, payload: Payload) {
+        match payload {
+            Payload::Peer { id, address } => self.on_peer(scene, connection, id, &address),
+            Payload::Core { to, message } => {
+                let from = self.peers.get(&connection).copied().filter(|_| to == self.node.id());
+                if let Some(from) = from {
+                    self.node.handle(scene.now, Input::Message { from, message });
+                }
+            }
+            Payload::Workers { list } => self.adopt_workers(scene, list, false),
+            Payload::ToCore(message) => self.on_client(scene, connection, message),
+            _ => {}
+        }
+    }
+
+    fn on_peer(&mut self, scene: &mut CoreScene<'_>, connection: Connection, id: NodeId, text: &str) {
+        let Ok(address) = text.parse::<SocketAddr>() else { return };
+        self.peers.insert(connection, id);
+        self.addresses.insert(id, address);
+        self.know(address);
+        self.node.handle(scene.now, Input::PeerSeen { id, address: text.to_owned() });
+        let addresses = self.core_addresses();
+        self.tell_all(scene, &addresses);
+    }
+
+    fn on_client(&mut self, scene: &mut CoreScene<'_>, connection: Connection, message: ToCore) {
+        match message {
+            ToCore::Register { registrant, configuration_version, placement_epoch } => {
+                self.on_register(scene, connection, registrant, configuration_version, placement_epoch);
+            }
+            ToCore::Heartbeat { health } => {
+                if let (Some(id), Some(health)) = (self.store(connection), health) {
+                    self.manage(scene, PlacementInput::Heartbeat { id, health });
+                }
+            }
+            ToCore::CaughtUp { shards } => {
+                if let Some(id) = self.store(connection) {
+                    self.manage(scene, PlacementInput::CaughtUp { id, shards });
+                }
+            }
+        }
+    }
+
+    fn store(&self, connection: Connection) -> Option<StoreId> {
+        match self.registrants.get(&connection)?.registrant {
+            Registrant::Store { id, .. } => Some(id),
+            Registrant::Dispatcher { .. } => None,
+        }
+    }
+
+    fn on_register(
+        &mut self,
+        scene: &mut CoreScene<'_>,
+        connection: Connection,
+        registrant: Registrant,
+        version: u64,
+        epoch: u64,
+    ) {
+        if let Registrant::Store { id, name, zone, address, .. } = &registrant {
+            let (name, zone) = (name.clone(), zone.clone());
+            self.manage(scene, PlacementInput::Registered { id: *id, name, zone, address: *address });
+        }
+        let is_dispatcher = matches!(registrant, Registrant::Dispatcher { .. });
+        self.registrants.insert(connection, Registered { registrant });
+        let addresses = self.core_addresses();
+        tell(scene, connection, &addresses);
+        if !self.may_serve(scene.now) {
+            return self.send_elsewhere(scene, connection, is_dispatcher);
+        }
+        let state = self.node.machine().state();
+        if state.configuration().version > version {
+            let configuration = state.configuration().clone();
+            tell_configuration(scene, connection, configuration);
+        }
+        if state.placement().epoch.0 > epoch {
+            let placement = state.placement().clone();
+            tell(scene, connection, &FromCore::Placement { placement });
+        }
+        if is_dispatcher {
+            let list = self.workers.clone();
+            tell(scene, connection, &FromCore::Workers { list });
+        }
+    }
+
+    /// A store stays, since its heartbeats may be wanted at once; a dispatcher has no use for this machine.
+    fn send_elsewhere(&mut self, scene: &mut CoreScene<'_>, connection: Connection, is_dispatcher: bool) {
+        if is_dispatcher {
+            tell(scene, connection, &FromCore::TryAnother);
+        }
+    }
+
+    /// When contact with a majority ends, dispatchers are sent away; when it begins, all are told what is in force.
+    fn heed_contact(&mut self, scene: &mut CoreScene<'_>) {
+        let in_contact = self.may_serve(scene.now);
+        if in_contact == self.was_in_contact {
+            return;
+        }
+        self.was_in_contact = in_contact;
+        if in_contact {
+            self.tell_everything(scene);
+            return;
+        }
+        let is_dispatcher = |one: &Registered| matches!(one.registrant, Registrant::Dispatcher { .. });
+        let dispatchers = self.registrants.iter().filter(|(_, one)| is_dispatcher(one));
+        for connection in dispatchers.map(|(connection, _)| *connection).collect::<Vec<_>>() {
+            tell(scene, connection, &FromCore::TryAnother);
+        }
+    }
+
+    fn tell_everything(&mut self, scene: &mut CoreScene<'_>) {
+        self.told_version = 0;
+        self.told_epoch = 0;
+        self.tell_state(scene);
+    }
+
+    fn on_tick(&mut self, scene: &mut CoreScene<'_>) {
+        self.node.handle(scene.now, Input::Tick);
+        self.carry_out(scene);
+        self.manage(scene, PlacementInput::Tick);
+        self.read_list(scene);
+        self.ask_contact(scene);
+        self.sweep(scene);
+    }
+
+    fn sweep(&mut self, scene: &mut CoreScene<'_>) {
+        if scene.now < self.sweep_at {
+            return;
+        }
+        self.sweep_at = scene.now + SWEEP;
+        for (request_id, call) in self.orders.take_overdue(scene.now) {
+            self.node.handle(scene.now, Input::Abandon { request_id });
+            scene.effects.push(Effect::Answer { call, answer: Answer::Unavailable });
+        }
+    }
+
+    fn ask_contact(&mut self, scene: &mut CoreScene<'_>) {
+        if scene.now < self.ask_contact_at {
+            return;
+        }
+        self.ask_contact_at = scene.now + CONTACT_EVERY;
+        let old = self.contact_asked.iter().filter(|(_, asked)| scene.now - **asked >= CONTACT_LASTS);
+        for request_id in old.map(|(request_id, _)| *request_id).collect::<Vec<_>>() {
+            self.contact_asked.remove(&request_id);
+            self.node.handle(scene.now, Input::Abandon { request_id });
+        }
+        let request_id = self.orders.own_request(&self.mutant);
+        self.contact_asked.insert(request_id, scene.now);
+        self.node.handle(scene.now, Input::Read { request_id });
+    }
+
+    fn read_list(&mut self, scene: &mut CoreScene<'_>) {
+        let fencing = match self.mutant.has(Mechanism::LeaseChecked) {
+            true => self.holds(scene.now),
+            false => self.fencing,
+        };
+        let Some(fencing) = fencing.filter(|_| scene.now >= self.read_list_at) else { return };
+        self.read_list_at = scene.now + READ_LIST_EVERY;
+        scene.effects.push(Effect::Seen(Observation::ActedAsHolder { fencing }));
+        let same = self.workers.fencing == fencing.0;
+        let number = if same { self.workers.number + 1 } else { 1 };
+        let list = WorkerList { fencing: fencing.0, number, workers: Vec::new() };
+        self.adopt_workers(scene, list, true);
+    }
+
+    /// Takes over a newer list; one that this machine read itself goes to the other core machines too.
+    fn adopt_workers(&mut self, scene: &mut CoreScene<'_>, list: WorkerList, own: bool) {
+        if !list.is_newer_than(&self.workers) {
+            return;
+        }
+        if own {
+            for connection in self.dialed.values() {
+                let payload = Payload::Workers { list: list.clone() };
+                scene.effects.push(Effect::Send { connection: *connection, payload });
+            }
+        }
+        for (connection, one) in &self.registrants {
+            if matches!(one.registrant, Registrant::Dispatcher { .. }) {
+                tell(scene, *connection, &FromCore::Workers { list: list.clone() });
+            }
+        }
+        self.workers = list;
+    }
+
+    fn on_order(&mut self, scene: &mut CoreScene<'_>, call: Call, order: Order) {
+        let step = self.orders.take(scene.now, call, order, self.node.machine().state(), &self.mutant);
+        match step {
+            Step::Answer(answer) => scene.effects.push(Effect::Answer { call, answer }),
+            Step::Submit { request_id, command } => {
+                self.node.handle(scene.now, Input::Submit { request_id, command });
+                if !self.mutant.has(Mechanism::CommitBeforeAnswer) {
+                    scene.effects.push(Effect::Answer { call, answer: Answer::Accepted });
+                }
+            }
+            Step::Read { request_id } => self.node.handle(scene.now, Input::Read { request_id }),
+        }
+    }
+
+    fn manage(&mut self, scene: &mut CoreScene<'_>, input: PlacementInput) {
+        if let Some(placement) = self.manager.handle(scene.now / MILLISECOND, input) {
+            let request_id = self.orders.own_request(&self.mutant);
+            let command = Command::SetPlacement { placement };
+            self.node.handle(scene.now, Input::Submit { request_id, command });
+        }
+    }
+
+    /// Carries out what the node asks for, until nothing more comes.
+    fn carry_out(&mut self, scene: &mut CoreScene<'_>) {
+        while let Some(output) = self.node.next_output() {
+            match output {
+                Output::Send { to, message } => self.send(scene, to, Payload::Core { to, message }),
+                Output::Persist { token, record } => {
+                    scene.disk.append(token, record);
+                    self.written(scene, token);
+                }
+                Output::Checkpoint { token, state } => {
+                    scene.disk.checkpoint(token, state);
+                    scene.effects.push(Effect::Sync);
+                }
+                Output::Committed { sequence, request_id, command, reply } => {
+                    let command_bytes = command.write_to_vec().unwrap_or_default();
+                    let seen = Observation::Committed {
+                        sequence: sequence.0,
+                        request_id,
+                        command: command_bytes,
+                        reply,
+                    };
+                    scene.effects.push(Effect::Seen(seen));
+                    self.on_committed(scene, reply);
+                }
+                Output::Replaced { .. } => self.tell_state(scene),
+                Output::Reply { request_id, reply } => {
+                    if let Some((call, answer)) = self.orders.replied(request_id, reply, &self.mutant) {
+                        scene.effects.push(Effect::Answer { call, answer });
+                    }
+                }
+                Output::ReadReady { request_id } => self.on_read_ready(scene, request_id),
+                Output::ViewChanged(view) => {
+                    scene.effects.push(Effect::Seen(Observation::ViewEntered { view }));
+                    self.know_view();
+                }
+                Output::LeaseGranted { fencing, .. } => {
+                    scene.effects.push(Effect::Seen(Observation::LeaseGranted { fencing }));
+                    self.on_lease(scene, Some(fencing));
+                }
+                Output::LeaseLost { .. } => self.on_lease(scene, None),
+            }
+        }
+    }
+
+    fn written(&mut self, scene: &mut CoreScene<'_>, token: millrudder_chain::PersistToken) {
+        scene.effects.push(Effect::Sync);
+        if !self.mutant.has(Mechanism::SyncBeforePersisted) {
+            self.node.handle(scene.now, Input::Persisted { token });
+        }
+    }
+
+    fn on_read_ready(&mut self, scene: &mut CoreScene<'_>, request_id: RequestId) {
+        if let Some(asked) = self.contact_asked.remove(&request_id) {
+            self.contact_until = self.contact_until.max(asked + CONTACT_LASTS);
+            return;
+        }
+        if let Some((call, answer)) = self.orders.read_ready(request_id, self.node.machine().state()) {
+            scene.effects.push(Effect::Answer { call, answer });
+        }
+    }
+
+    fn on_committed(&mut self, scene: &mut CoreScene<'_>, reply: Reply) {
+        if matches!(reply, Reply::ConfigurationAccepted | Reply::PlacementSet) {
+            self.tell_state(scene);
+        }
+    }
+
+    /// Tells everybody what has come into force.
+    fn tell_state(&mut self, scene: &mut CoreScene<'_>) {
+        let placement = self.node.machine().state().placement().clone();
+        self.manage(scene, PlacementInput::Committed(placement.clone()));
+        if !self.may_serve(scene.now) {
+            return;
+        }
+        let configuration = self.node.machine().state().configuration().clone();
+        if configuration.version > self.told_version {
+            self.told_version = configuration.version;
+            for connection in self.registrants.keys() {
+                tell_configuration(scene, *connection, configuration.clone());
+            }
+        }
+        if placement.epoch.0 > self.told_epoch {
+            self.told_epoch = placement.epoch.0;
+            self.tell_all(scene, &FromCore::Placement { placement });
+        }
+    }
+
+    fn on_lease(&mut self, scene: &mut CoreScene<'_>, fencing: Option<Fencing>) {
+        self.fencing = fencing;
+        self.read_list_at = fencing.map_or(u64::MAX, |_| scene.now);
+        self.manage(scene, PlacementInput::Leading(fencing.is_some()));
+    }
+
+    fn send(&self, scene: &mut CoreScene<'_>, to: NodeId, payload: Payload) {
+        let known = self.addresses.get(&to).copied();
+        let address = known.or_else(|| self.node.address(to)?.parse().ok());
+        let connection = address.and_then(|address| self.dialed.get(&address).copied());
+        if let Some(connection) = connection {
+            scene.effects.push(Effect::Send { connection, payload });
+        }
+    }
+
+    fn know(&mut self, address: SocketAddr) {
+        if !self.known.contains(&address) {
+            self.known.push(address);
+        }
+    }
+
+    fn know_view(&mut self) {
+        let Some(view) = self.node.view().cloned() else { return };
+        for member in &view.members {
+            if let Ok(address) = member.address.parse() {
+                self.addresses.insert(member.id, address);
+                self.know(address);
+            }
+        }
+    }
+
+    fn core_addresses(&self) -> FromCore {
+        FromCore::Core { addresses: self.known.iter().copied().map(Address).collect() }
+    }
+
+    fn tell_all(&self, scene: &mut CoreScene<'_>, message: &FromCore) {
+        for connection in self.registrants.keys() {
+            tell(scene, *connection, message);
+        }
+    }
+}
+
+fn tell(scene: &mut CoreScene<'_>, connection: Connection, message: &FromCore) {
+    scene.effects.push(Effect::Send { connection, payload: Payload::FromCore(message.clone()) });
+}
+
+fn tell_configuration(
+    scene: &mut CoreScene<'_>,
+    connection: Connection,
+    configuration: millrudder_protocol::control::ConfigurationText,
+) {
+    let version = configuration.version;
+    scene.effects.push(Effect::Seen(Observation::ToldConfiguration { version }));
+    tell(scene, connection, &FromCore::Configuration { configuration });
+}
+
+/// A core machine with its disk and clock, whether or not its process runs.
+#[derive(Clone)]
+pub struct CoreMachine<M: ControlMachine> {
+    pub process: Option<CoreProcess<M>>,
+    pub disk: CoreDisk,
+    pub clock: Clock,
+    /// The machine had another disk before.
+    pub lost_a_disk: bool,
+}
--- /dev/null
+++ b/system/simulation/src/dispatcher.rs
@@ -0,0 +1,412 @@
+//! A model of a dispatcher: adopts what core machines tell, has messages kept by stores, runs what they grant.
+
+use crate::event::{Connection, Effect, Happening, Observation, Payload, Target};
+use crate::mechanism::{Mechanism, Mutant};
+use crate::MILLISECOND;
+use millrudder_protocol::control::{FromCore, Registrant, ToCore, WorkerList};
+use millrudder_protocol::message::Message;
+use millrudder_protocol::placement::Placement;
+use millrudder_protocol::store::{AttemptOutcome, FromDispatcher, HeldLease, NotAccepted, ToDispatcher};
+use millrudder_protocol::{Address, DispatcherId, LeaseToken, MessageId, RequestNumber, ShardId, StoreId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+/// Core machines to which a dispatcher keeps connections.
+const CORE_LINKS: usize = 2;
+/// A connection that is not open for so long is replaced, where another machine is known (microseconds).
+const REPLACE_AFTER: u64 = 1_200 * MILLISECOND;
+/// Pause between two looks at what needs sending again.
+const LOOK: u64 = 50 * MILLISECOND;
+/// What has no answer is sent again after so long.
+const REPEAT: u64 = 250 * MILLISECOND;
+/// A client is given up after so long.
+const GIVE_UP: u64 = 4_000 * MILLISECOND;
+/// Pause between two pings of a store.
+const PING: u64 = 1_000 * MILLISECOND;
+
+/// What does not change while the process lives.
+#[derive(Clone, Debug)]
+pub struct DispatcherSettings {
+    pub id: DispatcherId,
+    pub name: String,
+    pub zone: String,
+    pub seeds: Vec<SocketAddr>,
+    /// Pause between two messages of its clients (microseconds).
+    pub message_every: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CoreLink {
+    connection: Option<Connection>,
+    since: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    first: u64,
+    sent: u64,
+}
+
+/// Where requests go on one connection.
+#[derive(Clone, Debug, Default)]
+struct StoreLink {
+    requests: BTreeMap<RequestNumber, MessageId>,
+    last: u64,
+}
+
+/// The running process of a dispatcher.
+#[derive(Clone, Debug)]
+pub struct Dispatcher {
+    settings: DispatcherSettings,
+    mutant: Mutant,
+    random: fastrand::Rng,
+    known: Vec<SocketAddr>,
+    cores: BTreeMap<SocketAddr, CoreLink>,
+    next_core: usize,
+    configuration: u64,
+    placement: Placement,
+    workers: WorkerList,
+    stores: BTreeMap<StoreId, Connection>,
+    links: BTreeMap<Connection, StoreLink>,
+    /// Which store each connection was opened to, also of those that have ended.
+    owners: BTreeMap<Connection, StoreId>,
+    pending: BTreeMap<MessageId, Pending>,
+    reports: BTreeMap<(MessageId, LeaseToken), u64>,
+    ran: BTreeSet<MessageId>,
+    names: u64,
+    look_at: u64,
+    message_at: u64,
+    ping_at: u64,
+    /// Its clients send.
+    pub sending: bool,
+}
+
+/// Gives the process its happenings together with what it works on.
+pub struct DispatcherScene<'a> {
+    /// Steady clock of the machine (microseconds).
+    pub now: u64,
+    pub effects: &'a mut Vec<Effect>,
+}
+
+impl Dispatcher {
+    /// Starts with nothing.
+    pub fn start(settings: DispatcherSettings, mutant: Mutant, seed: u64, now: u64) -> Self {
+        Dispatcher {
+            known: settings.seeds.clone(),
+            cores: BTreeMap::new(),
+            next_core: seed as usize % 64,
+            configuration: 0,
+            placement: Placement::default(),
+            workers: WorkerList::default(),
+            stores: BTreeMap::new(),
+            links: BTreeMap::new(),
+            owners: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            reports: BTreeMap::new(),
+            ran: BTreeSet::new(),
+            names: 0,
+            look_at: now,
+            message_at: now,
+            ping_at: now,
+            sending: true,
+            random: fastrand::Rng::with_seed(seed),
+            settings,
+            mutant,
+        }
+    }
+
+    /// Switches mechanisms off or on again.
+    pub fn set_mutant(&mut self, mutant: Mutant) {
+        self.mutant = mutant;
+    }
+
+    /// Version of the configuration that it holds.
+    pub fn configuration(&self) -> u64 {
+        self.configuration
+    }
+
+    /// The placement that it holds.
+    pub fn placement(&self) -> &Placement {
+        &self.placement
+    }
+
+    /// Addresses to which a connection is wanted.
+    pub fn wanted(&self) -> Vec<Target> {
+        let cores = self.cores.iter().filter(|(_, link)| link.connection.is_none());
+        let stores = self.placement.stores.iter().filter(|store| !self.stores.contains_key(&store.id));
+        let cores = cores.map(|(address, _)| Target::core(*address));
+        cores.chain(stores.map(|store| Target::store(store.address.0, store.id))).collect()
+    }
+
+    /// When a tick is due (microseconds of its steady clock).
+    pub fn next_deadline(&self) -> u64 {
+        self.look_at
+    }
+
+    /// Takes one happening and does what follows.
+    pub fn handle(&mut self, scene: &mut DispatcherScene<'_>, happening: Happening) {
+        match happening {
+            Happening::Dialed { connection, target } => self.on_dialed(scene, connection, target),
+            Happening::Closed { connection } => self.on_closed(scene, connection),
+            Happening::Arrived { connection, payload } => match payload {
+                Payload::FromCore(message) => self.on_core(scene, connection, message),
+                Payload::ToDispatcher(message) => self.on_store(scene, connection, message),
+                _ => {}
+            },
+            Happening::Tick => self.look(scene),
+            _ => {}
+        }
+    }
+
+    fn look(&mut self, scene: &mut DispatcherScene<'_>) {
+        self.look_at = scene.now + LOOK;
+        self.keep_core_links(scene.now);
+        self.drop_clients(scene.now);
+        if self.sending && scene.now >= self.message_at {
+            self.message_at = scene.now + self.settings.message_every;
+            self.new_message(scene);
+        }
+        let now = scene.now;
+        let due = |sent: u64| now - sent >= REPEAT;
+        let late = self.pending.iter().filter(|(_, pending)| due(pending.sent));
+        for id in late.map(|(id, _)| *id).collect::<Vec<_>>() {
+            self.send_accept(scene, id);
+        }
+        let late = self.reports.iter().filter(|(_, sent)| due(**sent));
+        for (id, token) in late.map(|(report, _)| *report).collect::<Vec<_>>() {
+            self.report(scene, id, token);
+        }
+        if scene.now >= self.ping_at {
+            self.ping_at = scene.now + PING;
+            for connection in self.stores.values() {
+                send(scene, *connection, FromDispatcher::Ping);
+            }
+        }
+    }
+
+    /// Drops what has been closed for long and dials others, as the program's link to the core does.
+    fn keep_core_links(&mut self, now: u64) {
+        if self.known.len() > self.cores.len() {
+            self.cores.retain(|_, link| link.connection.is_some() || now - link.since < REPLACE_AFTER);
+        }
+        while self.cores.len() < CORE_LINKS.min(self.known.len()) {
+            self.next_core = self.next_core.wrapping_add(1);
+            let address = self.known[self.next_core % self.known.len()];
+            self.cores.entry(address).or_insert(CoreLink { connection: None, since: now });
+        }
+    }
+
+    fn on_dialed(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection, target: Target) {
+        let Some(store) = target.store else { return self.register(scene, connection, target.address) };
+        self.stores.insert(store, connection);
+        self.links.insert(connection, StoreLink::default());
+        self.owners.insert(connection, store);
+        let payload = Payload::Addressed { store };
+        scene.effects.push(Effect::Send { connection, payload });
+        self.hello(scene, store, connection);
+    }
+
+    fn register(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection, address: SocketAddr) {
+        if let Some(link) = self.cores.get_mut(&address) {
+            *link = CoreLink { connection: Some(connection), since: scene.now };
+            let DispatcherSettings { name, zone, .. } = self.settings.clone();
+            let message = ToCore::Register {
+                registrant: Registrant::Dispatcher { name, zone },
+                configuration_version: self.configuration,
+                placement_epoch: self.placement.epoch.0,
+            };
+            scene.effects.push(Effect::Send { connection, payload: Payload::ToCore(message) });
+        }
+    }
+
+    fn on_closed(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection) {
+        for link in self.cores.values_mut().filter(|link| link.connection == Some(connection)) {
+            *link = CoreLink { connection: None, since: scene.now };
+        }
+        self.stores.retain(|_, open| *open != connection);
+        if self.mutant.has(Mechanism::AnswerOfSameConnection) {
+            self.links.remove(&connection);
+        }
+    }
+
+    fn on_core(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection, message: FromCore) {
+        if !self.cores.values().any(|link| link.connection == Some(connection)) {
+            return;
+        }
+        let any = !self.mutant.has(Mechanism::OnlyNewerAdopted);
+        match message {
+            FromCore::Configuration { configuration }
+                if any || configuration.version > self.configuration =>
+            {
+                self.configuration = configuration.version;
+                self.adopted(scene);
+            }
+            FromCore::Placement { placement } if any || placement.epoch > self.placement.epoch => {
+                self.adopt_placement(scene, placement);
+                self.adopted(scene);
+            }
+            FromCore::Workers { list } if any || list.is_newer_than(&self.workers) => {
+                self.workers = list;
+                self.adopted(scene);
+            }
+            FromCore::Core { addresses } => {
+                for Address(address) in addresses {
+                    if !self.known.contains(&address) {
+                        self.known.push(address);
+                    }
+                }
+            }
+            FromCore::TryAnother => scene.effects.push(Effect::Close { connection }),
+            _ => {}
+        }
+    }
+
+    fn adopted(&self, scene: &mut DispatcherScene<'_>) {
+        let (configuration, placement) = (self.configuration, self.placement.epoch.0);
+        let workers = (self.workers.fencing, self.workers.number);
+        scene.effects.push(Effect::Seen(Observation::Adopted { configuration, placement, workers }));
+    }
+
+    fn adopt_placement(&mut self, scene: &mut DispatcherScene<'_>, placement: Placement) {
+        let gone = self.stores.iter().filter(|(id, _)| {
+            placement.store(**id).map(|store| store.address)
+                != self.placement.store(**id).map(|store| store.address)
+        });
+        for connection in gone.map(|(_, connection)| *connection).collect::<Vec<_>>() {
+            scene.effects.push(Effect::Close { connection });
+        }
+        self.placement = placement;
+        for (store, connection) in self.stores.clone() {
+            self.hello(scene, store, connection);
+        }
+        for id in self.pending.keys().copied().collect::<Vec<_>>() {
+            self.send_accept(scene, id);
+        }
+    }
+
+    fn hello(&mut self, scene: &mut DispatcherScene<'_>, store: StoreId, connection: Connection) {
+        let is_primary = |id: &MessageId| self.primary(*id) == Some(store);
+        let held = self.reports.keys().filter(|(id, _)| is_primary(id));
+        let held = held.map(|(id, token)| HeldLease { id: *id, token: *token }).collect();
+        let hello = FromDispatcher::Hello {
+            dispatcher: self.settings.id,
+            name: self.settings.name.clone(),
+            zone: self.settings.zone.clone(),
+            epoch: self.placement.epoch,
+            held,
+            in_doubt: self.pending.keys().copied().collect(),
+        };
+        send(scene, connection, hello);
+    }
+
+    fn primary(&self, id: MessageId) -> Option<StoreId> {
+        self.placement.shard(id.shard).map(|shard| shard.primary)
+    }
+
+    fn new_message(&mut self, scene: &mut DispatcherScene<'_>) {
+        let shards = self.placement.shards.len() as u16;
+        if shards == 0 {
+            return;
+        }
+        self.names += 1;
+        let unique = self.settings.id.0 << 32 | self.names;
+        let id = MessageId { shard: ShardId(self.random.u16(0..shards)), unique };
+        self.pending.insert(id, Pending { first: scene.now, sent: scene.now });
+        self.send_accept(scene, id);
+    }
+
+    fn send_accept(&mut self, scene: &mut DispatcherScene<'_>, id: MessageId) {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        pending.sent = scene.now;
+        let primary = self.primary(id).and_then(|store| self.stores.get(&store));
+        let Some(connection) = primary.copied() else { return };
+        let Some(link) = self.links.get_mut(&connection) else { return };
+        link.last += 1;
+        let request = RequestNumber(link.last);
+        link.requests.insert(request, id);
+        let message = Box::new(plain_message(id));
+        send(scene, connection, FromDispatcher::Accept { request, id, message, lease: false });
+    }
+
+    /// Clients that have waited long are gone; what became of their messages stays in doubt.
+    fn drop_clients(&mut self, now: u64) {
+        self.pending.retain(|_, pending| now - pending.first < GIVE_UP);
+    }
+
+    /// The link to whose questions an answer belongs.
+    fn asked_on(&mut self, connection: Connection) -> Option<&mut StoreLink> {
+        if self.mutant.has(Mechanism::AnswerOfSameConnection) {
+            return self.links.get_mut(&connection);
+        }
+        let store = self.owners.get(&connection)?;
+        let current = self.stores.get(store).copied();
+        self.links.get_mut(&current.unwrap_or(connection))
+    }
+
+    fn on_store(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection, message: ToDispatcher) {
+        match message {
+            ToDispatcher::Accepted { request, .. } => {
+                let asked = self.asked_on(connection).and_then(|link| link.requests.remove(&request));
+                let Some(id) = asked.filter(|id| self.pending.contains_key(id)) else { return };
+                self.pending.remove(&id);
+                scene.effects.push(Effect::Seen(Observation::Accepted { id }));
+            }
+            ToDispatcher::NotAccepted { request, reason } => {
+                let asked = self.asked_on(connection).and_then(|link| link.requests.remove(&request));
+                if let (Some(id), NotAccepted::Full { .. }) = (asked, reason) {
+                    self.pending.remove(&id);
+                }
+            }
+            ToDispatcher::Deliver { id, token, .. } => self.deliver(scene, id, token),
+            ToDispatcher::Recorded { id, token } if self.reports.remove(&(id, token)).is_some() => {
+                scene.effects.push(Effect::Seen(Observation::Recorded { id }));
+            }
+            _ => {}
+        }
+    }
+
+    /// Runs a message at once, unless its grant is of a primary before the present one.
+    fn deliver(&mut self, scene: &mut DispatcherScene<'_>, id: MessageId, token: LeaseToken) {
+        let since = self.placement.shard(id.shard).map(|shard| shard.since);
+        if since.is_some_and(|since| token.epoch() < since) {
+            return;
+        }
+        if self.ran.insert(id) {
+            scene.effects.push(Effect::Seen(Observation::Ran { id }));
+        }
+        self.report(scene, id, token);
+    }
+
+    fn report(&mut self, scene: &mut DispatcherScene<'_>, id: MessageId, token: LeaseToken) {
+        self.reports.insert((id, token), scene.now);
+        let primary = self.primary(id).and_then(|store| self.stores.get(&store));
+        if let Some(connection) = primary.copied() {
+            let outcome = AttemptOutcome::Succeeded { signature: id.to_string() };
+            send(scene, connection, FromDispatcher::Attempted { id, token, outcome });
+        }
+    }
+}
+
+fn send(scene: &mut DispatcherScene<'_>, connection: Connection, message: FromDispatcher) {
+    scene.effects.push(Effect::Send { connection, payload: Payload::FromDispatcher(message) });
+}
+
+/// A message without an order key, to be run at once.
+fn plain_message(id: MessageId) -> Message {
+    Message {
+        request_id: id.to_string(),
+        method: "POST".to_owned(),
+        path: "/path".to_owned(),
+        host: "host".to_owned(),
+        headers: Vec::new(),
+        body: b"body".to_vec(),
+        order_key: None,
+        callback_url: None,
+        service: "plain".to_owned(),
+        priority: 0,
+        delay_ms: 0,
+        target_start_ms: 800,
+        max_attempts: 3,
+        retention_ms: 600_000,
+    }
+}
--- /dev/null
+++ b/system/simulation/src/explore.rs
@@ -0,0 +1,116 @@
+//! Places faults after every single delivery and sync of a run.
+
+use crate::control_machine::ControlMachine;
+use crate::fault::{Fault, PlannedFault, When};
+use crate::plan::Plan;
+use crate::violation::Violation;
+use crate::world::World;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Mutex;
+use std::thread;
+
+/// A run that failed, so that it can be repeated.
+#[derive(Debug)]
+pub struct Failure {
+    pub plan: Box<Plan>,
+    pub violation: Violation,
+}
+
+/// What was explored.
+#[derive(Debug, Default)]
+pub struct Explored {
+    /// Runs to their end.
+    pub runs: usize,
+    /// Steps after which a fault was placed.
+    pub steps: usize,
+    /// The first failure that was found, if any.
+    pub failure: Option<Failure>,
+}
+
+/// How a run is explored.
+#[derive(Clone, Debug)]
+pub struct Exploration {
+    /// Faults placed one at a time after each step.
+    pub faults: Vec<Fault>,
+    /// Steps are counted within this time after the beginning (microseconds).
+    pub window: u64,
+    /// Only every so many steps, beginning with a drawn one.
+    pub stride: usize,
+    pub threads: usize,
+}
+
+impl Exploration {
+    /// Plays the plan from `world` on, and from each step on again with each fault.
+    pub fn explore<M>(&self, world: &World<M>, plan: &Plan) -> Explored
+    where
+        M: ControlMachine + Send + Sync,
+        World<M>: Send + Sync,
+    {
+        let mut base = world.clone();
+        base.resume(plan.clone());
+        let forks = match self.forks(&mut base) {
+            Ok(forks) => forks,
+            Err(violation) => {
+                let failure = Some(Failure { plan: Box::new(plan.clone()), violation });
+                return Explored { failure, ..Explored::default() };
+            }
+        };
+        self.play_all(&forks)
+    }
+
+    /// The world after each step of the window.
+    fn forks<M: ControlMachine>(&self, base: &mut World<M>) -> Result<Vec<World<M>>, Violation> {
+        let until = base.now + self.window;
+        let mut forks = Vec::new();
+        let mut steps = base.steps;
+        while base.step_before(until)? {
+            if base.steps != steps {
+                steps = base.steps;
+                if (steps as usize).is_multiple_of(self.stride) {
+                    forks.push(base.clone());
+                }
+            }
+        }
+        Ok(forks)
+    }
+
+    fn play_all<M>(&self, forks: &[World<M>]) -> Explored
+    where
+        M: ControlMachine + Send + Sync,
+        World<M>: Send + Sync,
+    {
+        let next = AtomicUsize::new(0);
+        let found = AtomicBool::new(false);
+        let failure = Mutex::new(None);
+        let total = forks.len() * self.faults.len();
+        thread::scope(|scope| {
+            for _ in 0..self.threads {
+                scope.spawn(|| {
+                    while !found.load(Ordering::Relaxed) {
+                        let number = next.fetch_add(1, Ordering::Relaxed);
+                        if number >= total {
+                            break;
+                        }
+                        let (fork, fault) =
+                            (&forks[number / self.faults.len()], &self.faults[number % self.faults.len()]);
+                        if let Err(failed) = play_fork(fork, fault) {
+                            found.store(true, Ordering::Relaxed);
+                            failure.lock().expect("no thread panics").get_or_insert(failed);
+                        }
+                    }
+                });
+            }
+        });
+        let runs = next.into_inner().min(total);
+        Explored { runs, steps: forks.len(), failure: failure.into_inner().expect("no thread panics") }
+    }
+}
+
+fn play_fork<M: ControlMachine>(fork: &World<M>, fault: &Fault) -> Result<(), Failure> {
+    let mut world = fork.clone();
+    let planned = PlannedFault { when: When::Step(world.steps), fault: fault.clone() };
+    let mut plan = Box::new(world.plan.clone());
+    plan.faults.push(planned);
+    world.strike(fault);
+    world.play().map_err(|violation| Failure { plan, violation })
+}
--- /dev/null
+++ b/system/simulation/src/orders.rs
@@ -0,0 +1,119 @@
+//! The operator's orders that wait at a core machine, as the shell of the core keeps them.
+
+use crate::event::Call;
+use crate::history::{Answer, Configuration, Order};
+use crate::mechanism::{Mechanism, Mutant};
+use millrudder_chain::RequestId;
+use millrudder_control_state::{Command, ControlState, Reply};
+use millrudder_protocol::control::ConfigurationText;
+use std::collections::BTreeMap;
+
+/// How long an order waits for the chain (microseconds).
+const PATIENCE: u64 = 2_500_000;
+
+/// What an order needs before it can be answered.
+#[derive(Clone, Debug)]
+pub enum Step {
+    Answer(Answer),
+    Submit { request_id: RequestId, command: Command },
+    Read { request_id: RequestId },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Waiting {
+    call: Call,
+    since: u64,
+}
+
+/// Orders by the request that they wait for.
+#[derive(Clone, Debug)]
+pub struct Orders {
+    random: fastrand::Rng,
+    counted: u128,
+    waiting: BTreeMap<RequestId, Waiting>,
+}
+
+impl Orders {
+    pub fn new(seed: u64) -> Self {
+        Orders { random: fastrand::Rng::with_seed(seed), counted: 0, waiting: BTreeMap::new() }
+    }
+
+    /// Takes an order; what is known to be accepted already is answered at once.
+    pub fn take(
+        &mut self,
+        now: u64,
+        call: Call,
+        order: Order,
+        state: &ControlState,
+        mutant: &Mutant,
+    ) -> Step {
+        match order {
+            Order::Get if !mutant.has(Mechanism::ConfirmedRead) => Step::Answer(current(state)),
+            Order::Get => Step::Read { request_id: self.wait(now, call, mutant) },
+            Order::Put { expected, configuration } => {
+                let json = configuration.bytes();
+                if state.has_accepted(&json) {
+                    return Step::Answer(Answer::Accepted);
+                }
+                let request_id = self.wait(now, call, mutant);
+                let configuration = ConfigurationText { version: configuration.version, json };
+                let command = Command::PutConfiguration { expected_version: expected, configuration };
+                Step::Submit { request_id, command }
+            }
+        }
+    }
+
+    fn wait(&mut self, now: u64, call: Call, mutant: &Mutant) -> RequestId {
+        let request_id = self.own_request(mutant);
+        self.waiting.insert(request_id, Waiting { call, since: now });
+        request_id
+    }
+
+    /// A request id for a command of this machine's own.
+    pub fn own_request(&mut self, mutant: &Mutant) -> RequestId {
+        self.counted += 1;
+        match mutant.has(Mechanism::FreshRequestNames) {
+            true => RequestId(self.random.u128(1..)),
+            false => RequestId(self.counted),
+        }
+    }
+
+    /// The answer to the order that waited for this reply.
+    pub fn replied(
+        &mut self,
+        request_id: RequestId,
+        reply: Reply,
+        mutant: &Mutant,
+    ) -> Option<(Call, Answer)> {
+        let waiting = self.waiting.remove(&request_id)?;
+        let answer = match reply {
+            Reply::ConfigurationAccepted | Reply::ConfigurationKnown => Answer::Accepted,
+            Reply::ConfigurationConflict { .. } if !mutant.has(Mechanism::LoserRefused) => Answer::Accepted,
+            Reply::ConfigurationConflict { .. } => Answer::Conflict,
+            Reply::VersionNotHigher { .. } => Answer::NotHigher,
+            Reply::PlacementSet | Reply::PlacementConflict { .. } => return None,
+        };
+        Some((waiting.call, answer))
+    }
+
+    /// The answer to a read that sees what it must.
+    pub fn read_ready(&mut self, request_id: RequestId, state: &ControlState) -> Option<(Call, Answer)> {
+        let waiting = self.waiting.remove(&request_id)?;
+        Some((waiting.call, current(state)))
+    }
+
+    /// Requests that have waited too long, with their calls.
+    pub fn take_overdue(&mut self, now: u64) -> Vec<(RequestId, Call)> {
+        let overdue = |waiting: &Waiting| now.saturating_sub(waiting.since) >= PATIENCE;
+        let late = self.waiting.iter().filter(|(_, waiting)| overdue(waiting));
+        let late: Vec<_> = late.map(|(request_id, waiting)| (*request_id, waiting.call)).collect();
+        self.waiting.retain(|_, waiting| !overdue(waiting));
+        late
+    }
+}
+
+fn current(state: &ControlState) -> Answer {
+    let configuration = state.configuration();
+    let held = (configuration.version > 0).then(|| Configuration::from_bytes(&configuration.json));
+    Answer::Current(held.flatten())
+}
--- /dev/null
+++ b/system/simulation/src/shrink.rs
@@ -0,0 +1,20 @@
+//! Drops the faults that a failure does not need.
+
+use crate::explore::Failure;
+use crate::plan::Plan;
+use crate::violation::Violation;
+
+/// The failure with as few faults as still make the run fail; `play` plays a plan from its beginning.
+pub fn shrunk(failure: Failure, play: impl Fn(&Plan) -> Result<(), Violation>) -> Failure {
+    let mut failure = failure;
+    let mut index = failure.plan.faults.len();
+    while index > 0 {
+        index -= 1;
+        let mut fewer = failure.plan.clone();
+        fewer.faults.remove(index);
+        if let Err(violation) = play(&fewer) {
+            failure = Failure { plan: fewer, violation };
+        }
+    }
+    failure
+}
--- /dev/null
+++ b/system/simulation/src/world.rs
@@ -0,0 +1,835 @@
+//! The simulated world: one event at a time, in the order of time.
+
+use crate::checks::Checks;
+use crate::clock::Clock;
+use crate::control_machine::ControlMachine;
+use crate::core_disk::CoreDisk;
+use crate::core_machine::{CoreMachine, CoreProcess, CoreScene, CoreSettings};
+use crate::dispatcher::{Dispatcher, DispatcherScene, DispatcherSettings};
+use crate::event::{Call, Connection, Effect, Happening, Payload, Process, Target};
+use crate::fault::{Fault, PlannedFault, When};
+use crate::history::{Answer, Order};
+use crate::network::Network;
+use crate::operator::{self, Operator, UnderWay};
+use crate::place::Place;
+use crate::plan::Plan;
+use crate::reachability::Learning;
+use crate::store_disk::StoreDisk;
+use crate::store_machine::{StoreMachine, StoreProcess, StoreScene, StoreSettings};
+use crate::violation::Violation;
+use crate::{MILLISECOND, SECOND};
+use millrudder_chain::PersistToken;
+use millrudder_control_state::ControlState;
+use millrudder_protocol::{DispatcherId, StoreId};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+/// Pause between two rounds in which connections are dialed.
+const DIAL_EVERY: u64 = 40 * MILLISECOND;
+/// Pause between two looks at what must hold of the whole.
+const WATCH_EVERY: u64 = 100 * MILLISECOND;
+/// A connection on which nothing comes for so long is taken for lost.
+const LINK_SILENCE: u64 = 1_600 * MILLISECOND;
+/// Time of a sync.
+const SYNC: std::ops::Range<u64> = 1_500..6_000;
+/// Time of a sync of a slow disk.
+const SLOW_SYNC: std::ops::Range<u64> = 50 * MILLISECOND..600 * MILLISECOND;
+/// Time in which the other end learns of a reset.
+const NOTICE: std::ops::Range<u64> = 500..3_000;
+/// Time in which it may learn where messages come late.
+const LATE_NOTICE: std::ops::Range<u64> = 3_000..1_500_000;
+/// Delay of what is held up.
+const LATE: std::ops::Range<u64> = 3_000..2_000_000;
+/// Where messages straggle, ended connections are forgotten in every so many rounds.
+const FORGET_EVERY: u64 = 20;
+/// Way of a call or an answer between an operator and a machine.
+const CALL: std::ops::Range<u64> = 300..3_000;
+/// How late a timer may go off.
+const LATENESS: std::ops::Range<u64> = 0..2_000;
+/// The largest difference of a clock's rate from true time, in parts per million.
+const CLOCK_RATE_PPM: u64 = 500;
+/// The founding must be done by then.
+const FOUNDED_WITHIN: u64 = 20 * SECOND;
+/// Names of the first disks of stores; each further disk of a machine has a higher one.
+const FIRST_STORE: u64 = 100;
+/// Between two disks of the same machine.
+const NEXT_DISK: u64 = 1_000;
+/// Faults that are planned for a step which has not come by then are left out.
+const STEPS_WITHIN: u64 = 10 * SECOND;
+/// How long the last checks go on after all is well again.
+const AFTERWARDS: u64 = 400 * MILLISECOND;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Arrive { connection: Connection, to: Place, payload: Payload },
+    Closed { connection: Connection, at: Place },
+    Synced { process: Process, token: Option<PersistToken> },
+    Tick { process: Process, at: u64 },
+    Start { place: Place },
+    End { process: Process, down: u64 },
+    Strike(usize),
+    Dial,
+    Watch,
+    OperatorTurn { operator: usize },
+    CallArrives { call: Call, at: Place, order: Order },
+    AnswerArrives { call: Call, operator: usize, answer: Answer },
+    CallSilent { call: Call, operator: usize },
+}
+
+impl Event {
+    /// The place that must not stand still for this event to happen.
+    fn needs(&self) -> Option<Place> {
+        match self {
+            Event::Arrive { to, .. } => Some(*to),
+            Event::Closed { at, .. } | Event::CallArrives { at, .. } => Some(*at),
+            Event::Synced { process, .. } | Event::Tick { process, .. } => Some(process.place),
+            _ => None,
+        }
+    }
+}
+
+/// What is the same of every machine.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Machine {
+    pub life: u32,
+    pub frozen_until: u64,
+    pub slow_until: u64,
+    pub sync_free_at: u64,
+    /// Count of replacements by a machine at another address.
+    pub generation: u8,
+    /// The clock has stood still.
+    pub stood_still: bool,
+    tick_at: Option<u64>,
+    /// A disk of it was lost and is not made up for yet.
+    pub disk_lost: bool,
+    pub starts_at: Option<u64>,
+}
+
+/// A dispatcher's machine.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct DispatcherMachine {
+    pub process: Option<Dispatcher>,
+    pub clock: Clock,
+}
+
+/// The world of one run; its replicated machine may be a test's own.
+#[derive(Clone)]
+pub struct World<M: ControlMachine = ControlState> {
+    pub plan: Plan,
+    pub(crate) random: fastrand::Rng,
+    pub(crate) cores: Vec<CoreMachine<M>>,
+    pub(crate) stores: Vec<StoreMachine>,
+    pub(crate) dispatchers: Vec<DispatcherMachine>,
+    pub(crate) operators: Vec<Operator>,
+    pub(crate) machines: BTreeMap<Place, Machine>,
+    pub(crate) network: Network,
+    events: BTreeMap<(u64, u64), Event>,
+    order: u64,
+    calls: BTreeMap<Call, (usize, usize, Order)>,
+    next_call: u64,
+    pub now: u64,
+    /// Deliveries and syncs so far.
+    pub steps: u64,
+    pub events_played: u64,
+    pub checks: Checks,
+    pub(crate) learning: Learning,
+    pub(crate) lose_answers_until: u64,
+    struck: Vec<bool>,
+    /// When the last fault ends.
+    pub faults_end: u64,
+    pub(crate) violation: Option<Violation>,
+    founding: bool,
+}
+
+impl<M: ControlMachine> World<M> {
+    /// A world in which nothing has happened yet.
+    pub fn new(plan: Plan) -> World<M> {
+        let mut random = fastrand::Rng::with_seed(plan.seed ^ 0x5eed);
+        let shape = plan.shape;
+        let mut clock = || Clock {
+            offset: random.u64(0..1_000 * SECOND),
+            rate_ppm: random.u64(0..CLOCK_RATE_PPM),
+            stood_still: 0,
+        };
+        let core =
+            |clock| CoreMachine { process: None, disk: CoreDisk::default(), clock, lost_a_disk: false };
+        let cores = (0..shape.cores).map(|_| core(clock())).collect();
+        let store = |(index, clock)| StoreMachine {
+            process: None,
+            disk: StoreDisk::default(),
+            clock,
+            id: StoreId(FIRST_STORE + index as u64),
+        };
+        let stores = (0..shape.stores).map(|index| store((index, clock()))).collect();
+        let dispatchers =
+            (0..shape.dispatchers).map(|_| DispatcherMachine { process: None, clock: clock() }).collect();
+        let operators = (0..shape.operators).map(|index| Operator::new(index, plan.load.operator_pace));
+        let operators = operators.collect();
+        let mut world = World {
+            random,
+            cores,
+            stores,
+            dispatchers,
+            operators,
+            machines: BTreeMap::new(),
+            network: Network::default(),
+            events: BTreeMap::new(),
+            order: 0,
+            calls: BTreeMap::new(),
+            next_call: 0,
+            now: 0,
+            steps: 0,
+            events_played: 0,
+            checks: Checks::default(),
+            learning: Learning::default(),
+            lose_answers_until: 0,
+            struck: Vec::new(),
+            faults_end: 0,
+            violation: None,
+            founding: true,
+            plan,
+        };
+        world.set_the_scene();
+        world
+    }
+
+    /// A world whose core and placement are founded and that has served its first messages.
+    ///
+    /// # Errors
+    /// A promise was broken, or it was not founded in time.
+    pub fn founded(plan: Plan) -> Result<World<M>, Violation> {
+        let mut world = World::new(Plan { faults: Vec::new(), ..plan.clone() });
+        while !world.is_well_since(0) {
+            if world.now > FOUNDED_WITHIN {
+                return Err(Violation::Stuck { what: "the founding is not done", at: world.now });
+            }
+            world.run_until(world.now + WATCH_EVERY)?;
+        }
+        world.founding = false;
+        world.resume(plan);
+        Ok(world)
+    }
+
+    /// Goes on from here with other faults, load and chance.
+    pub fn resume(&mut self, plan: Plan) {
+        self.random = fastrand::Rng::with_seed(plan.seed ^ self.now);
+        self.struck = vec![false; plan.faults.len()];
+        self.faults_end = self.now;
+        self.founding = false;
+        for operator in &mut self.operators {
+            operator.pace = plan.load.operator_pace;
+        }
+        for (index, planned) in plan.faults.iter().enumerate() {
+            if let When::At(at) | When::WhenWhole(at) = planned.when {
+                self.schedule(at, Event::Strike(index));
+            }
+        }
+        self.plan = plan;
+        for core in &mut self.cores {
+            if let Some(process) = &mut core.process {
+                process.set_mutant(self.plan.mutant.clone());
+            }
+        }
+        for store in &mut self.stores {
+            if let Some(process) = &mut store.process {
+                process.set_mutant(self.plan.mutant.clone());
+            }
+        }
+        for dispatcher in &mut self.dispatchers {
+            if let Some(process) = &mut dispatcher.process {
+                process.set_mutant(self.plan.mutant.clone());
+            }
+        }
+    }
+
+    fn set_the_scene(&mut self) {
+        let shape = self.plan.shape;
+        let places = (0..shape.cores).map(Place::Core).chain((0..shape.stores).map(Place::Store));
+        let places: Vec<Place> = places.chain((0..shape.dispatchers).map(Place::Dispatcher)).collect();
+        for place in places {
+            self.machines.insert(place, Machine::default());
+            let at = self.random.u64(0..100 * MILLISECOND);
+            self.schedule(at, Event::Start { place });
+        }
+        self.schedule(0, Event::Dial);
+        self.schedule(WATCH_EVERY, Event::Watch);
+        for operator in 0..shape.operators {
+            self.schedule(2 * SECOND, Event::OperatorTurn { operator });
+        }
+        self.struck = vec![false; self.plan.faults.len()];
+    }
+
+    /// Plays the plan: all faults, the recovery after them, and the last checks.
+    ///
+    /// # Errors
+    /// A promise was broken, or things were not well again in time.
+    pub fn play(&mut self) -> Result<(), Violation> {
+        let latest = self.plan.faults.iter().filter_map(|planned| match planned.when {
+            When::At(at) | When::WhenWhole(at) => Some(at),
+            When::Step(_) => None,
+        });
+        let latest = latest.max().unwrap_or_default().max(self.now);
+        while self.now <= latest {
+            self.run_until(self.now + WATCH_EVERY)?;
+        }
+        let given_up = self.now + STEPS_WITHIN;
+        while self.now < given_up && self.waits_for_step() {
+            self.run_until(self.now + WATCH_EVERY)?;
+        }
+        self.recover()?;
+        self.run_until(self.now + AFTERWARDS)?;
+        self.checks.check_history()
+    }
+
+    /// Whether a fault has not struck that is planned for a step.
+    fn waits_for_step(&self) -> bool {
+        let planned = self.plan.faults.iter().zip(&self.struck);
+        planned.into_iter().any(|(planned, struck)| !struck && matches!(planned.when, When::Step(_)))
+    }
+
+    /// Waits until all is well after the last fault.
+    fn recover(&mut self) -> Result<(), Violation> {
+        loop {
+            self.run_until(self.now + WATCH_EVERY)?;
+            let since = self.faults_end;
+            if self.now >= since && self.is_well_since(since) {
+                return Ok(());
+            }
+            if self.now > since + self.plan.recovery {
+                let what = self.what_is_unwell(since).unwrap_or("unknown");
+                // What was answered wrongly tells more than that something hangs.
+                self.checks.check_history()?;
+                return Err(Violation::Stuck { what, at: self.now });
+            }
+        }
+    }
+
+    /// Plays until a time (microseconds).
+    ///
+    /// # Errors
+    /// A promise was broken.
+    pub fn run_until(&mut self, until: u64) -> Result<(), Violation> {
+        while self.step_before(until)? {}
+        self.now = self.now.max(until);
+        Ok(())
+    }
+
+    /// Plays one event, if there is one up to a time; false if there is none.
+    ///
+    /// # Errors
+    /// A promise was broken.
+    pub fn step_before(&mut self, until: u64) -> Result<bool, Violation> {
+        let Some(entry) = self.events.first_entry().filter(|entry| entry.key().0 <= until) else {
+            return Ok(false);
+        };
+        let (at, order) = *entry.key();
+        let event = entry.remove();
+        self.now = self.now.max(at);
+        self.events_played += 1;
+        let thaws =
+            event.needs().and_then(|place| self.machines.get(&place)).map_or(0, |one| one.frozen_until);
+        if thaws > self.now {
+            self.events.insert((thaws, order), event);
+            return Ok(true);
+        }
+        let steps = self.steps;
+        self.happen(order, event);
+        if self.steps != steps {
+            self.strike_at_step();
+        }
+        match self.violation.take() {
+            Some(violation) => Err(violation),
+            None => Ok(true),
+        }
+    }
+
+    pub(crate) fn schedule_start(&mut self, place: Place, at: u64) {
+        self.machine(place).starts_at = Some(at);
+        self.schedule(at, Event::Start { place });
+    }
+
+    pub(crate) fn schedule_end(&mut self, place: Place, at: u64, down: u64) {
+        let process = self.process_of(place);
+        self.schedule(at, Event::End { process, down });
+    }
+
+    fn schedule(&mut self, at: u64, event: Event) {
+        self.order += 1;
+        self.events.insert((at.max(self.now), self.order), event);
+    }
+
+    pub(crate) fn machine(&mut self, place: Place) -> &mut Machine {
+        self.machines.entry(place).or_default()
+    }
+
+    pub(crate) fn process_of(&self, place: Place) -> Process {
+        Process { place, life: self.machines.get(&place).map_or(0, |machine| machine.life) }
+    }
+
+    /// Whether a process runs at a place, frozen or not.
+    pub fn is_up(&self, place: Place) -> bool {
+        match place {
+            Place::Core(index) => self.cores[index].process.is_some(),
+            Place::Store(index) => self.stores[index].process.is_some(),
+            Place::Dispatcher(index) => self.dispatchers[index].process.is_some(),
+            Place::Operator(_) => true,
+        }
+    }
+
+    /// Whether a process runs at a place and is not frozen.
+    pub(crate) fn runs(&self, place: Place) -> bool {
+        self.is_up(place) && self.machines.get(&place).is_some_and(|machine| machine.frozen_until <= self.now)
+    }
+
+    pub(crate) fn address(&self, place: Place) -> SocketAddr {
+        place.address(self.machines.get(&place).map_or(0, |machine| machine.generation))
+    }
+
+    fn at_address(&self, address: SocketAddr) -> Option<Place> {
+        self.machines.keys().copied().find(|place| self.address(*place) == address)
+    }
+
+    fn happen(&mut self, order: u64, event: Event) {
+        match event {
+            Event::Arrive { connection, to, payload } => self.arrive(order, connection, to, payload),
+            Event::Closed { connection, at } => self.closed(connection, at),
+            Event::Synced { process, token } => self.synced(process, token),
+            Event::Tick { process, at } => self.tick(process, at),
+            Event::Start { place } => self.start(place),
+            Event::End { process, down } => {
+                if self.process_of(process.place) == process {
+                    self.strike(&Fault::Kill { place: process.place, down });
+                }
+            }
+            Event::Strike(index) => self.strike_planned(index),
+            Event::Dial => {
+                self.dial();
+                self.schedule(self.now + DIAL_EVERY, Event::Dial);
+            }
+            Event::Watch => {
+                self.watch();
+                self.schedule(self.now + WATCH_EVERY, Event::Watch);
+            }
+            Event::OperatorTurn { operator } => self.operator_calls(operator),
+            Event::CallArrives { call, at, order } => self.call_arrives(call, at, order),
+            Event::AnswerArrives { call, operator, answer } => self.answer_arrives(call, operator, answer),
+            Event::CallSilent { call, operator } => self.call_silent(call, operator),
+        }
+    }
+
+    fn strike_planned(&mut self, index: usize) {
+        let PlannedFault { when, fault } = self.plan.faults[index].clone();
+        if matches!(when, When::WhenWhole(_)) && !self.is_whole() {
+            // Where it never becomes whole, the fault is left out.
+            if self.now < self.faults_end + self.plan.recovery {
+                self.schedule(self.now + 10 * MILLISECOND, Event::Strike(index));
+                self.faults_end = self.faults_end.max(self.now);
+            }
+            return;
+        }
+        self.strike_once(index, &fault);
+    }
+
+    fn strike_once(&mut self, index: usize, fault: &Fault) {
+        if std::mem::replace(&mut self.struck[index], true) {
+            return;
+        }
+        self.strike(fault);
+    }
+
+    fn strike_at_step(&mut self) {
+        for index in 0..self.plan.faults.len() {
+            let PlannedFault { when, fault } = &self.plan.faults[index];
+            if *when == When::Step(self.steps) {
+                let fault = fault.clone();
+                self.strike_once(index, &fault);
+            }
+        }
+    }
+
+    fn start(&mut self, place: Place) {
+        if self.is_up(place) {
+            return;
+        }
+        for connection in self.network.touching(place) {
+            if self.network.link(connection).is_some_and(|link| !link.is_open_at(place)) {
+                self.notice_closed(connection, place);
+            }
+        }
+        let (now, seed) = (self.now, self.random.u64(..));
+        let machine = self.machine(place);
+        machine.life += 1;
+        machine.tick_at = None;
+        machine.sync_free_at = now;
+        machine.starts_at = None;
+        match place {
+            Place::Core(index) => self.start_core(index, seed),
+            Place::Store(index) => self.start_store(index, seed),
+            Place::Dispatcher(index) => self.start_dispatcher(index, seed),
+            Place::Operator(_) => {}
+        }
+        self.give(place, Happening::Tick);
+    }
+
+    fn core_addresses(&self) -> Vec<SocketAddr> {
+        (0..self.cores.len()).map(|index| self.address(Place::Core(index))).collect()
+    }
+
+    fn start_core(&mut self, index: usize, seed: u64) {
+        let settings = CoreSettings {
+            address: self.address(Place::Core(index)),
+            seeds: self.core_addresses(),
+            bootstrap: !self.cores[index].lost_a_disk,
+            tolerated_losses: self.plan.shape.tolerated_losses,
+        };
+        let (now, mutant) = (self.now, self.plan.mutant.clone());
+        let core = &mut self.cores[index];
+        core.process = Some(CoreProcess::start(settings, mutant, &core.disk, seed, core.clock.local(now)));
+    }
+
+    fn start_store(&mut self, index: usize, seed: u64) {
+        let place = Place::Store(index);
+        let settings = StoreSettings {
+            id: self.stores[index].id,
+            name: format!("store-{index}"),
+            zone: place.zone(),
+            address: self.address(place),
+            seeds: self.core_addresses(),
+        };
+        let (now, mutant) = (self.now, self.plan.mutant.clone());
+        let store = &mut self.stores[index];
+        let local = store.clock.local(now);
+        store.process = Some(StoreProcess::start(settings, mutant, &store.disk, seed, local, now));
+    }
+
+    fn start_dispatcher(&mut self, index: usize, seed: u64) {
+        let place = Place::Dispatcher(index);
+        let life = self.process_of(place).life;
+        let settings = DispatcherSettings {
+            id: DispatcherId((index as u64 + 1) * NEXT_DISK + u64::from(life)),
+            name: format!("dispatcher-{index}"),
+            zone: place.zone(),
+            seeds: self.core_addresses(),
+            message_every: self.plan.load.message_every,
+        };
+        let (now, mutant) = (self.now, self.plan.mutant.clone());
+        let dispatcher = &mut self.dispatchers[index];
+        let local = dispatcher.clock.local(now);
+        dispatcher.process = Some(Dispatcher::start(settings, mutant, seed, local));
+        self.checks.restarted(index);
+        self.learning.restarted(index, now);
+    }
+
+    /// Another disk for a store machine.
+    pub(crate) fn new_store_disk(&mut self, index: usize) {
+        let store = &mut self.stores[index];
+        store.disk = StoreDisk::default();
+        store.id = StoreId(store.id.0 + NEXT_DISK);
+    }
+
+    fn clock(&self, place: Place) -> Clock {
+        match place {
+            Place::Core(index) => self.cores[index].clock,
+            Place::Store(index) => self.stores[index].clock,
+            Place::Dispatcher(index) => self.dispatchers[index].clock,
+            Place::Operator(_) => Clock::default(),
+        }
+    }
+
+    /// Hands a happening to the process at a place and carries out what it does.
+    pub(crate) fn give(&mut self, place: Place, happening: Happening) {
+        let mut effects = Vec::new();
+        let now = self.clock(place).local(self.now);
+        match place {
+            Place::Core(index) => {
+                let CoreMachine { process, disk, .. } = &mut self.cores[index];
+                let Some(process) = process else { return };
+                process.handle(&mut CoreScene { now, disk, effects: &mut effects }, happening);
+            }
+            Place::Store(index) => {
+                let StoreMachine { process, disk, .. } = &mut self.stores[index];
+                let Some(process) = process else { return };
+                let true_now = self.now;
+                process.handle(&mut StoreScene { now, true_now, disk, effects: &mut effects }, happening);
+            }
+            Place::Dispatcher(index) => {
+                let Some(process) = &mut self.dispatchers[index].process else { return };
+                process.handle(&mut DispatcherScene { now, effects: &mut effects }, happening);
+            }
+            Place::Operator(_) => return,
+        }
+        self.carry_out(place, effects);
+        self.arm(place);
+    }
+
+    fn carry_out(&mut self, place: Place, effects: Vec<Effect>) {
+        let mut syncs = false;
+        for effect in effects {
+            match effect {
+                Effect::Send { connection, payload } => self.send(place, connection, payload),
+                Effect::Close { connection } => self.close(place, connection),
+                Effect::Sync => syncs = true,
+                Effect::Answer { call, answer } => self.send_answer(place, call, answer),
+                Effect::Seen(seen) => {
+                    let stood_still = self.machines.get(&place).is_some_and(|machine| machine.stood_still);
+                    if let Err(violation) = self.checks.seen(place, self.now, stood_still, seen) {
+                        self.violation.get_or_insert(violation);
+                    }
+                }
+            }
+        }
+        if syncs {
+            self.start_sync(place);
+        }
+    }
+
+    fn arm(&mut self, place: Place) {
+        let clock = self.clock(place);
+        let local = clock.local(self.now);
+        let due = match place {
+            Place::Core(index) => self.cores[index].process.as_ref().map(|one| one.next_deadline(local)),
+            Place::Store(index) => self.stores[index].process.as_ref().map(StoreProcess::next_deadline),
+            Place::Dispatcher(index) => {
+                self.dispatchers[index].process.as_ref().map(Dispatcher::next_deadline)
+            }
+            Place::Operator(_) => None,
+        };
+        let Some(due) = due else { return };
+        let due = clock.true_time(self.now, due);
+        let lateness = self.random.u64(LATENESS);
+        let machine = self.machine(place);
+        if machine.tick_at.is_some_and(|at| at <= due + LATENESS.end) {
+            return;
+        }
+        let at = due + lateness;
+        machine.tick_at = Some(at);
+        let process = self.process_of(place);
+        self.schedule(at, Event::Tick { process, at });
+    }
+
+    fn tick(&mut self, process: Process, at: u64) {
+        let same = self.process_of(process.place) == process;
+        if same && self.machine(process.place).tick_at == Some(at) {
+            self.machine(process.place).tick_at = None;
+            self.give(process.place, Happening::Tick);
+        }
+    }
+
+    fn start_sync(&mut self, place: Place) {
+        let slow = self.machine(place).slow_until > self.now;
+        let takes = self.random.u64(if slow { SLOW_SYNC } else { SYNC });
+        let token = match place {
+            Place::Core(index) => self.cores[index].disk.last_token(),
+            Place::Store(index) => {
+                if !self.stores[index].disk.start_sync() {
+                    return;
+                }
+                None
+            }
+            _ => return,
+        };
+        let now = self.now;
+        let machine = self.machine(place);
+        let at = machine.sync_free_at.max(now + takes);
+        machine.sync_free_at = at;
+        let process = self.process_of(place);
+        self.schedule(at, Event::Synced { process, token });
+    }
+
+    fn synced(&mut self, process: Process, token: Option<PersistToken>) {
+        let place = process.place;
+        if self.process_of(place) != process || !self.is_up(place) {
+            return;
+        }
+        self.steps += 1;
+        match (place, token) {
+            (Place::Core(index), Some(token)) => self.core_synced(index, token),
+            _ => {
+                self.give(place, Happening::Synced);
+                self.start_sync(place);
+            }
+        }
+    }
+
+    fn core_synced(&mut self, index: usize, token: PersistToken) {
+        let place = Place::Core(index);
+        let now = self.clock(place).local(self.now);
+        let mut effects = Vec::new();
+        let CoreMachine { process, disk, .. } = &mut self.cores[index];
+        disk.finish(token);
+        if let Some(process) = process {
+            process.persisted(&mut CoreScene { now, disk, effects: &mut effects }, token);
+        }
+        self.carry_out(place, effects);
+        self.arm(place);
+    }
+
+    fn dial(&mut self) {
+        let places: Vec<Place> = self.machines.keys().copied().collect();
+        for place in places {
+            if !self.runs(place) {
+                continue;
+            }
+            let wanted = match place {
+                Place::Core(index) => self.cores[index].process.as_ref().map(CoreProcess::wanted),
+                Place::Store(index) => self.stores[index].process.as_ref().map(StoreProcess::wanted),
+                Place::Dispatcher(index) => self.dispatchers[index].process.as_ref().map(Dispatcher::wanted),
+                Place::Operator(_) => None,
+            };
+            for target in wanted.unwrap_or_default() {
+                self.connect(place, target);
+            }
+        }
+    }
+
+    fn connect(&mut self, place: Place, target: Target) {
+        let Some(acceptor) = self.at_address(target.address) else { return };
+        if !self.is_up(acceptor) || !self.network.can_talk(place, acceptor, self.now) {
+            return;
+        }
+        let connection = self.network.open(place, acceptor);
+        self.give(place, Happening::Dialed { connection, target });
+    }
+
+    fn send(&mut self, from: Place, connection: Connection, payload: Payload) {
+        let Some(link) = self.network.link(connection).copied() else { return };
+        if !link.is_open_at(from) {
+            return;
+        }
+        let to = link.other(from);
+        let at = self.network.arrival(connection, to, self.now, &mut self.random);
+        if let Payload::Core { .. } = payload {
+            return self.send_between_cores(at, connection, to, payload);
+        }
+        self.schedule(at, Event::Arrive { connection, to, payload });
+    }
+
+    /// What core machines say to each other may come late or twice.
+    fn send_between_cores(&mut self, at: u64, connection: Connection, to: Place, payload: Payload) {
+        let late = self.random.f64() < self.plan.noise.late;
+        let at = if late { at + self.random.u64(LATE) } else { at };
+        if self.random.f64() < self.plan.noise.doubled {
+            let again = at + self.random.u64(LATE);
+            self.schedule(again, Event::Arrive { connection, to, payload: payload.clone() });
+        }
+        self.schedule(at, Event::Arrive { connection, to, payload });
+    }
+
+    fn arrive(&mut self, order: u64, connection: Connection, to: Place, payload: Payload) {
+        let Some(link) = self.network.link(connection).copied() else { return };
+        let passes_at = self.network.passes_at(link.other(to), to, self.now);
+        if passes_at > self.now {
+            self.events.insert((passes_at, order), Event::Arrive { connection, to, payload });
+            return;
+        }
+        let straggles = matches!(to, Place::Dispatcher(_)) && self.random.f64() < self.plan.noise.after_close;
+        if !link.is_open_at(to) && !straggles || !self.is_up(to) {
+            return;
+        }
+        self.steps += 1;
+        self.give(to, Happening::Arrived { connection, payload });
+    }
+
+    /// One end closes a connection.
+    fn close(&mut self, place: Place, connection: Connection) {
+        self.schedule(self.now, Event::Closed { connection, at: place });
+        self.notice_closed(connection, place);
+    }
+
+    /// The other end than `place` learns that a connection is closed.
+    pub(crate) fn notice_closed(&mut self, connection: Connection, place: Place) {
+        let Some(link) = self.network.link(connection).copied() else { return };
+        let late = self.random.f64() < self.plan.noise.late;
+        let after = self.random.u64(if late { LATE_NOTICE } else { NOTICE });
+        self.schedule(self.now + after, Event::Closed { connection, at: link.other(place) });
+    }
+
+    fn closed(&mut self, connection: Connection, at: Place) {
+        let Some(link) = self.network.link_mut(connection).filter(|link| link.is_open_at(at)) else { return };
+        link.close_at(at);
+        self.give(at, Happening::Closed { connection });
+    }
+
+    fn watch(&mut self) {
+        self.drop_silent_links();
+        if self.founding {
+            return;
+        }
+        self.note_made_up_disks();
+        let checked = self.check_learning().and_then(|()| self.check_messages());
+        if let Err(violation) = checked {
+            self.violation.get_or_insert(violation);
+        }
+    }
+
+    /// Ends connections on which nothing passes for long, and forgets those that have ended.
+    fn drop_silent_links(&mut self) {
+        for connection in self.network.connections() {
+            let Some(link) = self.network.link(connection).copied() else { continue };
+            let (one, other) = (link.dialer, link.acceptor);
+            let blocked =
+                !self.network.can_talk(one, other, self.now) || !self.runs(one) || !self.runs(other);
+            let since = link.blocked_since.filter(|_| blocked).or(blocked.then_some(self.now));
+            if let Some(link) = self.network.link_mut(connection) {
+                link.blocked_since = since;
+            }
+            if since.is_some_and(|since| self.now - since >= LINK_SILENCE) {
+                self.notice_closed(connection, one);
+                self.notice_closed(connection, other);
+            }
+        }
+        let rounds = self.now / WATCH_EVERY;
+        if self.plan.noise.after_close == 0.0 || rounds.is_multiple_of(FORGET_EVERY) {
+            self.network.forget_closed();
+        }
+    }
+
+    fn operator_calls(&mut self, operator: usize) {
+        let order = self.operators[operator].next_order(&mut self.random);
+        let machine = self.random.usize(0..self.cores.len());
+        self.next_call += 1;
+        let call = Call(self.next_call);
+        let operation = self.checks.history.call(operator, machine, order);
+        self.operators[operator].under_way = Some(UnderWay { call, operation });
+        self.calls.insert(call, (operator, operation, order));
+        let late = self.random.f64() < self.plan.noise.late;
+        let way = self.random.u64(if late { LATE } else { CALL });
+        let at = Place::Core(machine);
+        self.schedule(self.now + way, Event::CallArrives { call, at, order });
+        self.schedule(self.now + operator::SILENCE, Event::CallSilent { call, operator });
+    }
+
+    fn call_arrives(&mut self, call: Call, at: Place, order: Order) {
+        self.steps += 1;
+        if self.is_up(at) {
+            self.give(at, Happening::Called { call, order });
+        }
+    }
+
+    fn send_answer(&mut self, from: Place, call: Call, answer: Answer) {
+        let Some((operator, _, order)) = self.calls.get(&call).copied() else { return };
+        let lost = self.now < self.lose_answers_until || self.random.f64() < self.plan.noise.lost_answers;
+        let _ = from;
+        if lost {
+            return;
+        }
+        self.checks.answered(order, answer, self.now);
+        let at = self.now + self.random.u64(CALL);
+        self.schedule(at, Event::AnswerArrives { call, operator, answer });
+    }
+
+    fn answer_arrives(&mut self, call: Call, operator: usize, answer: Answer) {
+        let under_way = self.operators[operator].under_way.filter(|under_way| under_way.call == call);
+        let Some(under_way) = under_way else { return };
+        self.checks.history.answer(under_way.operation, answer);
+        let pause = self.operators[operator].answered(answer, &mut self.random);
+        self.schedule(self.now + pause, Event::OperatorTurn { operator });
+    }
+
+    fn call_silent(&mut self, call: Call, operator: usize) {
+        if self.operators[operator].under_way.is_some_and(|under_way| under_way.call == call) {
+            let pause = self.operators[operator].silent(&mut self.random);
+            self.schedule(self.now + pause, Event::OperatorTurn { operator });
+        }
+    }
+}
--- /dev/null
+++ b/system/simulation/tests/control/support.rs
@@ -0,0 +1,121 @@
+//! Worlds to begin from, explorations and drawn runs, and how a failure is told.
+
+use millrudder_control_state::ControlState;
+use millrudder_simulation::explore::{Exploration, Failure};
+use millrudder_simulation::fault::{Fault, When};
+use millrudder_simulation::mechanism::{Mechanism, Mutant};
+use millrudder_simulation::plan::Plan;
+use millrudder_simulation::shrink::shrunk;
+use millrudder_simulation::violation::Violation;
+use millrudder_simulation::world::World;
+use std::ops::Range;
+use std::sync::Mutex;
+use std::thread;
+
+/// Runs are shared out to this many threads.
+pub const THREADS: usize = 4;
+/// Worlds that runs begin from.
+const FOUNDED: u64 = 8;
+/// Steps within which the faults of drawn runs are placed.
+const DRAWN_STEPS: u64 = 1_500;
+
+/// A founded world of three core machines, three stores, two dispatchers and two operators.
+pub fn founded(seed: u64) -> World {
+    World::<ControlState>::founded(Plan::calm(seed)).expect("a world without faults is founded")
+}
+
+/// Founded worlds to begin drawn runs from.
+pub fn some_founded() -> Vec<World> {
+    (0..FOUNDED).map(founded).collect()
+}
+
+/// Every step, unless the environment asks for fewer.
+pub fn stride(ordinary: usize) -> usize {
+    std::env::var("SIMULATION_STRIDE").ok().and_then(|text| text.parse().ok()).unwrap_or(ordinary)
+}
+
+/// Seeds of the drawn runs.
+pub fn seeds(ordinary: Range<u64>) -> Range<u64> {
+    let Ok(text) = std::env::var("SIMULATION_SEEDS") else { return ordinary };
+    let (from, to) = text.split_once("..").expect("SIMULATION_SEEDS is from..to");
+    let number = |text: &str| text.parse().expect("SIMULATION_SEEDS has two numbers");
+    number(from)..number(to)
+}
+
+/// Explores from a founded world.
+pub fn explore(plan: &Plan, faults: Vec<Fault>, window: u64, ordinary_stride: usize) -> Result<(), Failure> {
+    let exploration = Exploration { faults, window, stride: stride(ordinary_stride), threads: THREADS };
+    let explored = exploration.explore(&founded(plan.seed), plan);
+    println!("{} runs after {} steps", explored.runs, explored.steps);
+    explored.failure.map_or(Ok(()), Err)
+}
+
+/// A plan that is played from one of the founded worlds.
+pub fn play(worlds: &[World], plan: &Plan) -> Result<(), Violation> {
+    let mut world = worlds[plan.seed as usize % worlds.len()].clone();
+    world.resume(plan.clone());
+    world.play()
+}
+
+/// Two or three of the faults at drawn steps.
+pub fn drawn(worlds: &[World], plan: &Plan, menu: &[Fault], seed: u64) -> Plan {
+    let mut random = fastrand::Rng::with_seed(seed);
+    let mut plan = Plan { seed, ..plan.clone() };
+    let first = worlds[seed as usize % worlds.len()].steps;
+    for _ in 0..random.usize(2..=3) {
+        let fault = menu[random.usize(0..menu.len())].clone();
+        plan = plan.with(When::Step(first + 1 + random.u64(0..DRAWN_STEPS)), fault);
+    }
+    plan
+}
+
+/// Plays plans by seed on several threads; gives the first failure, shrunk.
+pub fn play_seeds(
+    worlds: &[World],
+    seeds: Range<u64>,
+    plan_of: impl Fn(u64) -> Plan + Sync,
+) -> Result<(), Failure> {
+    let failure: Mutex<Option<Failure>> = Mutex::new(None);
+    thread::scope(|scope| {
+        for share in 0..THREADS as u64 {
+            let (seeds, plan_of, failure) = (seeds.clone(), &plan_of, &failure);
+            scope.spawn(move || {
+                for seed in seeds.filter(|seed| seed % THREADS as u64 == share) {
+                    let plan = plan_of(seed);
+                    if let Err(violation) = play(worlds, &plan) {
+                        let mut first = failure.lock().expect("no thread panics");
+                        if first.as_ref().is_none_or(|first| plan.seed < first.plan.seed) {
+                            *first = Some(Failure { plan: Box::new(plan), violation });
+                        }
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    let failure = failure.into_inner().expect("no thread panics");
+    failure.map_or(Ok(()), |failure| Err(shrunk(failure, |plan| play(worlds, plan))))
+}
+
+/// Ends the test with what is needed to repeat the failure.
+pub fn expect_kept(result: Result<(), Failure>) {
+    if let Err(Failure { plan, violation }) = result {
+        panic!("{violation}\n{plan}");
+    }
+}
+
+/// A scenario must fail without one of its mechanisms.
+pub fn expect_killed(result: Result<(), Failure>, mechanism: Mechanism) -> Violation {
+    match result {
+        Err(failure) => {
+            println!("without {mechanism:?}: {}", failure.violation);
+            failure.violation
+        }
+        Ok(()) => panic!("the scenario does not notice that {mechanism:?} is off"),
+    }
+}
+
+/// The plan without a mechanism.
+pub fn without(plan: &Plan, mechanism: Mechanism) -> Plan {
+    plan.clone().mutated(Mutant::without(mechanism))
+}
