--- a/system/simulation/src/core_machine.rs
+++ b/system/simulation/src/core_machine.rs
@@ -434,6 +434,8 @@
                     scene.effects.push(Effect::Seen(Observation::ViewEntered { view }));
                     self.know_view();
                 }
+                // Contact is asked for where it counts.
+                Output::ContactGained | Output::ContactLost => {}
                 Output::LeaseGranted { fencing, .. } => {
                     scene.effects.push(Effect::Seen(Observation::LeaseGranted { fencing }));
                     self.on_lease(scene, Some(fencing));
