Keep a second try of a request off the connection of its first

Cause: the id in an answer tells it from answers to other requests, but a worker that answers a request twice may send the second answer while the same request is tried again on the same connection, where it passes for the answer to the second try: one failed run is counted twice, or a statement "did not run" is believed of a try that runs. Ruled out: an id of its own for each try (the id is the sender's and goes on unchanged).

Each connection now remembers the hashes of its 16 latest request ids; the pool gives such a request another idle connection or a new one, within the target's number. Also: an answer that switches protocols is garbled, and a call-back whose answer is cut short was not taken.

--- a/system/http/src/client/connection.rs
+++ b/system/http/src/client/connection.rs
@@ -1,11 +1,14 @@
 //! One connection of the client.
 
 use std::cell::Cell;
+use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
+use http::HeaderValue;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -16,11 +19,15 @@
 
 use super::error::{ConnectFailure, SendError};
 use super::limits::ClientLimits;
+use crate::headers;
 use crate::socket;
 use crate::watched::{Observer, Watched};
 
 /// The smallest read buffer that hyper allows, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 * 1024;
+/// Latest requests of a connection that are remembered. A second answer to an older one meets another request before,
+/// or an idle connection, and is told from an answer there.
+const REMEMBERED_REQUESTS: usize = 16;
 
 /// An open connection; dropping it closes it.
 pub(super) struct Connection {
@@ -28,6 +35,8 @@
     traffic: Rc<Traffic>,
     /// What was written before the present request.
     written_before: u64,
+    /// Hashes of the ids of its latest requests, the present one included.
+    carried: VecDeque<u64>,
     task: AbortHandle,
 }
 
@@ -91,7 +100,8 @@
                 log::debug!("a connection to a worker ended: {error}");
             }
         });
-        Ok(Connection { sender, traffic, written_before: 0, task: task.abort_handle() })
+        let carried = VecDeque::with_capacity(REMEMBERED_REQUESTS);
+        Ok(Connection { sender, traffic, written_before: 0, carried, task: task.abort_handle() })
     }
 
     pub(super) fn is_closed(&self) -> bool {
@@ -118,6 +128,18 @@
         self.traffic.written.get() > self.written_before
     }
 
+    /// Whether the request of this id is among the latest: a second answer to it may still come.
+    pub(super) fn has_carried(&self, request_id: &HeaderValue) -> bool {
+        self.carried.contains(&digest(request_id))
+    }
+
+    fn remember(&mut self, request_id: &HeaderValue) {
+        if self.carried.len() == REMEMBERED_REQUESTS {
+            self.carried.pop_front();
+        }
+        self.carried.push_back(digest(request_id));
+    }
+
     /// Sends the request and waits for the answer's head.
     pub(super) async fn send(
         &mut self,
@@ -128,6 +150,9 @@
         }
         self.traffic.is_in_use.set(true);
         self.written_before = self.traffic.written.get();
+        if let Some(request_id) = request.headers().get(headers::REQUEST_ID) {
+            self.remember(request_id);
+        }
         let mut error = match self.sender.try_send_request(request).await {
             Ok(response) => return Ok(response),
             Err(error) => error,
@@ -145,6 +170,12 @@
     }
 }
 
+fn digest(request_id: &HeaderValue) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    request_id.as_bytes().hash(&mut hasher);
+    hasher.finish()
+}
+
 /// What hyper's error says of a request of which bytes were `sent` or not.
 fn classify(error: &hyper::Error, sent: bool) -> SendError {
     if error.is_parse() {
--- a/system/http/src/client/error.rs
+++ b/system/http/src/client/error.rs
@@ -25,7 +25,8 @@
     /// The connection failed before the operating system took any byte of the request.
     #[error("connection failed before the request was sent")]
     ResetBeforeSent,
-    /// The connection failed or ended before the answer's headers; the request may have run.
+    /// The connection failed or ended before the answer's headers, or before the end of the answer to a call-back; the
+    /// request may have run.
     #[error("connection failed before the answer")]
     Reset,
     /// The time-out passed. Where `sent` is false no byte of the request had left.
--- a/system/http/src/client/exchange.rs
+++ b/system/http/src/client/exchange.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use http::response::Parts;
+use http::StatusCode;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use tokio::time::{timeout_at, Instant};
@@ -29,7 +30,12 @@
         match timeout_at(deadline, send(&mut lease, request)).await {
             Ok(Ok(response)) => {
                 let (head, body) = response.into_parts();
-                Ok(Exchange { head, body, lease, deadline })
+                let exchange = Exchange { head, body, lease, deadline };
+                match exchange.head.status {
+                    // No request asks for another protocol.
+                    StatusCode::SWITCHING_PROTOCOLS => Err(exchange.reject()),
+                    _ => Ok(exchange),
+                }
             }
             Ok(Err(SendError::Garbled)) => {
                 lease.distrust();
--- a/system/http/src/client/pool.rs
+++ b/system/http/src/client/pool.rs
@@ -3,6 +3,9 @@
 //! A peer that has sent what no request of ours asked for, or not an answer at all, may do so again, and a second
 //! answer that crosses the next request on its connection spoils that one too. So for a while after it each
 //! connection to that address carries one request only.
+//!
+//! The id in an answer tells it from answers to other requests, but not from a second answer to an earlier try of the
+//! same request. So a request that is sent again goes over a connection that has not carried it lately.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -10,6 +13,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::HeaderValue;
 use tokio::time::{sleep, Instant};
 
 use super::connection::Connection;
@@ -68,15 +72,23 @@
         Pool { limits, connections: RefCell::default(), is_sweeping: Cell::new(false) }
     }
 
-    /// Takes the idle connection that was used last, else leave to open one if the target allows one more.
-    pub(super) fn lease(self: &Rc<Self>, target: Target) -> Result<Lease, SendError> {
+    /// Takes the idle connection that was used last, else leave to open one if the target allows one more. A
+    /// connection that has carried the request of this id lately is not taken.
+    pub(super) fn lease(
+        self: &Rc<Self>,
+        target: Target,
+        request_id: Option<&HeaderValue>,
+    ) -> Result<Lease, SendError> {
         let now = Instant::now();
         let mut all = self.connections.borrow_mut();
         let connections = all.entry(target.address).or_default();
-        let connection = connections.take_idle(now);
+        let connection = connections.take_idle(now, request_id);
         if connection.is_none() && connections.busy >= target.max_connections {
             return Err(SendError::NoConnectionLeft);
         }
+        if connection.is_none() {
+            connections.make_room(target.max_connections);
+        }
         connections.busy += 1;
         let is_reused = connection.is_some();
         Ok(Lease { pool: Rc::clone(self), address: target.address, connection, is_reused, kept: None })
@@ -154,16 +166,22 @@
         self.busy == 0 && self.idle.is_empty() && self.distrusted_until.is_none()
     }
 
-    /// The most recent idle connection that is usable; those that are not are closed.
-    fn take_idle(&mut self, now: Instant) -> Option<Connection> {
-        while let Some(idle) = self.idle.pop() {
-            if idle.connection.has_stray_bytes() {
-                self.distrust(now);
-            } else if idle.is_usable(now) {
-                return Some(idle.connection);
-            }
+    /// The most recent idle connection that is usable for this request; those that are not usable at all are closed.
+    fn take_idle(&mut self, now: Instant, request_id: Option<&HeaderValue>) -> Option<Connection> {
+        if self.idle.iter().any(|idle| idle.connection.has_stray_bytes()) {
+            self.distrust(now);
         }
-        None
+        self.idle.retain(|idle| idle.is_usable(now));
+        let is_fit = |idle: &Idle| !request_id.is_some_and(|id| idle.connection.has_carried(id));
+        let position = self.idle.iter().rposition(is_fit)?;
+        Some(self.idle.remove(position).connection)
+    }
+
+    /// Closes the idle connections that were not used for the longest, so that one more may be opened.
+    fn make_room(&mut self, most: usize) {
+        let allowed = most.saturating_sub(self.busy + 1);
+        let surplus = self.idle.len().saturating_sub(allowed);
+        self.idle.drain(..surplus);
     }
 
     /// Closes all idle connections and keeps none for a while.
--- a/system/http/src/client/requests.rs
+++ b/system/http/src/client/requests.rs
@@ -75,7 +75,7 @@
     /// Posts JSON, as a call-back is owed, and returns the status of the answer.
     ///
     /// # Errors
-    /// See [`SendError`].
+    /// See [`SendError`]; an answer that is cut short is none ([`SendError::Reset`]).
     pub async fn post_json(
         &self,
         target: Target,
@@ -87,8 +87,10 @@
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
         let request = build(Method::POST, path_and_query, headers, body);
         let exchange = self.begin(target, request, Instant::now() + timeout).await?;
-        let (head, _complete) = exchange.drain().await;
-        Ok(head.status)
+        match exchange.drain().await {
+            (head, true) => Ok(head.status),
+            (_, false) => Err(SendError::Reset),
+        }
     }
 
     /// Gets a resource with its body, of `max_bytes` at most.
@@ -125,7 +127,7 @@
         request: http::Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Exchange, SendError> {
-        let lease = self.pool.lease(target)?;
+        let lease = self.pool.lease(target, request.headers().get(headers::REQUEST_ID))?;
         Exchange::begin(lease, request, deadline).await
     }
 }
--- a/system/http/tests/client.rs
+++ b/system/http/tests/client.rs
@@ -208,6 +208,41 @@
     });
 }
 
+#[test]
+fn announcements_before_the_answer_are_passed_over() {
+    run(async {
+        let announced = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nX-Request-Id: id-1\r\n\r\n";
+        let answer = answered_with(&format!("{announced}{}", worker_answer("id-1", ""))).await.unwrap();
+        assert_eq!((answer.status, answer.complete), (StatusCode::OK, true));
+        assert_eq!(answered_with(announced).await, Err(SendError::Reset));
+    });
+}
+
+#[test]
+fn a_switch_to_another_protocol_is_no_answer() {
+    run(async {
+        let switch = "HTTP/1.1 101 Switching Protocols\r\nX-Request-Id: id-1\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n";
+        assert_eq!(answered_with(switch).await, Err(SendError::Garbled));
+    });
+}
+
+#[test]
+fn a_call_back_whose_answer_is_cut_short_is_not_taken() {
+    run(async {
+        let receiver = TestWorker::start().await;
+        let (client, target) = (client(), receiver.target());
+        let path = "/done".parse().unwrap();
+        let posted = spawn_local(async move {
+            client.post_json(target, path, bytes::Bytes::from_static(b"{}"), LONG).await
+        });
+        let mut peer = receiver.accept().await;
+        peer.read_message().await.unwrap();
+        peer.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\ncut").await;
+        drop(peer);
+        assert_eq!(posted.await.unwrap(), Err(SendError::Reset));
+    });
+}
+
 #[test]
 fn silence_times_out_and_closes_the_connection() {
     run(async {
--- a/system/http/tests/pool.rs
+++ b/system/http/tests/pool.rs
@@ -289,3 +289,65 @@
         assert!(sent.await.unwrap().unwrap().complete);
     });
 }
+
+/// A second answer to the first try would pass for the answer to the second one: both carry the same id.
+#[test]
+fn a_request_that_is_sent_again_goes_over_another_connection() {
+    run(async {
+        let (client, worker) = (client(), TestWorker::start().await);
+        let mut first_peer = first_exchange(&client, &worker, "").await;
+        let again = send(&client, worker.target(), "id-1");
+        let mut second_peer = worker.accept().await;
+        first_peer.write(worker_answer("id-1", "X-Late: yes\r\n")).await;
+        answer(&mut second_peer, "id-1", "X-Server-Load: 3,0,8\r\n").await;
+        let answered = again.await.unwrap().unwrap();
+        assert_eq!(answered.load.map(|load| load.running), Some(3));
+        first_peer.closed().await;
+    });
+}
+
+#[test]
+fn other_requests_still_use_a_connection_that_one_request_may_not() {
+    run(async {
+        let (client, worker) = (client(), TestWorker::start().await);
+        let mut first_peer = first_exchange(&client, &worker, "").await;
+        let again = send(&client, worker.target(), "id-1");
+        answer(&mut worker.accept().await, "id-1", "Connection: close\r\n").await;
+        again.await.unwrap().unwrap();
+        let other = send(&client, worker.target(), "id-2");
+        answer(&mut first_peer, "id-2", "").await;
+        assert!(other.await.unwrap().unwrap().complete);
+    });
+}
+
+#[test]
+fn a_request_that_is_sent_again_stays_within_what_the_target_allows() {
+    run(async {
+        let (client, worker) = (client(), TestWorker::start().await);
+        let target = Target { address: worker.address, max_connections: 1 };
+        let first = send(&client, target, "id-1");
+        let mut first_peer = worker.accept().await;
+        answer(&mut first_peer, "id-1", "").await;
+        first.await.unwrap().unwrap();
+        let again = send(&client, target, "id-1");
+        first_peer.closed().await;
+        assert_eq!(client.connections(worker.address), 1);
+        answer(&mut worker.accept().await, "id-1", "").await;
+        assert!(again.await.unwrap().unwrap().complete);
+    });
+}
+
+#[test]
+fn a_connection_may_carry_a_request_again_after_many_others() {
+    run(async {
+        let (client, worker) = (client(), TestWorker::start().await);
+        let mut peer = first_exchange(&client, &worker, "").await;
+        for request_id in
+            ["a", "b", "c", "d", "e", "f", "g", "h", "i", "j", "k", "l", "m", "n", "o", "p", "id-1"]
+        {
+            let sent = send(&client, worker.target(), request_id);
+            answer(&mut peer, request_id, "").await;
+            assert!(sent.await.unwrap().unwrap().complete);
+        }
+    });
+}
