Tell nobody of writes whose connection has ended

Found by reading. Cause: a primary numbers its writes from one on in each process, and a follower answered Written on whichever connection to that store was open when its disk had synced. After a restart of the primary under load, the answer to a write of the process before (a high number) acknowledged all writes of the present process that were under way: a message counted as kept on two disks lay synced on one. Ruled out as not affected: the same process after a reconnect (its numbers go on and closed writes are forgotten), dumps for a promise (begun anew on each connection).

A follower now forgets the writes of a connection once it ends; the primary sends anew on the next what is still short of disks.

Test: replicas::a_late_answer_to_the_process_before_acknowledges_nothing; without the change it fails with one acknowledgement where none is due.

--- a/system/queue/src/disk.rs
+++ b/system/queue/src/disk.rs
@@ -62,6 +62,16 @@
         allowed
     }
 
+    /// The connection that a primary's writes came on has ended: nobody is told of their sync. On the next connection
+    /// their numbers may be those of other writes, as each process numbers its own.
+    pub fn forget_writes(&mut self, of: StoreId) {
+        for unsynced in &mut self.unsynced {
+            if matches!(unsynced.then, Synced::Write { store, .. } if store == of) {
+                unsynced.then = Synced::Nothing;
+            }
+        }
+    }
+
     /// When the oldest append that is not overdue becomes so.
     pub fn deadline(&self, wait_ms: u64) -> Option<Time> {
         self.unsynced.get(self.overdue).map(|next| next.at.plus(wait_ms))
--- a/system/queue/src/repair.rs
+++ b/system/queue/src/repair.rs
@@ -161,6 +161,7 @@
 
     pub(crate) fn store_closed(&mut self, store: StoreId) {
         self.dumps.retain(|(to, _), _| *to != store);
+        self.disk.forget_writes(store);
         let Some(peer) = self.peers.get_mut(&store) else { return };
         let expected: Vec<MessageId> = peer.catch_up.iter().copied().collect();
         let lost = peer.close();
--- a/system/queue/tests/replicas.rs
+++ b/system/queue/tests/replicas.rs
@@ -8,7 +8,7 @@
     AttemptOutcome, BetweenStores, FromDispatcher, HeldLease, NotAccepted, QueryAnswer, ToDispatcher,
 };
 use millrudder_protocol::{Epoch, LeaseToken, MessageId, RequestNumber};
-use millrudder_queue::{Config, ConnectionId, DiskRecord, Input};
+use millrudder_queue::{Config, ConnectionId, DiskRecord, Input, Ticket};
 use wired::{message, store_id, with_key, Wired, SHARD};
 
 /// Three stores, of which one may be lost; a dispatcher is connected to each, by the connection of its number.
@@ -471,3 +471,31 @@
     assert_eq!(wired.places[0].node.as_ref().unwrap().health(wired.now_ms).serving, 1);
     assert!(wired.state(0, id).is_some());
 }
+
+/// A process numbers its writes from one on: the follower's late answer to a write of the process before must not pass
+/// for the answer to one of the present process.
+#[test]
+fn a_late_answer_to_the_process_before_acknowledges_nothing() {
+    let mut wired = three_stores();
+    wired.set_link(0, 2, false);
+    wired.places[1].stalled = true;
+    for _ in 0..10 {
+        wired.accept(0, 1, message(), true);
+    }
+    let before = Ticket(wired.places[1].records.len() as u64);
+    wired.kill(0);
+    wired.start(0);
+    wired.set_link(0, 2, true);
+    wired.set_link(0, 2, false);
+    wired.hello(0, 11, 7, "zone-0", Vec::new());
+    wired.told.clear();
+    let id = wired.accept(0, 11, message(), true);
+    assert!(wired.state(1, id).is_some(), "the follower has it, and has not synced it");
+
+    wired.input(1, Input::Synced { ticket: before });
+    assert_eq!(wired.acceptances(), 0, "only the primary's own disk has it");
+    wired.places[1].stalled = false;
+    wired.sync(1);
+    wired.input(0, Input::Tick);
+    assert_eq!(wired.acceptances(), 1);
+}
