Show that request numbers are not used again after a reconnect

A late reply of the connection before must answer its own request or none. Three tests, each answering the first of four requests before the reconnect, so that numbers that begin anew fall on other requests.

--- a/system/intake/tests/intake.rs
+++ b/system/intake/tests/intake.rs
@@ -312,3 +312,78 @@
     rig.run(70);
     assert_eq!(accept_in(&submit_as(&mut rig, 75, 8, Place::Any)).unwrap().0, HERE);
 }
+
+fn reconnect(rig: &mut Rig, now: u64, store: StoreId) {
+    rig.give(now, Input::StoreClosed { store });
+    rig.give(now, Input::StoreConnected { store });
+}
+
+/// One request to a store, sent on its connection before.
+#[derive(Clone, Copy)]
+struct Asked {
+    call: CallNumber,
+    request: RequestNumber,
+    id: MessageId,
+}
+
+/// Has the store of a key asked to keep some messages, the first of which it keeps; then it is connected anew.
+fn submit_and_reconnect(rig: &mut Rig) -> Vec<Asked> {
+    let mut asked = Vec::new();
+    for call in 0..4 {
+        let out = submit_as(rig, 0, call, Place::Named("key".into()));
+        let (store, request, id) = accept_in(&out).unwrap();
+        assert_eq!(store, THERE);
+        asked.push(Asked { call: CallNumber(call), request, id });
+    }
+    let first = asked.remove(0);
+    rig.store_says(0, THERE, ToDispatcher::Accepted { request: first.request, token: None });
+    reconnect(rig, 1, THERE);
+    asked
+}
+
+/// A late reply of the connection before carries a number that no later request has.
+#[test]
+fn a_late_reply_to_a_request_before_a_reconnect_answers_that_request_and_no_other() {
+    let mut rig = Rig::new();
+    for Asked { call, request, id } in submit_and_reconnect(&mut rig) {
+        let out = rig.store_says(3, THERE, ToDispatcher::Accepted { request, token: None });
+        let answered: Vec<&Output> =
+            out.iter().filter(|output| matches!(output, Output::Answered { .. })).collect();
+        assert_eq!(answered, [&Output::Answered { call, answer: AcceptAnswer::Kept { id } }]);
+    }
+}
+
+#[test]
+fn a_late_refusal_from_before_a_reconnect_refuses_no_other_request() {
+    let mut rig = Rig::new();
+    let before = submit_and_reconnect(&mut rig);
+    rig.run(600);
+    for call in 4..8 {
+        submit_as(&mut rig, 600, call, Place::Any);
+    }
+    for Asked { request, .. } in before {
+        let reason = NotAccepted::Full { retry_after_ms: 1 };
+        let out = rig.store_says(601, THERE, ToDispatcher::NotAccepted { request, reason });
+        assert_eq!(out, []);
+    }
+}
+
+#[test]
+fn a_late_reply_to_a_question_before_a_reconnect_answers_that_question_and_no_other() {
+    let mut rig = Rig::new();
+    let mut before = Vec::new();
+    for call in 0..4 {
+        let id = MessageId { unique: 5 + call, ..ASKED };
+        let asked = queries_in(&rig.give(0, Input::Query { call: CallNumber(call), id, body: false }));
+        before.push(Asked { call: CallNumber(call), request: asked[0].1, id });
+    }
+    let state =
+        |request| ToDispatcher::State { request, answer: QueryAnswer::Ended { end: End::DeadLetter } };
+    let first = before.remove(0);
+    rig.store_says(0, THERE, state(first.request));
+    reconnect(&mut rig, 1, THERE);
+    for Asked { call, request, .. } in before {
+        let out = rig.store_says(2, THERE, state(request));
+        assert_eq!(out, [Output::Known { call, result: QueryResult::DeadLetter }]);
+    }
+}
