--- a/coordination/chain/src/config.rs
+++ b/coordination/chain/src/config.rs
@@ -6,7 +6,7 @@
 use millrudder_view::{DetectorConfig, DetectorConfigError};
 use thiserror::Error;
 
-/// Configuration of a core node. Times, `minimum_members` and `maximum_members` must be the same at all nodes.
+/// Configuration of a core node. Times, `minimum_members` and `voters` must be the same at all nodes.
 #[derive(Clone, Debug)]
 pub struct CoreConfig {
     /// Address of this node, as others find it.
@@ -15,8 +15,8 @@
     pub founders: Vec<String>,
     /// No view is ever smaller: the number of machines that may be lost, plus one.
     pub minimum_members: usize,
-    /// No learner is admitted to a view of this size.
-    pub maximum_members: usize,
+    /// How many nodes vote, as far as there are so many: twice the number of machines that may be lost, plus one.
+    pub voters: usize,
     /// Failure detection.
     pub detector: DetectorConfig,
     /// Leases.
@@ -47,7 +47,7 @@
             address: address.into(),
             founders: Vec::new(),
             minimum_members: 2,
-            maximum_members: 7,
+            voters: 3,
             detector: DetectorConfig::default(),
             lease: LeaseConfig::default(),
             roles: Vec::new(),
@@ -68,9 +68,9 @@
         if self.address.is_empty() {
             return Err(ConfigError::NoAddress);
         }
-        if self.minimum_members == 0 || self.minimum_members > self.maximum_members {
-            let (minimum, maximum) = (self.minimum_members, self.maximum_members);
-            return Err(ConfigError::SizesOfView { minimum, maximum });
+        if self.minimum_members == 0 || self.minimum_members > self.voters {
+            let (minimum, voters) = (self.minimum_members, self.voters);
+            return Err(ConfigError::SizesOfView { minimum, voters });
         }
         if self.contact_within > self.detector.suspect_after {
             let (contact, suspect) = (self.contact_within, self.detector.suspect_after);
@@ -91,8 +91,8 @@
     #[error("the node has no address")]
     NoAddress,
     /// The bounds on the size of a view contradict each other.
-    #[error("a view cannot have at least {minimum} and at most {maximum} members")]
-    SizesOfView { minimum: usize, maximum: usize },
+    #[error("a view cannot have at least {minimum} members of {voters} voters")]
+    SizesOfView { minimum: usize, voters: usize },
     /// The founding view would be smaller than allowed.
     #[error("{founders} founders are fewer than the {minimum} members of the smallest view")]
     TooFewFounders { founders: usize, minimum: usize },
--- a/coordination/chain/src/contact.rs
+++ b/coordination/chain/src/contact.rs
@@ -149,7 +149,7 @@
             true => own.vouches.then_some(now),
             false => self.vouched.get(&id).copied(),
         };
-        let mut times: Vec<u64> = view.ids().filter_map(asked).collect();
+        let mut times: Vec<u64> = view.voter_ids().filter_map(asked).collect();
         times.sort_unstable_by(|left, right| right.cmp(left));
         times.get(view.majority().checked_sub(1)?).copied()
     }
--- a/coordination/chain/src/message.rs
+++ b/coordination/chain/src/message.rs
@@ -1,6 +1,6 @@
 //! Messages between core nodes.
 
-use millrudder_lease::{LeaseAnswer, LeaseRequest};
+use millrudder_lease::{LeaseAnswer, LeaseRelease, LeaseRequest};
 use millrudder_view::{Epoch, ViewMessage};
 use speedy::{Readable, Writable};
 use thiserror::Error;
@@ -70,10 +70,12 @@
     ConfirmEpoch { epoch: Epoch, round: u64 },
     /// The epoch was current at the sender.
     EpochConfirmed { epoch: Epoch, round: u64 },
-    /// Asks a member of the present view for a lease.
+    /// Asks a voter of the present view for a lease.
     LeaseRequest { epoch: Epoch, request: LeaseRequest },
-    /// A member's answer.
+    /// A voter's answer.
     LeaseAnswer { epoch: Epoch, answer: LeaseAnswer },
+    /// The holder of a lease gives it back.
+    LeaseReleased { release: LeaseRelease },
 }
 
 /// Why bytes are not a message.
--- a/coordination/chain/src/node/messages.rs
+++ b/coordination/chain/src/node/messages.rs
@@ -18,6 +18,7 @@
             CoreMessage::Submit { request_id, command } => {
                 self.replica.submit(now, from, request_id, command);
             }
+            CoreMessage::LeaseReleased { release } => self.on_lease_released(now, from, &release),
             CoreMessage::Answer { request_id, reply } => self.on_answer(request_id, &reply),
             CoreMessage::ReadIndexed { request_id, sequence } => self.on_read_indexed(request_id, sequence),
             other => self.on_epoch_message(now, from, other),
@@ -60,8 +61,8 @@
         self.take_step(now, step);
     }
 
-    /// Whether this node may act for the present view: it is a member, and has accepted no next view.
+    /// Whether this node may vouch for the present view: it votes, and has accepted no next view.
     pub(super) fn may_vouch(&self) -> bool {
-        self.agreement.is_member() && !self.agreement.is_fenced()
+        self.agreement.is_voter() && !self.agreement.is_fenced()
     }
 }
--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -2,13 +2,15 @@
 
 mod campaign;
 mod contact;
+mod departure;
 mod messages;
 mod outbox;
 mod peers;
 mod reconfigure;
 mod requests;
+mod wanted;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use millrudder_lease::{Fencing, Holder, Role, Voter};
 use millrudder_view::{Detector, Foundation, Member, NodeId, Step, View, ViewAgreement};
@@ -45,8 +47,12 @@
     Abandon { request_id: RequestId },
     /// Everything issued up to `token` is durable.
     Persisted { token: PersistToken },
-    /// This process is about to end: the others replace this node at once instead of waiting for its silence.
+    /// This process is about to end: the others replace this node at once instead of waiting for its silence. It goes
+    /// on as a member meanwhile; [`CoreNode::may_go`] tells when it may end.
     Leave,
+    /// These nodes, and no others, are to be taken out for good; to be given again after a start. Those that have the
+    /// state are replaced by others first; see [`CoreNode::can_do_without`].
+    Exclude { ids: BTreeSet<NodeId> },
     /// A node answers at an address.
     PeerSeen { id: NodeId, address: String },
 }
@@ -116,6 +122,11 @@
     next_heartbeat: u64,
     proposal_due: Option<u64>,
     leaving: bool,
+    /// Since when the others can do without this node, which is about to end.
+    dispensable_since: Option<u64>,
+    excluded: BTreeSet<NodeId>,
+    /// The view whose voters are counted.
+    entered: Option<View>,
 }
 
 impl<M: Machine> CoreNode<M> {
@@ -159,7 +170,7 @@
         Ok(CoreNode {
             id,
             agreement: ViewAgreement::new(id, state.view, config.minimum_members),
-            foundation: Foundation::new(me, config.founders.clone()),
+            foundation: Foundation::new(me, config.founders.clone(), config.voters),
             replica: Replica::new(id, limits, store, state.complete),
             detector: Detector::new(&config.detector, now),
             voter: Voter::new(&config.lease, state.lease, now),
@@ -175,6 +186,9 @@
             next_heartbeat: now,
             proposal_due: None,
             leaving: false,
+            dispensable_since: None,
+            excluded: BTreeSet::new(),
+            entered: None,
             config,
         })
     }
@@ -189,6 +203,11 @@
         self.agreement.view()
     }
 
+    /// Whether this node votes in the newest decided view.
+    pub fn is_voter(&self) -> bool {
+        self.agreement.is_voter()
+    }
+
     /// Whether this node is a member of the newest decided view.
     pub fn is_member(&self) -> bool {
         self.agreement.is_member()
@@ -244,6 +263,7 @@
             Input::Abandon { request_id } => self.on_abandon(request_id),
             Input::Persisted { token } => self.outbox.durable(token),
             Input::Leave => self.on_leave(now),
+            Input::Exclude { ids } => self.on_exclude(now, ids),
             Input::PeerSeen { id, address } => self.on_peer_seen(now, id, address),
         }
         self.settle(now);
@@ -261,6 +281,7 @@
             self.forget_peers(now);
         }
         self.consider_view(now);
+        self.note_departure(now);
         self.poll_leases(now);
     }
 
--- a/coordination/chain/src/node/peers.rs
+++ b/coordination/chain/src/node/peers.rs
@@ -13,6 +13,8 @@
 pub(super) struct PeerStatus {
     pub(super) address: String,
     pub(super) heard: Vec<NodeId>,
+    /// The epoch in which it said that it has caught up with its predecessor.
+    pub(super) synced_in: Option<Epoch>,
     pub(super) last_seen: u64,
 }
 
@@ -27,6 +29,7 @@
         let peer = self.peers.entry(id).or_insert_with(|| PeerStatus {
             address: String::new(),
             heard: Vec::new(),
+            synced_in: None,
             last_seen: now,
         });
         peer.address = address;
@@ -48,8 +51,8 @@
     }
 
     pub(super) fn send_heartbeats(&mut self, now: u64) {
-        let members = self.agreement.view().into_iter().flat_map(|view| view.ids());
-        let mut targets: Vec<NodeId> = members.chain(self.peers.keys().copied()).collect();
+        let voters = self.voters().into_iter();
+        let mut targets: Vec<NodeId> = voters.chain(self.peers.keys().copied()).collect();
         targets.sort();
         targets.dedup();
         targets.retain(|id| *id != self.id);
@@ -73,23 +76,21 @@
         self.send(to, CoreMessage::Heartbeat(heartbeat));
     }
 
-    pub(super) fn on_leave(&mut self, now: u64) {
-        self.leaving = true;
-        self.send_heartbeats(now);
-    }
-
     pub(super) fn on_heartbeat(&mut self, now: u64, from: NodeId, heartbeat: Heartbeat) {
         let hears_us = heartbeat.heard.iter().any(|heard| heard.peer == self.id);
         self.detector.heartbeat(now, from, hears_us);
         self.note_contact(from, &heartbeat);
         if heartbeat.leaving {
             self.detector.leaving(from);
-            self.consider_view(now);
         }
         self.on_peer_seen(now, from, heartbeat.address);
         if let Some(peer) = self.peers.get_mut(&from) {
+            peer.synced_in = heartbeat.synced.then_some(heartbeat.epoch);
             peer.heard = heartbeat.heard.iter().map(|heard| heard.peer).collect();
         }
+        if heartbeat.leaving {
+            self.consider_view(now);
+        }
         let epoch = self.agreement.epoch();
         if heartbeat.epoch < epoch {
             let step = self.agreement.on_query(from, heartbeat.epoch);
@@ -106,7 +107,7 @@
 
     pub(super) fn forget_peers(&mut self, now: u64) {
         let view = self.agreement.view();
-        let in_view = |id: &NodeId| view.is_some_and(|view| view.contains(*id));
+        let in_view = |id: &NodeId| view.is_some_and(|view| view.is_voter(*id));
         self.peers.retain(|id, peer| in_view(id) || now.saturating_sub(peer.last_seen) < FORGET_AFTER_MICROS);
         let peers = &self.peers;
         self.contact.forget(|id| !peers.contains_key(&id));
--- a/coordination/chain/src/node/requests.rs
+++ b/coordination/chain/src/node/requests.rs
@@ -126,14 +126,13 @@
         }
     }
 
-    /// Asks the members, this node included, whether the epoch is current.
+    /// Asks the voters, this node included, whether the epoch is current.
     fn ask_for_confirmation(&mut self) {
         let Some(round) = self.confirmations.under_way() else {
             return;
         };
         let epoch = self.agreement.epoch();
-        let members: Vec<NodeId> = self.agreement.view().into_iter().flat_map(|view| view.ids()).collect();
-        for to in members {
+        for to in self.voters() {
             self.send(to, CoreMessage::ConfirmEpoch { epoch, round });
         }
     }
--- a/coordination/chain/tests/contact.rs
+++ b/coordination/chain/tests/contact.rs
@@ -65,6 +65,7 @@
             let mut config = CoreConfig::new(address(place));
             config.founders = (0..size).map(address).collect();
             config.minimum_members = size / 2 + 1;
+            config.voters = 3;
             CoreNode::new(config, None, place as u64 + 1, 0).expect("the node starts")
         };
         let mut cluster = Cluster {
--- a/coordination/chain/tests/cores/recovery.rs
+++ b/coordination/chain/tests/cores/recovery.rs
@@ -120,3 +120,49 @@
         assert!(longest <= SECOND, "a write waited {longest} us");
     }
 }
+
+/// Asserts that writes are answered without a long pause between two times.
+fn assert_serves(world: &World, between: std::ops::Range<u64>, seed: u64) {
+    let answered = world.history.answered_in(between.clone());
+    let seconds = ((between.end - between.start) / SECOND) as usize;
+    assert!(answered >= seconds * 5, "seed {seed}: {answered} writes were answered in {seconds} s");
+}
+
+/// Two of three machines are there all the time, but never the same two: the first comes back just before another goes.
+#[test]
+fn a_member_that_goes_before_another_is_admitted_again_does_not_end_the_core() {
+    for seed in SEEDS {
+        let first = seed as usize % 3;
+        let second = (first + 1 + seed as usize / 3 % 2) % 3;
+        let down_micros = SECOND;
+        let mut plan = Plan::with_fault(seed, FAULT_AT, Fault::Kill { machine: first, down_micros });
+        // It starts again within 100 ms after its time, and is admitted a second later.
+        let again = FAULT_AT + down_micros + 100_000 + seed * 60_000;
+        let gone = match seed % 2 {
+            0 => Fault::Kill { machine: second, down_micros: 8 * SECOND },
+            _ => Fault::WipeDiskIfBorne { machine: second, down_micros: 8 * SECOND },
+        };
+        plan.add_fault(again, gone);
+        let mut world = World::new(plan);
+        world.run_until(again + 8 * SECOND).expect("no promise is broken");
+        assert_serves(&world, again + 2 * SECOND..again + 8 * SECOND, seed);
+        world.run_until(again + 14 * SECOND).expect("no promise is broken");
+        assert_eq!(world.members_known(), vec![3, 3, 3], "seed {seed}");
+    }
+}
+
+/// One machine is told to stop, and the disk of another is lost within milliseconds of the view without the first.
+#[test]
+fn a_disk_lost_right_after_the_view_without_a_leaving_member_is_borne() {
+    for seed in SEEDS {
+        let stopped = seed as usize % 3;
+        let lost = (stopped + 1 + seed as usize / 3 % 2) % 3;
+        let stop = Fault::Stop { machine: stopped, down_micros: 20 * SECOND };
+        let mut plan = Plan::with_fault(seed, FAULT_AT, stop);
+        let lost_at = FAULT_AT + 10_000 * (seed + 1);
+        plan.add_fault(lost_at, Fault::WipeDiskIfBorne { machine: lost, down_micros: SECOND });
+        let mut world = World::new(plan);
+        world.run_until(lost_at + 8 * SECOND).expect("no promise is broken");
+        assert_serves(&world, lost_at + 3 * SECOND..lost_at + 8 * SECOND, seed);
+    }
+}
--- a/coordination/chain/tests/cores/simulation.rs
+++ b/coordination/chain/tests/cores/simulation.rs
@@ -45,8 +45,7 @@
     number(from)..number(to)
 }
 
-fn play(seed: u64) -> Totals {
-    let plan = Plan::drawn(seed);
+fn play(plan: Plan) -> Totals {
     let mut world = World::new(plan.clone());
     let result = world.run();
     if let Err(violation) = &result {
@@ -70,19 +69,28 @@
     }
 }
 
-fn play_share(share: u64) -> Totals {
+fn play_share(share: u64, plan: fn(u64) -> Plan) -> Totals {
     let mut totals = Totals::default();
     for seed in seeds().filter(|seed| seed % THREADS == share) {
-        totals.add(play(seed));
+        totals.add(play(plan(seed)));
     }
     totals
 }
 
 #[test]
 fn cores_keep_their_promises_under_faults() {
+    play_all(Plan::drawn);
+}
+
+#[test]
+fn cores_keep_their_promises_while_losses_follow_each_other_closely() {
+    play_all(Plan::of_close_losses);
+}
+
+fn play_all(plan: fn(u64) -> Plan) {
     let mut totals = Totals::default();
     thread::scope(|scope| {
-        let shares: Vec<_> = (0..THREADS).map(|share| scope.spawn(move || play_share(share))).collect();
+        let shares: Vec<_> = (0..THREADS).map(|share| scope.spawn(move || play_share(share, plan))).collect();
         for share in shares {
             totals.add(share.join().expect("a share of the seeds is played"));
         }
--- a/coordination/chain/tests/cores/simulator/faults.rs
+++ b/coordination/chain/tests/cores/simulator/faults.rs
@@ -1,5 +1,8 @@
 //! Faults that a plan lets happen.
 
+/// A process that was told to stop ends after this many microseconds at the latest.
+pub const STOP_MICROS: u64 = 5_000_000;
+
 /// A fault of the simulated world.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -15,6 +18,8 @@
     PowerLossOfAll { down_micros: u64 },
     /// The disk is lost; the machine starts with an empty one.
     WipeDisk { machine: usize, down_micros: u64 },
+    /// The same at any moment at which it can be borne; else nothing happens.
+    WipeDiskIfBorne { machine: usize, down_micros: u64 },
     /// The disk is lost and every other machine loses power.
     WipeDiskWithPowerLossOfOthers { machine: usize, down_micros: u64 },
     /// Two disks are lost; borne by cores that may lose two machines.
@@ -45,7 +50,15 @@
         self.takes_disk() || matches!(self, Fault::PowerLossOfAll { .. } | Fault::KillAll { .. })
     }
 
-    /// How long the fault lasts.
+    /// After how many microseconds all runs again at the latest.
+    pub fn ends_within(&self) -> u64 {
+        match self {
+            Fault::Stop { .. } => self.micros() + STOP_MICROS,
+            _ => self.micros(),
+        }
+    }
+
+    /// How long the fault lasts, from the moment at which the process ends.
     pub fn micros(&self) -> u64 {
         match self {
             Fault::Kill { down_micros, .. }
@@ -54,6 +67,7 @@
             | Fault::KillAll { down_micros }
             | Fault::PowerLossOfAll { down_micros }
             | Fault::WipeDisk { down_micros, .. }
+            | Fault::WipeDiskIfBorne { down_micros, .. }
             | Fault::WipeTwoDisks { down_micros, .. }
             | Fault::WipeDiskWithPowerLossOfOthers { down_micros, .. } => *down_micros,
             Fault::Freeze { micros, .. }
--- a/coordination/chain/tests/cores/simulator/history.rs
+++ b/coordination/chain/tests/cores/simulator/history.rs
@@ -52,6 +52,11 @@
         waits.map(|wait| wait.micros).max()
     }
 
+    /// How many writes were answered in a span of time.
+    pub fn answered_in(&self, span: std::ops::Range<u64>) -> usize {
+        self.waits.iter().filter(|wait| span.contains(&(wait.submitted_at + wait.micros))).count()
+    }
+
     /// When a view with `members` members was first entered after `at`.
     pub fn first_view_of(&self, members: usize, at: u64) -> Option<u64> {
         let entered = self.views.iter().filter(|entered| entered.at >= at);
--- a/coordination/chain/tests/cores/simulator/plan.rs
+++ b/coordination/chain/tests/cores/simulator/plan.rs
@@ -76,6 +76,23 @@
     }
 }
 
+impl Plan {
+    /// A plan in which losses follow each other closely: disks are lost whenever that can be borne, and machines are
+    /// stopped, killed and cut off meanwhile.
+    pub fn of_close_losses(seed: u64) -> Plan {
+        let mut plan = Plan::drawn(seed);
+        let mut random = fastrand::Rng::with_seed(seed ^ 0xc105e);
+        plan.faults.retain(|planned| !planned.fault.takes_disk());
+        for _ in 0..random.usize(2..6) {
+            let machine = random.usize(0..plan.machines);
+            let down_micros = random.u64(50_000..1_500_000);
+            let at = random.u64(FIRST_FAULT_MICROS..plan.calm_after);
+            plan.add_fault(at, Fault::WipeDiskIfBorne { machine, down_micros });
+        }
+        plan
+    }
+}
+
 fn draw_fault(random: &mut fastrand::Rng, machines: usize) -> Fault {
     let machine = random.usize(0..machines);
     let other = (machine + random.usize(1..machines)) % machines;
--- a/coordination/chain/tests/cores/simulator/strikes.rs
+++ b/coordination/chain/tests/cores/simulator/strikes.rs
@@ -3,11 +3,12 @@
 use millrudder_chain::Input;
 
 use super::disk::Disk;
-use super::faults::Fault;
+use super::faults::{Fault, STOP_MICROS};
+use super::host::Host;
 use super::world::{EventKind, World};
 
-/// A process that was told to stop ends after this many microseconds.
-const STOP_MICROS: u64 = 100_000;
+/// Pause between two looks whether it may end earlier.
+const STOP_LOOK_MICROS: u64 = 20_000;
 
 impl World {
     pub(super) fn strike(&mut self, fault: Fault) {
@@ -17,8 +18,9 @@
             Fault::PowerLoss { machine, down_micros } => self.lose_power(machine, down_micros),
             Fault::Stop { machine, down_micros } => {
                 self.input(machine, Input::Leave);
-                let end = EventKind::Fault(Fault::Kill { machine, down_micros });
-                self.schedule(self.now + STOP_MICROS, end);
+                let process = self.hosts[machine].process;
+                let until = self.now + STOP_MICROS;
+                self.schedule(self.now, EventKind::Stopping { machine, process, until, down_micros });
             }
             Fault::KillAll { down_micros } => {
                 (0..self.hosts.len()).for_each(|machine| self.kill(machine, down_micros));
@@ -27,6 +29,11 @@
                 (0..self.hosts.len()).for_each(|machine| self.lose_power(machine, down_micros));
             }
             Fault::WipeDisk { machine, down_micros } => self.wipe(machine, down_micros),
+            Fault::WipeDiskIfBorne { machine, down_micros } => {
+                if self.bears_loss_of_disk(machine) {
+                    self.wipe(machine, down_micros);
+                }
+            }
             Fault::WipeTwoDisks { machines, down_micros } => {
                 machines.into_iter().for_each(|machine| self.wipe(machine, down_micros));
             }
@@ -49,6 +56,35 @@
         }
     }
 
+    /// A process that was told to stop ends as soon as it may.
+    pub(super) fn stopping(&mut self, machine: usize, process: u64, until: u64, down_micros: u64) {
+        let host = &self.hosts[machine];
+        let clock = host.clock(self.now);
+        let Some(node) = host.node.as_ref().filter(|_| host.process == process) else {
+            return;
+        };
+        if self.now >= until || node.may_go(clock) {
+            return self.kill(machine, down_micros);
+        }
+        let again = EventKind::Stopping { machine, process, until, down_micros };
+        self.schedule(self.now + STOP_LOOK_MICROS, again);
+    }
+
+    /// Whether everything acknowledged is also kept elsewhere, and a majority of voters has its disks, without that of
+    /// `machine`.
+    pub(super) fn bears_loss_of_disk(&self, machine: usize) -> bool {
+        let others = || self.hosts.iter().enumerate().filter(|(other, _)| *other != machine);
+        let views = others().filter_map(|(_, host)| host.node.as_ref()?.view());
+        let Some(view) = views.max_by_key(|view| view.epoch).cloned() else {
+            return false;
+        };
+        let holds = |host: &Host| {
+            host.node.as_ref().is_some_and(|node| node.is_in_step() && node.epoch() == view.epoch)
+        };
+        let voters = others().filter_map(|(_, host)| host.disk.id()).filter(|id| view.is_voter(*id));
+        others().any(|(_, host)| holds(host)) && voters.count() >= view.majority()
+    }
+
     fn kill(&mut self, machine: usize, down_micros: u64) {
         let pending = self.hosts[machine].disk.pending();
         let kept = self.random.usize(0..=pending);
--- a/coordination/chain/tests/cores/simulator/world.rs
+++ b/coordination/chain/tests/cores/simulator/world.rs
@@ -34,6 +34,7 @@
     PeerSeen { machine: usize, process: u64, id: NodeId, address: String },
     Tick { machine: usize, process: u64, at: u64 },
     DiskDone { machine: usize, process: u64, token: PersistToken },
+    Stopping { machine: usize, process: u64, until: u64, down_micros: u64 },
     Fault(Fault),
     ArmFault(Fault),
     Heal,
@@ -48,6 +49,7 @@
             EventKind::Deliver { machine, .. }
             | EventKind::PeerSeen { machine, .. }
             | EventKind::Tick { machine, .. }
+            | EventKind::Stopping { machine, .. }
             | EventKind::DiskDone { machine, .. } => Some(*machine),
             _ => None,
         }
@@ -123,7 +125,7 @@
 
     /// Plays the plan to its end, and checks that the core has recovered.
     pub fn run(&mut self) -> Result<(), Violation> {
-        let calm_at = self.plan.faults.iter().map(|planned| planned.at + planned.fault.micros()).max();
+        let calm_at = self.plan.faults.iter().map(|planned| planned.at + planned.fault.ends_within()).max();
         let end = calm_at.unwrap_or_default().max(self.plan.calm_after) + CALM_MICROS;
         self.run_until(end)?;
         self.check_recovery()
@@ -192,6 +194,9 @@
                     self.input(machine, Input::Persisted { token });
                 }
             }
+            EventKind::Stopping { machine, process, until, down_micros } => {
+                self.stopping(machine, process, until, down_micros);
+            }
             EventKind::Fault(fault) => self.strike(fault),
             EventKind::ArmFault(fault) => self.armed = Some(fault),
             EventKind::Heal => self.network.heal(),
@@ -210,6 +215,7 @@
         }
         let mut config = CoreConfig::new(World::address(machine));
         config.minimum_members = self.plan.minimum_members;
+        config.voters = self.plan.machines;
         config.roles = vec![Role("reader".to_owned())];
         config.checkpoint_bytes = 4 << 10;
         config.kept_entries = 20;
--- a/coordination/chain/tests/model.rs
+++ b/coordination/chain/tests/model.rs
@@ -19,6 +19,8 @@
 const WALK_ACTIONS: usize = 120;
 /// Long enough after a suspicion for each member's turn to propose (microseconds).
 const TURN_MICROS: u64 = 200_000;
+/// Turns in which a node is silent until it is replaced.
+const SILENT_TURNS: usize = 5;
 const NODES: [NodeId; 3] = [NodeId(1), NodeId(2), NodeId(3)];
 
 /// The list of values written, each with its place.
@@ -122,7 +124,7 @@
 
 fn founded(id: NodeId) -> DurableState {
     let members = NODES.iter().map(|id| Member { id: *id, address: address(*id) }).collect();
-    let view = View { epoch: Epoch::FOUNDING, members };
+    let view = View::of_members(Epoch::FOUNDING, members);
     let mut state = DurableState::default();
     state.apply(&Record::Identity { id });
     state.apply(&Record::View(ViewRecord::Decided { view }));
@@ -207,9 +209,16 @@
     fn send(&mut self, from: NodeId, to: NodeId, message: &CoreMessage) {
         let feeder = self.nodes[&from].view().and_then(|view| view.predecessor(from));
         let repeats = matches!(message, CoreMessage::Heartbeat(_)) && feeder != Some(to);
-        if !repeats {
-            self.in_flight.insert(InFlight { from, to, bytes: message.encode() });
+        if repeats {
+            return;
+        }
+        let mut message = message.clone();
+        if let CoreMessage::Heartbeat(heartbeat) = &mut message {
+            // Times differ in each; nothing that is checked here rests on them.
+            heartbeat.stamp = Stamp::default();
+            heartbeat.heard.iter_mut().for_each(|heard| heard.stamp = Stamp::default());
         }
+        self.in_flight.insert(InFlight { from, to, bytes: message.encode() });
     }
 
     fn check_committed(&mut self, sequence: Sequence, value: u64) {
@@ -261,7 +270,7 @@
             Action::Suspect { at, gone } => self.suspect(at, gone),
             Action::Trust { at } => {
                 self.left.suspicions -= 1;
-                NODES.iter().filter(|id| **id != at).for_each(|from| self.hear(at, *from, false));
+                NODES.iter().filter(|id| **id != at).for_each(|from| self.hear(at, *from));
             }
             Action::Crash { at } => {
                 self.left.crashes -= 1;
@@ -281,14 +290,19 @@
         self.input(at, Input::Persisted { token });
     }
 
+    /// One node hears all but one for longer than a silence may last, and gets its turn to propose.
     fn suspect(&mut self, at: NodeId, gone: NodeId) {
         self.left.suspicions -= 1;
-        self.hear(at, gone, true);
-        self.now += TURN_MICROS;
-        self.input(at, Input::Tick);
+        self.hear(at, gone);
+        for _ in 0..SILENT_TURNS {
+            self.now += TURN_MICROS;
+            let others = NODES.iter().filter(|from| **from != at && **from != gone);
+            others.for_each(|from| self.hear(at, *from));
+            self.input(at, Input::Tick);
+        }
     }
 
-    fn hear(&mut self, at: NodeId, from: NodeId, leaving: bool) {
+    fn hear(&mut self, at: NodeId, from: NodeId) {
         let heartbeat = Heartbeat {
             epoch: self.nodes[&at].epoch(),
             address: address(from),
@@ -298,7 +312,7 @@
             committed: Sequence(0),
             synced: true,
             vouches: true,
-            leaving,
+            leaving: false,
         };
         self.input(at, Input::Message { from, message: CoreMessage::Heartbeat(heartbeat) });
     }
--- a/coordination/chain/tests/node.rs
+++ b/coordination/chain/tests/node.rs
@@ -1,6 +1,6 @@
 //! One core node or a few, on a network that loses nothing.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use millrudder_chain::{
     ConfigError, CoreConfig, CoreMessage, CoreNode, DurableState, Input, Machine, NodeId, Output, Record,
@@ -236,7 +236,7 @@
     let mut cluster = Cluster::default();
     for place in 1..=4 {
         let mut config = config(place, 3);
-        config.maximum_members = 3;
+        config.voters = 3;
         cluster.start(config, None);
     }
     cluster.run(3 * SECOND);
@@ -252,6 +252,153 @@
     assert!(cluster.host(4).node.is_member() && cluster.host(4).node.is_in_step());
 }
 
+#[test]
+fn a_machine_at_another_address_takes_over_the_vote_of_a_lost_one() {
+    let mut cluster = Cluster::founded(3);
+    cluster.submit(1, 1, "a");
+    let lost = cluster.hosts.remove(&address(3)).expect("the third host");
+    let lost_id = lost.node.id();
+    let mut replacement = config(4, 3);
+    replacement.founders.clear();
+    cluster.start(replacement, None);
+    cluster.run(4 * SECOND);
+    let new_id = cluster.host(4).node.id();
+    let view = cluster.host(1).node.view().expect("a view").clone();
+    assert!(view.is_voter(new_id) && !view.is_voter(lost_id));
+    assert_eq!(view.voters.len(), 3);
+    // The lost disk comes back: it does not vote, and the core goes on with one of its earlier machines only.
+    cluster.start(config(3, 3), Some(lost.disk));
+    cluster.run(SECOND);
+    assert!(!cluster.host(3).node.is_voter());
+    cluster.hosts.remove(&address(2));
+    cluster.run(2 * SECOND);
+    cluster.submit(4, 2, "b");
+    cluster.run(SECOND);
+    assert_eq!(cluster.host(4).node.machine().0, "ab");
+}
+
+#[test]
+fn a_lost_machine_keeps_its_vote_while_nobody_takes_it_over() {
+    let mut cluster = Cluster::founded(3);
+    let host = cluster.hosts.remove(&address(3)).expect("the third host");
+    cluster.run(3 * SECOND);
+    let view = cluster.host(1).node.view().expect("a view").clone();
+    assert_eq!(view.members.len(), 2);
+    assert!(view.is_voter(host.node.id()) && view.voters.len() == 3);
+    // It comes back, and before it is admitted another goes.
+    cluster.start(config(3, 3), Some(host.disk));
+    cluster.run(SECOND / 2);
+    assert!(!cluster.host(3).node.is_member());
+    cluster.hosts.remove(&address(2));
+    cluster.run(2 * SECOND);
+    cluster.submit(3, 1, "a");
+    cluster.run(SECOND);
+    assert_eq!(cluster.host(1).node.machine().0, "a");
+    assert_eq!(cluster.host(3).node.machine().0, "a");
+}
+
+#[test]
+fn an_excluded_machine_stays_until_another_holds_the_state_and_its_vote() {
+    let mut cluster = Cluster::founded(3);
+    cluster.submit(1, 1, "a");
+    let excluded = cluster.host(2).node.id();
+    cluster.hosts.remove(&address(3));
+    cluster.run(2 * SECOND);
+    for place in 1..=2 {
+        cluster.input(&address(place), Input::Exclude { ids: BTreeSet::from([excluded]) });
+    }
+    cluster.run(2 * SECOND);
+    let is_needed =
+        |cluster: &Cluster, place: usize| !cluster.host(place).node.can_do_without(cluster.now, excluded);
+    assert!(cluster.host(2).node.is_member() && is_needed(&cluster, 1));
+    // One more machine takes the place of the lost one first, the next that of the excluded one.
+    for place in 4..=5 {
+        let mut newcomer = config(place, 3);
+        newcomer.founders.clear();
+        cluster.start(newcomer, None);
+        cluster.input(&address(place), Input::Exclude { ids: BTreeSet::from([excluded]) });
+        cluster.run(4 * SECOND);
+    }
+    assert!(!cluster.host(2).node.is_voter() && !cluster.host(2).node.is_member());
+    assert!(!is_needed(&cluster, 1));
+    let view = cluster.host(1).node.view().expect("a view").clone();
+    assert_eq!((view.voters.len(), view.members.len()), (3, 3));
+    cluster.hosts.remove(&address(2));
+    cluster.submit(5, 2, "b");
+    cluster.run(SECOND);
+    assert_eq!(cluster.host(5).node.machine().0, "ab");
+}
+
+#[test]
+fn an_excluded_voter_that_nobody_replaces_is_taken_out_while_enough_are_left() {
+    let mut cluster = Cluster::founded(3);
+    let excluded = cluster.host(2).node.id();
+    for place in 1..=3 {
+        cluster.input(&address(place), Input::Exclude { ids: BTreeSet::from([excluded]) });
+    }
+    cluster.run(3 * SECOND);
+    let view = cluster.host(1).node.view().expect("a view").clone();
+    assert_eq!((view.voters.len(), view.members.len()), (2, 2));
+    assert!(cluster.host(1).node.can_do_without(cluster.now, excluded));
+}
+
+#[test]
+fn of_more_founders_than_voters_the_others_follow() {
+    let mut cluster = Cluster::default();
+    for place in 1..=7 {
+        let mut config = config(place, 7);
+        config.minimum_members = 2;
+        cluster.start(config, None);
+    }
+    cluster.run(3 * SECOND);
+    let view = cluster.host(1).node.view().expect("a view").clone();
+    assert_eq!((view.voters.len(), view.members.len()), (3, 3));
+    cluster.submit(7, 1, "a");
+    cluster.run(SECOND);
+    assert!((1..=7).all(|place| cluster.host(place).node.machine().0 == "a"));
+}
+
+#[test]
+fn a_leaving_member_may_go_once_others_have_done_without_it() {
+    let mut cluster = Cluster::founded(3);
+    cluster.submit(1, 1, "a");
+    cluster.input(&address(2), Input::Leave);
+    cluster.deliver();
+    assert!(!cluster.host(2).node.may_go(cluster.now));
+    cluster.run(2 * SECOND);
+    assert!(cluster.host(2).node.may_go(cluster.now));
+    assert!(!cluster.host(2).node.is_member());
+}
+
+#[test]
+fn a_leaving_member_stays_while_too_few_others_hold_the_state() {
+    let mut cluster = Cluster::founded(3);
+    cluster.hosts.remove(&address(3));
+    cluster.run(2 * SECOND);
+    cluster.input(&address(2), Input::Leave);
+    cluster.run(3 * SECOND);
+    assert!(cluster.host(2).node.is_member() && !cluster.host(2).node.may_go(cluster.now));
+    cluster.submit(1, 1, "a");
+    assert_eq!(cluster.host(1).node.machine().0, "a");
+    let mut replacement = config(4, 3);
+    replacement.founders.clear();
+    cluster.start(replacement, None);
+    cluster.run(4 * SECOND);
+    assert!(cluster.host(2).node.may_go(cluster.now));
+    cluster.hosts.remove(&address(2));
+    cluster.submit(4, 2, "b");
+    cluster.run(SECOND);
+    assert_eq!(cluster.host(4).node.machine().0, "ab");
+}
+
+#[test]
+fn all_that_leave_together_wait_for_nobody() {
+    let mut cluster = Cluster::founded(3);
+    (1..=3).for_each(|place| cluster.input(&address(place), Input::Leave));
+    cluster.deliver();
+    assert!((1..=3).all(|place| cluster.host(place).node.may_go(cluster.now)));
+}
+
 #[test]
 fn a_node_a_little_behind_gets_the_commands_it_lacks() {
     let mut cluster = Cluster::founded(3);
@@ -321,7 +468,7 @@
     let mut bad = config(1, 3);
     bad.minimum_members = 9;
     let refused: Result<CoreNode<Text>, _> = CoreNode::new(bad, None, 1, 0);
-    let sizes = ConfigError::SizesOfView { minimum: 9, maximum: 7 };
+    let sizes = ConfigError::SizesOfView { minimum: 9, voters: 3 };
     assert_eq!(refused.err(), Some(StartError::Config(sizes)));
     let mut few = config(1, 1);
     few.minimum_members = 2;
--- a/coordination/lease/src/holder.rs
+++ b/coordination/lease/src/holder.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use crate::{Fencing, LeaseAnswer, LeaseConfig, LeaseRequest, Refusal, Role, VoterId};
+use crate::{Fencing, LeaseAnswer, LeaseConfig, LeaseRelease, LeaseRequest, Refusal, Role, VoterId};
 
 /// A change in the possession of a role.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -105,6 +105,20 @@
         request.into_iter().chain(expiry).min()
     }
 
+    /// Gives the lease back, if it is held: the role must not be exercised from now on, and voters may be told.
+    pub fn release(&mut self, now: u64) -> Option<LeaseRelease> {
+        let held = self.held.take();
+        self.round = None;
+        let fencing = held.filter(|held| now < held.until)?.fencing;
+        Some(LeaseRelease { role: self.role.clone(), fencing })
+    }
+
+    /// Another has given the role back: asks again within a short random time.
+    pub fn released(&mut self, now: u64) {
+        let spread = self.random.u64(0..self.renew_every / 2 + 1);
+        self.next_request = self.next_request.min(now + spread);
+    }
+
     /// Ends the lease when its time is over, and sends the next request when it is due.
     pub fn poll(&mut self, now: u64) -> HolderStep {
         let event = self.expire(now);
--- a/coordination/lease/src/lib.rs
+++ b/coordination/lease/src/lib.rs
@@ -34,5 +34,7 @@
 
 pub use config::{LeaseConfig, LeaseConfigError};
 pub use holder::{Holder, HolderEvent, HolderStep};
-pub use message::{Fencing, HolderId, LeaseAnswer, LeaseRecord, LeaseRequest, Refusal, Role, VoterId};
+pub use message::{
+    Fencing, HolderId, LeaseAnswer, LeaseRecord, LeaseRelease, LeaseRequest, Refusal, Role, VoterId,
+};
 pub use voter::{Vote, Voter, VoterState};
--- a/coordination/lease/src/message.rs
+++ b/coordination/lease/src/message.rs
@@ -49,6 +49,15 @@
     pub held: bool,
 }
 
+/// Gives a lease back before its time, since the holder is about to end.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct LeaseRelease {
+    /// The role.
+    pub role: Role,
+    /// Number of the lease.
+    pub fencing: Fencing,
+}
+
 /// Why a voter does not grant.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum Refusal {
--- a/coordination/lease/src/voter.rs
+++ b/coordination/lease/src/voter.rs
@@ -4,7 +4,9 @@
 
 use speedy::{Readable, Writable};
 
-use crate::{Fencing, HolderId, LeaseAnswer, LeaseConfig, LeaseRecord, LeaseRequest, Refusal, Role};
+use crate::{
+    Fencing, HolderId, LeaseAnswer, LeaseConfig, LeaseRecord, LeaseRelease, LeaseRequest, Refusal, Role,
+};
 
 /// Durable state of a voter.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
@@ -37,6 +39,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Granted {
     holder: HolderId,
+    fencing: Fencing,
     until: u64,
 }
 
@@ -84,6 +87,16 @@
         }
     }
 
+    /// A holder gives its lease back: this voter is not bound by it any more.
+    ///
+    /// A release of an earlier lease, which comes late, changes nothing.
+    pub fn release(&mut self, from: HolderId, release: &LeaseRelease) {
+        let is_that = |granted: &Granted| granted.holder == from && granted.fencing == release.fencing;
+        if self.granted.get(&release.role).is_some_and(is_that) {
+            self.granted.remove(&release.role);
+        }
+    }
+
     fn objection(&self, now: u64, from: HolderId, request: &LeaseRequest) -> Option<(Refusal, u64)> {
         if now < self.withhold_all_until {
             return Some((Refusal::Withheld, self.withhold_all_until));
@@ -104,7 +117,7 @@
 
     fn grant(&mut self, now: u64, from: HolderId, request: &LeaseRequest) -> Vote {
         let until = now + self.duration;
-        self.granted.insert(request.role.clone(), Granted { holder: from, until });
+        self.granted.insert(request.role.clone(), Granted { holder: from, fencing: request.fencing, until });
         let record = LeaseRecord { role: request.role.clone(), fencing: request.fencing };
         let is_new = request.fencing > self.state.highest(&request.role);
         self.state.apply(&record);
--- a/coordination/lease/tests/lease.rs
+++ b/coordination/lease/tests/lease.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use millrudder_lease::{
-    Fencing, Holder, HolderEvent, HolderId, LeaseAnswer, LeaseConfig, LeaseConfigError, LeaseRequest,
-    Refusal, Role, Voter, VoterId, VoterState,
+    Fencing, Holder, HolderEvent, HolderId, LeaseAnswer, LeaseConfig, LeaseConfigError, LeaseRelease,
+    LeaseRequest, Refusal, Role, Voter, VoterId, VoterState,
 };
 
 const FIRST: HolderId = HolderId(1);
@@ -131,3 +131,46 @@
     assert_eq!(config.check(), Err(LeaseConfigError::NoRenewalPause));
     assert_eq!(LeaseConfig::default().check(), Ok(()));
 }
+
+#[test]
+fn a_lease_that_is_given_back_is_free_at_once_and_for_that_lease_only() {
+    let mut voter = fresh_voter();
+    let _ = voter.request(0, FIRST, &request(5, false));
+    let release = |fencing| LeaseRelease { role: role(), fencing: Fencing(fencing) };
+    voter.release(SECOND, &release(5));
+    voter.release(FIRST, &release(4));
+    let taken = voter.request(10, SECOND, &request(6, false));
+    assert_eq!(refusal(&taken.answer), Some(Refusal::Taken));
+    voter.release(FIRST, &release(5));
+    assert_eq!(refusal(&voter.request(20, SECOND, &request(6, false)).answer), None);
+    // The earlier holder's renewal comes late: it is the lower number.
+    let late = voter.request(30, FIRST, &request(5, true));
+    assert_eq!(refusal(&late.answer), Some(Refusal::Taken));
+}
+
+#[test]
+fn a_holder_that_gives_its_lease_back_does_not_hold_it_and_counts_no_late_grant() {
+    let mut holder = Holder::new(&LeaseConfig::default(), role(), 1);
+    holder.voters_changed(1, 0);
+    let round = holder.poll(0).request.expect("a request").round;
+    let granted = LeaseAnswer::Granted { role: role(), round };
+    let _ = holder.answer(1, VoterId(9), &granted);
+    let fencing = holder.fencing(2).expect("it is held");
+    assert_eq!(holder.release(2), Some(LeaseRelease { role: role(), fencing }));
+    assert!(!holder.is_held(2));
+    assert_eq!(holder.answer(3, VoterId(9), &granted).event, None);
+    assert!(!holder.is_held(3));
+    assert_eq!(holder.release(3), None);
+}
+
+#[test]
+fn a_candidate_asks_soon_after_the_lease_was_given_back() {
+    let config = LeaseConfig::default();
+    let mut holder = Holder::new(&config, role(), 1);
+    holder.voters_changed(1, 0);
+    assert!(holder.poll(0).request.is_some());
+    let soon = config.renew_every.as_micros() as u64 / 2;
+    holder.released(10);
+    assert!(holder.next_deadline().is_some_and(|due| due <= 10 + soon));
+    assert!(holder.poll(11 + soon).request.is_some());
+}
--- a/coordination/view/src/agreement.rs
+++ b/coordination/view/src/agreement.rs
@@ -3,7 +3,7 @@
 use speedy::{Readable, Writable};
 
 use crate::acceptor::Acceptor;
-use crate::proposer::Proposer;
+use crate::proposer::{Proposer, Wanted};
 use crate::{AcceptedView, Ballot, Epoch, Member, NodeId, View, ViewMessage, ViewRecord};
 
 /// A message with its recipient, which may be the sending node itself.
@@ -112,6 +112,11 @@
         self.state.epoch()
     }
 
+    /// Whether this node votes in the newest decided view.
+    pub fn is_voter(&self) -> bool {
+        self.view().is_some_and(|view| view.is_voter(self.me))
+    }
+
     /// Whether this node is a member of the newest decided view.
     pub fn is_member(&self) -> bool {
         self.view().is_some_and(|view| view.contains(self.me))
@@ -129,19 +134,24 @@
         self.proposer.is_some()
     }
 
-    /// Starts a new attempt to replace the present view by one of `wanted` members.
+    /// Starts a new attempt to replace the present view by the `wanted` one.
     ///
-    /// `wanted` keeps the order of the present members, with admitted learners at the end. Does nothing at a node
-    /// that is not a member, or when `wanted` is too short.
-    pub fn propose(&mut self, wanted: Vec<Member>) -> Step {
-        if !self.is_member() || wanted.len() < self.minimum_members {
+    /// Does nothing at a node that does not vote, or when too few are to keep the state or too many voters differ.
+    pub fn propose(&mut self, wanted: Wanted) -> Step {
+        if !self.may_propose(&wanted) {
             return Step::default();
         }
         self.highest_round = self.highest_round.saturating_add(1);
         let ballot = Ballot { round: self.highest_round, node: self.me };
         self.proposer = Some(Proposer::new(ballot, wanted));
         let prepare = ViewMessage::Prepare { instance: self.epoch().next(), ballot };
-        Step { record: None, messages: self.to_members(&prepare) }
+        Step { record: None, messages: self.to_voters(&prepare) }
+    }
+
+    fn may_propose(&self, wanted: &Wanted) -> bool {
+        let one_change = |view: &View| view.voters_change_by_one(&wanted.voters);
+        let changes = self.view().is_some_and(one_change);
+        self.is_voter() && changes && wanted.members.len() >= self.minimum_members
     }
 
     /// Ends this node's attempt, if there is one.
@@ -208,6 +218,9 @@
         if let Some(step) = self.other_instance(from, instance) {
             return step;
         }
+        if view.epoch != instance || !view.is_well_formed() {
+            return Step::default();
+        }
         self.highest_round = self.highest_round.max(ballot.round);
         if !self.state.acceptor.accept(ballot, view.clone()) {
             return self.refuse(from, instance, ballot);
@@ -235,7 +248,7 @@
             return Step::default();
         };
         let accept = ViewMessage::Accept { instance, ballot, view };
-        Step { record: None, messages: self.to_members(&accept) }
+        Step { record: None, messages: self.to_voters(&accept) }
     }
 
     fn on_accepted(&mut self, from: NodeId, instance: Epoch, ballot: Ballot) -> Step {
@@ -260,10 +273,11 @@
         Step::default()
     }
 
-    /// Adopts a decided view and tells it to the members of both views.
+    /// Adopts a decided view and tells it to the voters of both views.
     fn announce(&mut self, base: &View, view: View) -> Step {
         let decided = ViewMessage::Decided { view: view.clone() };
-        let mut peers: Vec<NodeId> = base.ids().chain(view.ids()).filter(|id| *id != self.me).collect();
+        let mut peers: Vec<NodeId> =
+            base.voter_ids().chain(view.voter_ids()).filter(|id| *id != self.me).collect();
         peers.sort();
         peers.dedup();
         let mut step = self.adopt(view);
@@ -274,7 +288,7 @@
     /// The present view, if `instance` follows it and `from` votes in it.
     fn base_of(&self, instance: Epoch, from: NodeId) -> Option<View> {
         let view = self.view()?;
-        (instance == view.epoch.next() && view.contains(from)).then(|| view.clone())
+        (instance == view.epoch.next() && view.is_voter(from)).then(|| view.clone())
     }
 
     /// The answer to a request for another instance than the one in which this node votes.
@@ -286,7 +300,7 @@
             let query = ViewMessage::Query { known: self.epoch() };
             return Some(Step { record: None, messages: one(from, query) });
         }
-        (!self.is_member()).then(Step::default)
+        (!self.is_voter()).then(Step::default)
     }
 
     fn refuse(&self, from: NodeId, instance: Epoch, ballot: Ballot) -> Step {
@@ -294,9 +308,9 @@
         Step { record: None, messages: one(from, ViewMessage::Refused { instance, ballot, promised }) }
     }
 
-    fn to_members(&self, message: &ViewMessage) -> Vec<Envelope> {
-        let members = self.view().into_iter().flat_map(View::ids);
-        members.map(|to| Envelope { to, message: message.clone() }).collect()
+    fn to_voters(&self, message: &ViewMessage) -> Vec<Envelope> {
+        let voters = self.view().into_iter().flat_map(View::voter_ids);
+        voters.map(|to| Envelope { to, message: message.clone() }).collect()
     }
 }
 
--- a/coordination/view/src/detector.rs
+++ b/coordination/view/src/detector.rs
@@ -129,6 +129,16 @@
         self.contacts.get(&peer).is_some_and(|contact| contact.is_broken(now, self.suspect_after))
     }
 
+    /// Whether a watched peer is silent or does not hear this node; one that is about to end is still there.
+    pub fn is_lost(&self, now: u64, peer: NodeId) -> bool {
+        self.contacts.get(&peer).is_some_and(|contact| contact.is_lost(now, self.suspect_after))
+    }
+
+    /// Whether a peer said that it is about to end.
+    pub fn is_leaving(&self, peer: NodeId) -> bool {
+        self.contacts.get(&peer).is_some_and(|contact| contact.leaving)
+    }
+
     /// Whether contact with a peer has been unbroken for the configured time.
     pub fn is_steady(&self, now: u64, peer: NodeId) -> bool {
         let Some(contact) = self.contacts.get(&peer) else {
@@ -155,8 +165,10 @@
     }
 
     fn is_broken(&self, now: u64, suspect_after: u64) -> bool {
-        self.leaving
-            || self.is_silent(now, suspect_after)
-            || now.saturating_sub(self.last_heard_us) >= suspect_after
+        self.leaving || self.is_lost(now, suspect_after)
+    }
+
+    fn is_lost(&self, now: u64, suspect_after: u64) -> bool {
+        self.is_silent(now, suspect_after) || now.saturating_sub(self.last_heard_us) >= suspect_after
     }
 }
--- a/coordination/view/src/foundation.rs
+++ b/coordination/view/src/foundation.rs
@@ -15,15 +15,18 @@
     me: Member,
     /// Addresses of all founders; empty at a node that must not propose a foundation.
     founders: Vec<String>,
+    /// No more founders than this become voters.
+    voters: usize,
     known: BTreeMap<String, NodeId>,
     agreed_by: BTreeSet<NodeId>,
 }
 
 impl Foundation {
-    /// `founders` are the addresses of the first members in chain order, empty where founding is not allowed.
-    pub fn new(me: Member, founders: Vec<String>) -> Foundation {
+    /// `founders` are the addresses of the first machines, empty where founding is not allowed. At most `voters` of
+    /// them form the first view; this number must be the same at all nodes.
+    pub fn new(me: Member, founders: Vec<String>, voters: usize) -> Foundation {
         let known = BTreeMap::from([(me.address.clone(), me.id)]);
-        Foundation { me, founders, known, agreed_by: BTreeSet::new() }
+        Foundation { me, founders, voters, known, agreed_by: BTreeSet::new() }
     }
 
     /// Notes which node answers at an address.
@@ -81,10 +84,11 @@
         if !members.iter().all(|member| self.agreed_by.contains(&member.id)) {
             return Step::default();
         }
-        let view = View { epoch: Epoch::FOUNDING, members };
+        let others: Vec<NodeId> =
+            members.iter().map(|member| member.id).filter(|id| *id != self.me.id).collect();
+        let view = View::of_members(Epoch::FOUNDING, spread_over(members, self.voters));
         let decided = ViewMessage::Decided { view: view.clone() };
-        let others = view.ids().filter(|id| *id != self.me.id);
-        let messages = others.map(|to| Envelope { to, message: decided.clone() }).collect();
+        let messages = others.into_iter().map(|to| Envelope { to, message: decided.clone() }).collect();
         let mut step = agreement.adopt(view);
         step.messages = messages;
         step
@@ -109,3 +113,10 @@
         members.iter().map(|member| Envelope { to: member.id, message: message.clone() }).collect()
     }
 }
+
+/// At most `count` members at even distances in the list, since neighbours by address often share what they lose.
+fn spread_over(members: Vec<Member>, count: usize) -> Vec<Member> {
+    let total = members.len();
+    let chosen = count.clamp(1, total.max(1)).min(total);
+    (0..chosen).map(|place| members[place * total / chosen].clone()).collect()
+}
--- a/coordination/view/src/identity.rs
+++ b/coordination/view/src/identity.rs
@@ -42,35 +42,71 @@
     pub address: String,
 }
 
-/// The agreed members of one epoch in chain order: head first, tail last.
+/// Who decides in one epoch, and who keeps the state in it.
+///
+/// The voters decide the next view, grant leases and vouch for the epoch, each by a majority. The members are those of
+/// them that keep the state, in chain order: head first, tail last. A voter that is lost stays a voter until another
+/// node takes its place, so that the others remain a majority of the same number.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Readable, Writable)]
 pub struct View {
     /// Number of the view.
     pub epoch: Epoch,
-    /// Members in chain order.
+    /// Who votes, in any order.
+    pub voters: Vec<Member>,
+    /// The voters that keep the state, in chain order.
     pub members: Vec<Member>,
 }
 
 impl View {
-    /// Whether `id` is a member.
+    /// A view in which every voter keeps the state.
+    pub fn of_members(epoch: Epoch, members: Vec<Member>) -> View {
+        View { epoch, voters: members.clone(), members }
+    }
+
+    /// Whether `id` keeps the state.
     pub fn contains(&self, id: NodeId) -> bool {
         self.members.iter().any(|member| member.id == id)
     }
 
+    /// Whether `id` votes.
+    pub fn is_voter(&self, id: NodeId) -> bool {
+        self.voters.iter().any(|voter| voter.id == id)
+    }
+
     /// Identities of the members in chain order.
     pub fn ids(&self) -> impl Iterator<Item = NodeId> + '_ {
         self.members.iter().map(|member| member.id)
     }
 
-    /// Whether the view has members, none of them twice, and an epoch.
+    /// Identities of the voters.
+    pub fn voter_ids(&self) -> impl Iterator<Item = NodeId> + '_ {
+        self.voters.iter().map(|voter| voter.id)
+    }
+
+    /// Whether the view has an epoch and members, nobody twice, and no member that does not vote.
     pub fn is_well_formed(&self) -> bool {
-        let distinct: BTreeSet<NodeId> = self.ids().collect();
-        self.epoch != Epoch::NONE && !self.members.is_empty() && distinct.len() == self.members.len()
+        let members: BTreeSet<NodeId> = self.ids().collect();
+        let voters: BTreeSet<NodeId> = self.voter_ids().collect();
+        let distinct = members.len() == self.members.len() && voters.len() == self.voters.len();
+        self.epoch != Epoch::NONE && !self.members.is_empty() && distinct && members.is_subset(&voters)
     }
 
-    /// Number of members that make a majority of this view.
+    /// Number of voters that make a majority.
     pub fn majority(&self) -> usize {
-        self.members.len() / 2 + 1
+        self.voters.len() / 2 + 1
+    }
+
+    /// Whether `voters` are the same, or differ by one that comes, one that goes, or one in the place of another.
+    pub fn voters_change_by_one(&self, voters: &[Member]) -> bool {
+        let before: BTreeSet<NodeId> = self.voter_ids().collect();
+        let after: BTreeSet<NodeId> = voters.iter().map(|voter| voter.id).collect();
+        before.difference(&after).count() <= 1 && after.difference(&before).count() <= 1
+    }
+
+    /// Whether the same nodes vote in both views.
+    pub fn has_voters_of(&self, other: &View) -> bool {
+        let own: BTreeSet<NodeId> = self.voter_ids().collect();
+        own == other.voter_ids().collect()
     }
 
     /// The first member, at which commands get their sequence numbers.
@@ -100,9 +136,9 @@
         self.members.iter().position(|member| member.id == id)
     }
 
-    /// Address of a member.
+    /// Address of a voter.
     pub fn address(&self, id: NodeId) -> Option<&str> {
-        let member = self.members.iter().find(|member| member.id == id)?;
-        Some(&member.address)
+        let voter = self.voters.iter().find(|voter| voter.id == id)?;
+        Some(&voter.address)
     }
 }
--- a/coordination/view/src/lib.rs
+++ b/coordination/view/src/lib.rs
@@ -1,8 +1,9 @@
 //! Agreed membership of a small core of machines.
 //!
-//! A [`View`] is the ordered list of members of one [`Epoch`]. The view that follows epoch `e` is decided by
-//! single-decree Paxos among the members of view `e`, one instance an epoch, so that at most one view exists for
-//! each epoch. The first view is formed by a [`Foundation`]: every founder must agree to the same list.
+//! A [`View`] names the voters of one [`Epoch`], and those of them that keep the state, in order. The view that follows
+//! epoch `e` is decided by single-decree Paxos among the voters of view `e`, one instance an epoch, so that at most one
+//! view exists for each epoch. Voters change one at a time. The first view is formed by a [`Foundation`]: every founder
+//! must agree to the same list.
 //!
 //! Everything here is a state machine without I/O. [`ViewAgreement`] returns a [`Step`]: a record to make durable
 //! and messages that must not leave before it is. A [`Detector`] tells which members are silent.
@@ -11,7 +12,7 @@
 //! use millrudder_view::{Epoch, Member, NodeId, View, ViewAgreement, ViewState};
 //!
 //! let member = Member { id: NodeId(7), address: "127.0.0.1:9000".to_owned() };
-//! let view = View { epoch: Epoch(1), members: vec![member] };
+//! let view = View::of_members(Epoch(1), vec![member]);
 //! let agreement = ViewAgreement::new(NodeId(7), ViewState::of(view), 1);
 //! assert!(agreement.is_member());
 //! assert_eq!(agreement.epoch(), Epoch(1));
@@ -33,3 +34,4 @@
 pub use foundation::Foundation;
 pub use identity::{Ballot, Epoch, Member, NodeId, View};
 pub use message::{ViewMessage, ViewRecord};
+pub use proposer::Wanted;
--- a/coordination/view/src/message.rs
+++ b/coordination/view/src/message.rs
@@ -7,13 +7,13 @@
 /// A message of the agreement on views. `instance` is the epoch that is being decided.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum ViewMessage {
-    /// Phase 1: asks the members of the previous view for a promise.
+    /// Phase 1: asks the voters of the previous view for a promise.
     Prepare { instance: Epoch, ballot: Ballot },
     /// The promise, with what was accepted before and whether the voter holds all committed commands.
     Promise { instance: Epoch, ballot: Ballot, accepted: Option<AcceptedView>, complete: bool },
     /// A higher ballot was promised already.
     Refused { instance: Epoch, ballot: Ballot, promised: Ballot },
-    /// Phase 2: asks the members of the previous view to accept a view.
+    /// Phase 2: asks the voters of the previous view to accept a view.
     Accept { instance: Epoch, ballot: Ballot, view: View },
     /// The view of this ballot was accepted.
     Accepted { instance: Epoch, ballot: Ballot },
--- a/coordination/view/src/proposer.rs
+++ b/coordination/view/src/proposer.rs
@@ -4,11 +4,32 @@
 
 use crate::{AcceptedView, Ballot, Member, NodeId, View};
 
+/// What a proposer wants the next view to be.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// Who is to vote: the present voters with at most one of them replaced, added or taken out.
+    pub voters: Vec<Member>,
+    /// Who is to keep the state: the present members that stay in their order, then others.
+    pub members: Vec<Member>,
+}
+
+impl Wanted {
+    /// The same voters and members as in `view`.
+    pub fn unchanged(view: &View) -> Wanted {
+        Wanted { voters: view.voters.clone(), members: view.members.clone() }
+    }
+
+    /// Whether this is what `view` says already.
+    pub fn is(&self, view: &View) -> bool {
+        self.members == view.members && self.voters == view.voters
+    }
+}
+
 /// One attempt to decide the view that follows `base`.
 #[derive(Clone, Debug)]
 pub(crate) struct Proposer {
     pub(crate) ballot: Ballot,
-    pub(crate) wanted: Vec<Member>,
+    pub(crate) wanted: Wanted,
     promises: BTreeMap<NodeId, PromiseOf>,
     proposal: Option<View>,
     acceptances: BTreeSet<NodeId>,
@@ -21,7 +42,7 @@
 }
 
 impl Proposer {
-    pub(crate) fn new(ballot: Ballot, wanted: Vec<Member>) -> Proposer {
+    pub(crate) fn new(ballot: Ballot, wanted: Wanted) -> Proposer {
         Proposer { ballot, wanted, promises: BTreeMap::new(), proposal: None, acceptances: BTreeSet::new() }
     }
 
@@ -59,15 +80,17 @@
         accepted.max_by_key(|accepted| accepted.ballot).map(|accepted| accepted.view.clone())
     }
 
-    /// The wanted members, once each of them that votes has answered, and the first holds every committed command.
+    /// The wanted view, once each of its members that votes now has answered, and the first has kept the state until
+    /// now and holds every committed command.
     ///
     /// A majority alone could come from members that are to go, and leave a view whose others have died unnoticed.
     /// Whoever is complete stands before all that are not, so no later member needs to be tried.
     fn own_view(&self, base: &View, minimum_members: usize) -> Option<View> {
-        let answered = |member: &Member| !base.contains(member.id) || self.promises.contains_key(&member.id);
-        let first = self.wanted.first()?;
+        let Wanted { voters, members } = &self.wanted;
+        let answered = |member: &Member| !base.is_voter(member.id) || self.promises.contains_key(&member.id);
+        let first = members.first().filter(|first| base.contains(first.id))?;
         let is_complete = self.promises.get(&first.id).is_some_and(|promise| promise.complete);
-        let usable = self.wanted.len() >= minimum_members && self.wanted.iter().all(answered) && is_complete;
-        usable.then(|| View { epoch: base.epoch.next(), members: self.wanted.clone() })
+        let usable = members.len() >= minimum_members && members.iter().all(answered) && is_complete;
+        usable.then(|| View { epoch: base.epoch.next(), voters: voters.clone(), members: members.clone() })
     }
 }
--- a/coordination/view/tests/agreement.rs
+++ b/coordination/view/tests/agreement.rs
@@ -2,7 +2,7 @@
 
 use millrudder_view::{
     AcceptedView, Ballot, Epoch, Member, NodeId, Step, View, ViewAgreement, ViewMessage, ViewRecord,
-    ViewState,
+    ViewState, Wanted,
 };
 
 const SECOND_EPOCH: Epoch = Epoch(2);
@@ -12,7 +12,18 @@
 }
 
 fn view(epoch: u64, ids: &[u64]) -> View {
-    View { epoch: Epoch(epoch), members: ids.iter().copied().map(member).collect() }
+    View::of_members(Epoch(epoch), ids.iter().copied().map(member).collect())
+}
+
+/// The voters of the first view, of which some keep the state.
+fn chain(epoch: u64, ids: &[u64]) -> View {
+    View { voters: view(epoch, &[1, 2, 3]).voters, ..view(epoch, ids) }
+}
+
+/// The same voters, and these members.
+fn wanted(ids: &[u64]) -> Wanted {
+    let View { voters, members, .. } = chain(2, ids);
+    Wanted { voters, members }
 }
 
 fn agreement(id: u64) -> ViewAgreement {
@@ -41,18 +52,20 @@
 #[test]
 fn a_view_is_never_led_by_a_member_that_may_lack_commands() {
     let mut proposer = agreement(3);
-    let ballot = ballot_of(&proposer.propose(vec![member(2), member(3)]));
+    let ballot = ballot_of(&proposer.propose(wanted(&[2, 3])));
     let own = proposer.handle(NodeId(3), promise(ballot, None, true), true);
     let incomplete = proposer.handle(NodeId(2), promise(ballot, None, false), true);
     assert!(own.messages.is_empty() && incomplete.messages.is_empty());
     let complete = proposer.handle(NodeId(2), promise(ballot, None, true), true);
-    assert_eq!(accepted_views(&complete), vec![view(2, &[2, 3]); 3]);
+    assert_eq!(accepted_views(&complete), vec![chain(2, &[2, 3]); 3]);
 }
 
 #[test]
 fn no_view_is_proposed_before_each_member_that_is_to_stay_has_answered() {
     let mut proposer = agreement(2);
-    let ballot = ballot_of(&proposer.propose(vec![member(1), member(2), member(4)]));
+    let next = view(2, &[1, 2, 4]);
+    let next = Wanted { voters: next.voters, members: next.members };
+    let ballot = ballot_of(&proposer.propose(next));
     let own = proposer.handle(NodeId(2), promise(ballot, None, true), true);
     let leaving = proposer.handle(NodeId(3), promise(ballot, None, true), true);
     assert!(own.messages.is_empty() && leaving.messages.is_empty());
@@ -63,7 +76,7 @@
 #[test]
 fn a_view_that_may_be_decided_is_proposed_again() {
     let mut proposer = agreement(2);
-    let ballot = ballot_of(&proposer.propose(vec![member(1), member(2)]));
+    let ballot = ballot_of(&proposer.propose(wanted(&[1, 2])));
     let earlier = |round, ids: &[u64]| {
         let ballot = Ballot { round, node: NodeId(3) };
         Some(AcceptedView { ballot, view: view(2, ids) })
@@ -72,7 +85,7 @@
     let step = proposer.handle(NodeId(3), promise(ballot, earlier(2, &[1, 3]), true), true);
     assert_eq!(accepted_views(&step), vec![view(2, &[1, 3]); 3], "the highest ballot binds");
     let mut proposer = agreement(2);
-    let ballot = ballot_of(&proposer.propose(vec![member(1), member(2)]));
+    let ballot = ballot_of(&proposer.propose(wanted(&[1, 2])));
     let _ = proposer.handle(NodeId(2), promise(ballot, None, true), true);
     let step = proposer.handle(NodeId(3), promise(ballot, earlier(2, &[1, 3]), true), true);
     assert_eq!(accepted_views(&step), vec![view(2, &[1, 3]); 3]);
@@ -100,12 +113,12 @@
 #[test]
 fn a_proposer_goes_above_the_ballot_that_refused_it() {
     let mut proposer = agreement(1);
-    let ballot = ballot_of(&proposer.propose(vec![member(1), member(2)]));
+    let ballot = ballot_of(&proposer.propose(wanted(&[1, 2])));
     let promised = Ballot { round: 9, node: NodeId(3) };
     let refused = ViewMessage::Refused { instance: SECOND_EPOCH, ballot, promised };
     let _ = proposer.handle(NodeId(2), refused, true);
     assert!(!proposer.is_proposing());
-    assert!(ballot_of(&proposer.propose(vec![member(1), member(2)])) > promised);
+    assert!(ballot_of(&proposer.propose(wanted(&[1, 2]))) > promised);
 }
 
 #[test]
@@ -124,16 +137,18 @@
     let ballot = Ballot { round: 1, node: NodeId(2) };
     let step = outsider.handle(NodeId(2), ViewMessage::Prepare { instance: SECOND_EPOCH, ballot }, true);
     assert_eq!(step, Step::default());
-    assert_eq!(outsider.propose(vec![member(1), member(9)]), Step::default());
+    assert_eq!(outsider.propose(wanted(&[1, 9])), Step::default());
 }
 
 #[test]
 fn no_view_below_the_minimum_and_no_malformed_view_comes_about() {
     let mut node = agreement(1);
-    assert_eq!(node.propose(vec![member(1)]), Step::default());
-    let twice = View { epoch: Epoch(7), members: vec![member(1), member(1)] };
+    assert_eq!(node.propose(wanted(&[1])), Step::default());
+    let twice = View::of_members(Epoch(7), vec![member(1), member(1)]);
     assert_eq!(node.handle(NodeId(2), ViewMessage::Decided { view: twice }, true), Step::default());
     assert_eq!(node.handle(NodeId(2), ViewMessage::Decided { view: view(7, &[]) }, true), Step::default());
+    let no_voter = ViewMessage::Decided { view: chain(7, &[1, 4]) };
+    assert_eq!(node.handle(NodeId(2), no_voter, true), Step::default());
     assert_eq!(node.epoch(), Epoch(1));
 }
 
@@ -154,3 +169,61 @@
         assert_eq!(disk, *node.state());
     }
 }
+
+#[test]
+fn voters_that_keep_no_state_decide_but_never_lead() {
+    // Two members and a voter beside them; one member is lost.
+    let state = || ViewState::of(chain(1, &[1, 2]));
+    let mut proposer = ViewAgreement::new(NodeId(1), state(), 2);
+    let ballot = ballot_of(&proposer.propose(wanted(&[1, 3])));
+    let _ = proposer.handle(NodeId(1), promise(ballot, None, true), true);
+    let step = proposer.handle(NodeId(3), promise(ballot, None, false), true);
+    assert_eq!(accepted_views(&step), vec![chain(2, &[1, 3]); 3]);
+    // Even if it says that it is complete: it has not kept the state until now.
+    let mut proposer = ViewAgreement::new(NodeId(3), state(), 2);
+    let ballot = ballot_of(&proposer.propose(wanted(&[3, 1])));
+    let _ = proposer.handle(NodeId(1), promise(ballot, None, true), true);
+    let step = proposer.handle(NodeId(3), promise(ballot, None, true), true);
+    assert_eq!(accepted_views(&step), Vec::new());
+}
+
+#[test]
+fn a_majority_of_voters_decides_whatever_the_number_of_members() {
+    let base = View { voters: view(1, &[1, 2, 3, 4, 5]).voters, ..view(1, &[1, 2, 3]) };
+    let mut proposer = ViewAgreement::new(NodeId(1), ViewState::of(base.clone()), 2);
+    let next = Wanted { voters: base.voters.clone(), members: view(2, &[1, 2]).members };
+    let ballot = ballot_of(&proposer.propose(next));
+    let _ = proposer.handle(NodeId(1), promise(ballot, None, true), true);
+    let two = proposer.handle(NodeId(2), promise(ballot, None, true), true);
+    assert!(two.messages.is_empty(), "two of five voters are no majority");
+    let three = proposer.handle(NodeId(5), promise(ballot, None, false), true);
+    assert_eq!(accepted_views(&three).len(), 5);
+    for from in [1, 2] {
+        let accepted = ViewMessage::Accepted { instance: SECOND_EPOCH, ballot };
+        let _ = proposer.handle(NodeId(from), accepted, true);
+        assert_eq!(proposer.epoch(), Epoch(1));
+    }
+    let accepted = ViewMessage::Accepted { instance: SECOND_EPOCH, ballot };
+    let _ = proposer.handle(NodeId(4), accepted, true);
+    assert_eq!(proposer.epoch(), SECOND_EPOCH);
+}
+
+#[test]
+fn voters_change_one_at_a_time() {
+    let mut node = agreement(1);
+    let change = |ids: &[u64]| Wanted { voters: view(2, ids).voters, members: view(2, &[1, 2]).members };
+    assert_eq!(node.propose(change(&[1, 2, 4, 5])), Step::default());
+    assert_eq!(node.propose(change(&[1])), Step::default());
+    for one in [&[1, 2, 4][..], &[1, 2], &[1, 2, 3, 4], &[1, 2, 3]] {
+        assert_eq!(node.propose(change(one)).messages.len(), 3);
+    }
+}
+
+#[test]
+fn an_acceptor_takes_no_view_of_another_epoch() {
+    let mut acceptor = agreement(1);
+    let ballot = Ballot { round: 5, node: NodeId(2) };
+    let accept = ViewMessage::Accept { instance: SECOND_EPOCH, ballot, view: view(3, &[1, 2]) };
+    assert_eq!(acceptor.handle(NodeId(2), accept, true), Step::default());
+    assert!(!acceptor.is_fenced());
+}
--- a/coordination/view/tests/foundation.rs
+++ b/coordination/view/tests/foundation.rs
@@ -19,7 +19,7 @@
     let me = Member { id: NodeId(id), address: address(place) };
     let founders = if may_found { (1..=3).map(address).collect() } else { Vec::new() };
     let agreement = ViewAgreement::new(me.id, ViewState::default(), 2);
-    Founder { foundation: Foundation::new(me, founders), agreement }
+    Founder { foundation: Foundation::new(me, founders, 3), agreement }
 }
 
 impl Founder {
--- a/coordination/view/tests/model.rs
+++ b/coordination/view/tests/model.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-use millrudder_view::{Epoch, Member, NodeId, Step, View, ViewAgreement, ViewMessage, ViewState};
+use millrudder_view::{Epoch, Member, NodeId, Step, View, ViewAgreement, ViewMessage, ViewState, Wanted};
 
 /// States explored in an ordinary run.
 const ORDINARY_STATES: usize = 12_000;
@@ -23,7 +23,7 @@
 
 #[derive(Clone, Debug)]
 enum Action {
-    Propose { node: NodeId, wanted: Vec<Member> },
+    Propose { node: NodeId, wanted: Wanted },
     Deliver { index: usize },
     Restart { node: NodeId },
 }
@@ -46,9 +46,13 @@
     ids.iter().copied().map(member).collect()
 }
 
+fn wanted(voters: &[u64], kept_by: &[u64]) -> Wanted {
+    Wanted { voters: members(voters), members: members(kept_by) }
+}
+
 impl World {
     fn new(members_of_first: &[u64], proposals_left: usize, restarts_left: usize) -> World {
-        let view = View { epoch: Epoch::FOUNDING, members: members(members_of_first) };
+        let view = View::of_members(Epoch::FOUNDING, members(members_of_first));
         let state = ViewState::of(view.clone());
         let disks: BTreeMap<NodeId, ViewState> = view.ids().map(|id| (id, state.clone())).collect();
         let started = |id| (id, ViewAgreement::new(id, state.clone(), MINIMUM_MEMBERS));
@@ -115,8 +119,8 @@
     fn actions(&self) -> Vec<Action> {
         let mut actions: Vec<Action> = self.deliveries().collect();
         if self.proposals_left > 0 {
-            actions.push(Action::Propose { node: NodeId(1), wanted: members(&[1, 2]) });
-            actions.push(Action::Propose { node: NodeId(2), wanted: members(&[2, 3, 4]) });
+            actions.push(Action::Propose { node: NodeId(1), wanted: wanted(&[1, 2, 3], &[1, 2]) });
+            actions.push(Action::Propose { node: NodeId(2), wanted: wanted(&[2, 3, 4], &[2, 3, 4]) });
         }
         if self.restarts_left > 0 {
             actions.extend([1, 2, 3].map(|id| Action::Restart { node: NodeId(id) }));
@@ -124,18 +128,28 @@
         actions
     }
 
-    /// Any node proposes any selection of its view's members with a new one.
+    /// Any node proposes any selection of its view's voters, with a new one in the place of another or beside them.
     fn drawn_action(&self, random: &mut fastrand::Rng) -> Option<Action> {
         let node = random.choice(self.nodes.keys().copied())?;
         match random.u32(0..40) {
             0 => Some(Action::Restart { node }),
             1 | 2 => {
                 let view = self.nodes[&node].view()?;
-                let mut wanted = view.members.clone();
-                wanted.retain(|member| member.id == node || random.u32(0..4) > 0);
-                if random.bool() && wanted.len() < 5 {
-                    wanted.push(member(random.u64(10..1_000)));
+                let mut voters = view.voters.clone();
+                let mut kept_by = view.members.clone();
+                kept_by.retain(|member| member.id == node || random.u32(0..4) > 0);
+                let newcomer = member(random.u64(10..1_000));
+                let place = random.usize(0..6);
+                let replaced = voters.get(place).filter(|voter| !kept_by.contains(voter)).is_some();
+                if replaced {
+                    voters[place] = newcomer.clone();
+                    kept_by.push(newcomer);
+                } else if place >= voters.len() && voters.len() < 5 {
+                    voters.push(newcomer);
+                } else {
+                    kept_by.extend(voters.iter().find(|voter| !view.contains(voter.id)).cloned());
                 }
+                let wanted = Wanted { voters, members: kept_by };
                 Some(Action::Propose { node, wanted })
             }
             _ => random.choice(self.deliveries()),
--- a/system/node/src/core/host.rs
+++ b/system/node/src/core/host.rs
@@ -53,8 +53,10 @@
     Reload {
         file: PathBuf,
     },
-    /// This process is about to end.
-    Leaving,
+    /// This process is about to end, as soon as the core can do without it.
+    Leaving {
+        done: oneshot::Sender<()>,
+    },
 }
 
 /// Owns the replicated state machine, the placement manager, the reader and all connections.
@@ -82,6 +84,8 @@
     seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
     client: Client,
     swept: u64,
+    /// Waits for the moment at which this process may end.
+    leaving: Option<oneshot::Sender<()>>,
 }
 
 impl CoreHost {
@@ -116,6 +120,7 @@
             settings,
             client,
             swept: 0,
+            leaving: None,
             node,
         }
     }
@@ -166,6 +171,14 @@
                 self.take(event);
             }
             self.carry_out();
+            self.tell_departure();
+        }
+    }
+
+    /// Tells once the core can do without this machine, after it was told to end.
+    fn tell_departure(&mut self) {
+        if self.leaving.is_some() && self.node.may_go(self.clock.micros()) {
+            self.leaving.take().map(|done| done.send(()));
         }
     }
 
@@ -225,7 +238,8 @@
                 }
             }
             Event::Reload { file } => self.reload(&file),
-            Event::Leaving => {
+            Event::Leaving { done } => {
+                self.leaving = Some(done);
                 self.registrants.tell_all(&FromCore::TryAnother);
                 self.node.handle(self.clock.micros(), Input::Leave);
             }
@@ -434,12 +448,14 @@
 
     fn on_view(&mut self, view: &View) {
         let members: Vec<&str> = view.members.iter().map(|member| member.address.as_str()).collect();
+        let voters: Vec<&str> = view.voters.iter().map(|voter| voter.address.as_str()).collect();
         log::info!("view {} of the core: {}", view.epoch.0, members.join(" "));
+        log::info!("voters of view {}: {}", view.epoch.0, voters.join(" "));
         self.know_view(view);
     }
 
     fn know_view(&mut self, view: &View) {
-        for member in &view.members {
+        for member in &view.voters {
             if let Ok(address) = member.address.parse() {
                 self.addresses.insert(member.id, address);
                 self.peers.know(address);
--- a/system/node/src/core/mod.rs
+++ b/system/node/src/core/mod.rs
@@ -30,17 +30,18 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::oneshot;
 use tokio::task::JoinHandle;
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Largest body of an order, in bytes: a configuration of tens of thousands of routes.
 const MOST_ORDER_BYTES: usize = 16 << 20;
 /// Pause between two rounds of questions to seeds.
 const SEEDS_AGAIN: Duration = Duration::from_millis(200);
-/// How long a stopping machine still answers ...
+/// How long a stopping machine still answers operators.
 const STOP_WITHIN: Duration = Duration::from_millis(1500);
-/// ... and takes part in the core, which goes on without it meanwhile.
-const STOP_LINGER: Duration = Duration::from_millis(250);
+/// It takes part in the core until that can do without it, or until this long before it is ended by force.
+const STOP_MARGIN: Duration = Duration::from_millis(700);
 /// Pauses between tries to use a disk that has failed.
 const REOPEN_FIRST: Duration = Duration::from_millis(500);
 const REOPEN_LONGEST: Duration = Duration::from_secs(4);
@@ -68,6 +69,7 @@
     let server = tokio::task::spawn_local(server);
     accept_internal(listen(internal)?, events.clone());
 
+    let grace = settings.bounds.grace;
     let machine = Machine { settings, folder, control, internal, events: events.clone() };
     let watched = async {
         loop {
@@ -77,10 +79,14 @@
             }
         }
         log::info!("stopping");
-        drop(events.send(Event::Leaving));
-        stop.begin(StopPlan { accept_for: Duration::ZERO, finish_within: STOP_WITHIN });
-        let _ = server.await;
-        sleep(STOP_LINGER).await;
+        let longest = grace.saturating_sub(STOP_MARGIN);
+        let (done, needed_no_more) = oneshot::channel();
+        drop(events.send(Event::Leaving { done }));
+        stop.begin(StopPlan { accept_for: Duration::ZERO, finish_within: STOP_WITHIN.min(longest) });
+        let (_, needed_no_more) = tokio::join!(server, timeout(longest, needed_no_more));
+        if needed_no_more.is_err() {
+            log::warn!("stops although the core may still need this machine");
+        }
     };
     tokio::select! {
         ended = machine.serve(opened, queue) => ended,
@@ -203,6 +209,7 @@
 ) -> Result<CoreNode<ControlState>, RoleError> {
     let mut config = CoreConfig::new(internal.to_string());
     config.minimum_members = minimum_members(settings, seeds.len());
+    config.voters = voters(settings);
     config.roles = vec![Role(CONTROLLER.to_owned())];
     config.lease = LeaseConfig::default();
     if settings.bootstrap && state.is_none() && seeds.contains(&internal) {
@@ -216,3 +223,8 @@
     let wanted = settings.fault_tolerance.machines as usize + 1;
     wanted.min(seeds.max(1))
 }
+
+/// Core machines that vote, as far as there are so many: those that are left after the losses are the majority.
+fn voters(settings: &Settings) -> usize {
+    2 * settings.fault_tolerance.machines as usize + 1
+}
