Count answers of 500 and 422 whatever became of their lease

Cause: a report under a lease that was granted anew meanwhile was recorded and forgotten. Each dispatcher that was cut off or frozen between a run and its report let a message that fails every run reach workers once more than counted, and one that a worker had refused for good ran again.

Change: a failure counts once by its token, under whatever lease; a refusal ends the message and revokes the lease in force. Runs whose end nobody knows (the answer of 500 may be what was lost) are followed by growing waits from the third on, within max_backoff_ms.

Seen failing without it: failures_under_leases_that_are_over_count_each_once, a_refusal_under_a_lease_that_is_over_ends_the_message; with the wait off: runs_whose_end_nobody_knows_come_less_and_less_often. a_refusal_takes_nothing_ from_a_success holds either way.

--- a/system/queue/src/attempts.rs
+++ b/system/queue/src/attempts.rs
@@ -8,12 +8,14 @@
 use crate::node::StoreNode;
 use millrudder_protocol::message::End;
 use millrudder_protocol::store::{AttemptOutcome, Record, ToDispatcher};
-use millrudder_protocol::{LeaseToken, MessageId, ShardId};
+use millrudder_protocol::{DispatcherId, LeaseToken, MessageId, ShardId};
 
 /// Least wait before another attempt, however little time its aim leaves.
 const LEAST_BACKOFF_MS: u64 = 50;
 /// Least wait before a message that was given back is granted again, so that it does not go round at once.
 const LEAST_GIVE_BACK_MS: u64 = 10;
+/// Unknown ends of one message's runs after which it waits longer with each further one.
+const UNKNOWN_AT_ONCE: u32 = 2;
 /// Share of a back-off that is drawn, so that attempts that failed together do not come back together.
 const JITTER_PERCENT: u64 = 50;
 /// Share of the time left for a start in time that one back-off may take.
@@ -42,14 +44,20 @@
         }
         match outcome {
             AttemptOutcome::Succeeded { signature } => self.succeeded(id, token, signature),
+            // A worker has said so, whoever may run the message now.
+            AttemptOutcome::Refused => self.end_as_dead(id),
+            AttemptOutcome::Failed if is_current => self.attempt_failed(id, token),
+            AttemptOutcome::Failed => self.count_failure(id, token),
             _ if !is_current => {}
-            AttemptOutcome::Refused | AttemptOutcome::RouteGone => self.end(id, End::DeadLetter),
-            AttemptOutcome::Failed => self.attempt_failed(id, token),
-            AttemptOutcome::NotRun { retry_after_ms } | AttemptOutcome::Unknown { retry_after_ms } => {
-                if let Some(lead) = self.table.get_mut(id).and_then(|entry| entry.lead.as_mut()) {
-                    lead.given_back_by = reporter;
-                }
-                self.grant_again(id, u64::from(retry_after_ms).max(LEAST_GIVE_BACK_MS));
+            AttemptOutcome::RouteGone => self.end_as_dead(id),
+            AttemptOutcome::NotRun { retry_after_ms } => {
+                self.given_back(id, reporter, u64::from(retry_after_ms));
+                self.tell(connection, ToDispatcher::Recorded { id, token });
+                return;
+            }
+            AttemptOutcome::Unknown { retry_after_ms } => {
+                let wait_ms = self.note_unknown_end(id).max(u64::from(retry_after_ms));
+                self.given_back(id, reporter, wait_ms);
                 self.tell(connection, ToDispatcher::Recorded { id, token });
                 return;
             }
@@ -57,6 +65,28 @@
         self.when_durable(id, Effect::Recorded { connection, token });
     }
 
+    /// A lease is over without an outcome that counts; the message waits so long at least.
+    fn given_back(&mut self, id: MessageId, by: Option<DispatcherId>, wait_ms: u64) {
+        if let Some(lead) = self.table.get_mut(id).and_then(|entry| entry.lead.as_mut()) {
+            lead.given_back_by = by;
+        }
+        self.grant_again(id, wait_ms.max(LEAST_GIVE_BACK_MS));
+    }
+
+    /// A run ended of which nobody knows how. Gives the time that the message waits for it.
+    ///
+    /// The run may have failed, and the answer been lost: such attempts are not counted, so a message that meets them
+    /// again and again must not go round at once.
+    pub(crate) fn note_unknown_end(&mut self, id: MessageId) -> u64 {
+        let Some(lead) = self.table.get_mut(id).and_then(|entry| entry.lead.as_mut()) else { return 0 };
+        lead.unknown_ends = lead.unknown_ends.saturating_add(1);
+        let counted = lead.unknown_ends.saturating_sub(UNKNOWN_AT_ONCE);
+        if counted == 0 {
+            return 0;
+        }
+        backoff_ms(counted, &self.config)
+    }
+
     /// This store is primary of the shard, and no later one gave the token.
     pub(crate) fn may_answer_for(&self, shard: ShardId, token: LeaseToken) -> bool {
         let reign = self.reigns.get(&shard);
@@ -85,15 +115,12 @@
         }
     }
 
+    /// The attempt under the present lease failed: the message waits for its next one.
     fn attempt_failed(&mut self, id: MessageId, token: LeaseToken) {
-        let Some(entry) = self.table.get(id) else { return };
-        // A former primary may have counted it already.
-        if entry.settled < token {
-            let failed_attempts = entry.failed_attempts + 1;
-            self.record(id, Record::Failed { id, token, failed_attempts });
-        }
         self.unschedule(id, Stage::Storing);
-        if self.end_if_spent(id) {
+        self.count_failure(id, token);
+        let is_over = self.table.get(id).is_none_or(|entry| entry.end.is_some());
+        if is_over {
             return;
         }
         let wait_ms = self.backoff_of(id);
@@ -104,6 +131,28 @@
         self.when_durable(id, Effect::Retry);
     }
 
+    /// Counts a failed attempt once, under whatever lease it was made: a worker's answer counts though its lease is
+    /// over. Tokens only rise, so one at or below the highest that was counted may have been counted itself.
+    fn count_failure(&mut self, id: MessageId, token: LeaseToken) {
+        let Some(entry) = self.table.get(id) else { return };
+        if entry.end.is_none() && entry.settled < token {
+            let failed_attempts = entry.failed_attempts + 1;
+            self.record(id, Record::Failed { id, token, failed_attempts });
+        }
+        self.end_if_spent(id);
+    }
+
+    /// Ends a message as dead, and the lease on it that somebody may hold.
+    fn end_as_dead(&mut self, id: MessageId) {
+        if self.table.get(id).is_none_or(|entry| entry.end.is_some()) {
+            return;
+        }
+        if let Some(lease) = self.lease_of(id) {
+            self.revoke(id, lease.token);
+        }
+        self.end(id, End::DeadLetter);
+    }
+
     /// Ends a message whose attempts are spent.
     pub(crate) fn end_if_spent(&mut self, id: MessageId) -> bool {
         let Some(entry) = self.table.get(id) else { return false };
@@ -111,7 +160,7 @@
         let is_spent =
             entry.end.is_none() && entry.failed_attempts > 0 && entry.failed_attempts >= max_attempts;
         if is_spent {
-            self.end(id, End::DeadLetter);
+            self.end_as_dead(id);
         }
         is_spent
     }
--- a/system/queue/src/connections.rs
+++ b/system/queue/src/connections.rs
@@ -141,7 +141,8 @@
     pub(crate) fn release_unconfirmed(&mut self, dispatcher: DispatcherId) {
         let overdue = self.dispatchers.get(dispatcher).map(|life| life.overdue(self.now)).unwrap_or_default();
         for id in overdue {
-            self.grant_again(id, 0);
+            let wait_ms = self.note_unknown_end(id);
+            self.grant_again(id, wait_ms);
         }
         self.dispatchers.forget_if_gone(dispatcher);
     }
--- a/system/queue/src/lead.rs
+++ b/system/queue/src/lead.rs
@@ -94,6 +94,8 @@
     pub accepted_by: Option<Acceptor>,
     /// Who may have run it.
     pub told: Told,
+    /// Leases of this reign that ended without anybody knowing what became of the run.
+    pub unknown_ends: u32,
     /// Who gave it back last; it goes to another one next if that has room.
     pub given_back_by: Option<DispatcherId>,
     /// Who last reported an end; its call-back goes there.
@@ -148,6 +150,7 @@
             not_before: now,
             accepted_by: None,
             told: Told::Nobody,
+            unknown_ends: 0,
             given_back_by: None,
             reporter: None,
             ended_key: None,
--- a/system/queue/tests/delivery.rs
+++ b/system/queue/tests/delivery.rs
@@ -6,7 +6,7 @@
 use millrudder_protocol::store::{AttemptOutcome, FromDispatcher, NotAccepted, QueryAnswer, ToDispatcher};
 use millrudder_protocol::{LeaseToken, RequestNumber};
 use millrudder_queue::{Config, ConnectionId, Input};
-use wired::{message, with_key, Wired};
+use wired::{message, with_key, Granted, Wired};
 
 /// One store that a dispatcher of its zone is connected to.
 fn one_store() -> Wired {
@@ -422,3 +422,85 @@
     let health = wired.places[0].node.as_ref().unwrap().health(wired.now_ms);
     assert_eq!((health.serving, health.oldest_unsynced_ms), (0, u32::MAX));
 }
+
+/// The dispatcher that holds the message is gone; another one is granted it. Gives that grant.
+fn granted_elsewhere(wired: &mut Wired, from: u64, to: u64) -> Granted {
+    wired.input(0, Input::DispatcherClosed { connection: ConnectionId(from) });
+    wired.hello(0, to, to, "zone-0", Vec::new());
+    wired.advance(2_500);
+    wired.take_grants().pop().expect("granted again")
+}
+
+#[test]
+fn failures_under_leases_that_are_over_count_each_once() {
+    let mut wired = one_store();
+    let id = wired.accept(0, 1, message(), true);
+    let mut token = accepted_token(&wired);
+    for dispatcher in 1..4 {
+        let next = granted_elsewhere(&mut wired, dispatcher, dispatcher + 1);
+        // What the former one read reaches the store after all, twice, on a new connection.
+        let again = 100 + dispatcher;
+        wired.hello(0, again, dispatcher, "zone-0", Vec::new());
+        wired.attempted(0, again, id, token, AttemptOutcome::Failed);
+        wired.attempted(0, again, id, token, AttemptOutcome::Failed);
+        assert!(wired.is_recorded(id, token));
+        assert_eq!(u64::from(wired.state(0, id).unwrap().failed_attempts), dispatcher);
+        wired.say(0, again, FromDispatcher::Leaving);
+        token = next.token;
+    }
+    assert_eq!(wired.state(0, id).unwrap().end, Some(End::DeadLetter));
+    let revoked = ToDispatcher::Revoke { id, token };
+    assert!(wired.told.iter().any(|(_, message)| *message == revoked), "the last one is not to start it");
+}
+
+#[test]
+fn a_refusal_under_a_lease_that_is_over_ends_the_message() {
+    let mut wired = one_store();
+    let id = wired.accept(0, 1, message(), true);
+    let token = accepted_token(&wired);
+    let next = granted_elsewhere(&mut wired, 1, 2);
+    wired.hello(0, 101, 1, "zone-0", Vec::new());
+    wired.attempted(0, 101, id, token, AttemptOutcome::Refused);
+    assert_eq!(wired.state(0, id).unwrap().end, Some(End::DeadLetter));
+    wired.attempted(0, 2, id, next.token, AttemptOutcome::NotRun { retry_after_ms: 0 });
+    wired.advance(5_000);
+    assert!(wired.take_grants().is_empty());
+}
+
+#[test]
+fn a_refusal_takes_nothing_from_a_success() {
+    let mut wired = one_store();
+    let id = wired.accept(0, 1, message(), true);
+    let token = accepted_token(&wired);
+    let next = granted_elsewhere(&mut wired, 1, 2);
+    wired.succeed(0, 2, &next);
+    wired.hello(0, 101, 1, "zone-0", Vec::new());
+    wired.attempted(0, 101, id, token, AttemptOutcome::Refused);
+    assert!(wired.is_recorded(id, token));
+    assert!(matches!(wired.state(0, id).unwrap().end, Some(End::Completed { .. })));
+}
+
+#[test]
+fn runs_whose_end_nobody_knows_come_less_and_less_often() {
+    let mut wired = one_store();
+    wired.accept(0, 1, Message { retention_ms: 90_000, ..message() }, false);
+    let mut granted = wired.take_grants().remove(0);
+    let mut runs = 1;
+    let mut waits = Vec::new();
+    while runs < 9 {
+        let unknown = AttemptOutcome::Unknown { retry_after_ms: 0 };
+        wired.attempted(0, 1, granted.id, granted.token, unknown);
+        let ended_ms = wired.now_ms;
+        while wired.grants.is_empty() {
+            wired.say(0, 1, FromDispatcher::Ping);
+            wired.advance(10);
+        }
+        granted = wired.take_grants().remove(0);
+        waits.push(granted.at_ms - ended_ms);
+        runs += 1;
+    }
+    let longest_ms = Config::default().max_backoff_ms;
+    assert!(waits[..2].iter().all(|wait| *wait <= 20), "a lost answer or two cost nothing: {waits:?}");
+    assert!(waits.windows(2).all(|pair| pair[0] <= pair[1]), "{waits:?}");
+    assert!(waits[7] >= longest_ms && waits[7] <= longest_ms + 20, "{waits:?}");
+}
