Let a message wait for its shard's next primary

Cause: where a message must lie in a given shard (order key, ceiling) and the shard's primary had just been lost, no try could be sent, so the call counted as hopeless and was refused after 0 ms although f+1 healthy stores were there and the next primary came 0.65 s later. Ruled out: the stores' own refusals (none came). Change: the call waits while f+1 replicas can be used, the client stays for the usual time of a replacement and the loss is fresh; a placement or a connection wakes it.

--- a/system/intake/src/accept.rs
+++ b/system/intake/src/accept.rs
@@ -2,7 +2,8 @@
 //!
 //! A message that may go into any shard is tried elsewhere, under another name, as soon as a store is slow; the first
 //! try is then withdrawn. A message whose shard is given (by its order key, or by its service's ceiling) is tried
-//! again under the same name at the shard's present primary, which joins repeats.
+//! again under the same name at the shard's present primary, which joins repeats; where that one has just been lost, it
+//! waits for the next one while enough replicas are left to keep a message.
 
 use crate::stores::Stores;
 use crate::withdrawals::Withdrawals;
@@ -240,11 +241,15 @@
             self.look_again(number, (now + patience).min(deadline));
             return;
         }
-        let hopeful = self.calls.get(&number).is_some_and(Call::may_still_be_kept);
-        if hopeful {
+        let Some(call) = self.calls.get(&number) else { return };
+        if call.may_still_be_kept() {
             self.look_again(number, (now + AGAIN_MS).min(deadline));
-        } else {
-            self.finish(number, RETRY_AFTER_MS, stores, out);
+            return;
+        }
+        // A new placement or an opened connection wakes it up before.
+        match call.fixed.and_then(|id| stores.next_primary_by(now, id.shard, deadline)) {
+            Some(by) => self.look_again(number, by),
+            None => self.finish(number, RETRY_AFTER_MS, stores, out),
         }
     }
 
--- a/system/intake/src/lib.rs
+++ b/system/intake/src/lib.rs
@@ -113,7 +113,7 @@
                 self.accepts.on_stores_changed(now, &self.stores, out);
             }
             Input::StoreClosed { store } => {
-                self.stores.closed(store);
+                self.stores.closed(now, store);
                 self.accepts.on_closed(now, store, &self.stores, out);
                 self.queries.on_closed(now, store, &self.stores, out);
             }
@@ -128,7 +128,7 @@
             Input::Query { call, id, body } => self.queries.ask(now, call, id, body, &self.stores, out),
             Input::Tick => {
                 for overdue in self.accepts.overdue(now) {
-                    self.stores.overdue(overdue.store, overdue.sent);
+                    self.stores.overdue(now, overdue.store, overdue.sent);
                 }
                 self.ask_silent(now, out);
                 self.accepts.on_tick(now, &self.stores, out);
--- a/system/intake/src/stores.rs
+++ b/system/intake/src/stores.rs
@@ -4,6 +4,12 @@
 use millrudder_protocol::{ShardId, StoreId};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// A lost primary is usually replaced this long (ms) after its loss was seen here: the core's suspicion, the next view,
+/// the next placement and the take-over. A client that leaves before is not kept waiting.
+const REPLACED_AFTER_MS: u64 = 600;
+/// One that has not been replaced after this long (ms) is not waited for any more.
+const REPLACED_WITHIN_MS: u64 = 900;
+
 /// The placement in force and the open connections.
 pub struct Stores {
     zone: String,
@@ -13,6 +19,8 @@
     heard: BTreeMap<StoreId, u64>,
     /// Did not answer in time and was not heard since: nothing new is sent there.
     silent: BTreeSet<StoreId>,
+    /// Since when each store that cannot be used has been so.
+    lost: BTreeMap<StoreId, u64>,
     /// Shards by how near their primary is: in this zone, elsewhere.
     near: Vec<ShardId>,
     far: Vec<ShardId>,
@@ -26,6 +34,7 @@
             open: BTreeSet::new(),
             heard: BTreeMap::new(),
             silent: BTreeSet::new(),
+            lost: BTreeMap::new(),
             near: Vec::new(),
             far: Vec::new(),
         }
@@ -53,20 +62,23 @@
         self.heard(now, store);
     }
 
-    pub fn closed(&mut self, store: StoreId) {
+    pub fn closed(&mut self, now: u64, store: StoreId) {
         self.open.remove(&store);
+        self.lost.entry(store).or_insert(now);
     }
 
     /// A sign of life; true if the store had been silent.
     pub fn heard(&mut self, now: u64, store: StoreId) -> bool {
         self.heard.insert(store, now);
+        self.lost.remove(&store);
         self.silent.remove(&store)
     }
 
     /// It has not answered what was sent at `sent` in time.
-    pub fn overdue(&mut self, store: StoreId, sent: u64) {
+    pub fn overdue(&mut self, now: u64, store: StoreId, sent: u64) {
         if self.heard.get(&store).is_none_or(|heard| *heard <= sent) {
             self.silent.insert(store);
+            self.lost.entry(store).or_insert(now);
         }
     }
 
@@ -96,6 +108,18 @@
         self.primary(shard).filter(|store| self.is_usable(*store))
     }
 
+    /// Until when a message of this shard, whose client leaves at `deadline`, may hope for the shard's next primary: the
+    /// present one was lost a short while ago, and as many replicas are left as a message needs. `None` where there is
+    /// no such hope.
+    pub fn next_primary_by(&self, now: u64, shard: ShardId, deadline: u64) -> Option<u64> {
+        let entry = self.placement.shard(shard)?;
+        let lost = *self.lost.get(&entry.primary)?;
+        let (usual, latest) = (lost + REPLACED_AFTER_MS, lost + REPLACED_WITHIN_MS);
+        let left = entry.replicas.iter().filter(|store| self.is_usable(**store)).count();
+        let is_enough = left >= entry.write_quorum(self.placement.tolerated_losses);
+        (is_enough && usual <= deadline && now < latest).then_some(latest.min(deadline))
+    }
+
     /// The shard's primary, if there is an open connection to it.
     pub fn open_primary(&self, shard: ShardId) -> Option<StoreId> {
         self.primary(shard).filter(|store| self.is_open(*store))
--- a/system/intake/tests/intake.rs
+++ b/system/intake/tests/intake.rs
@@ -198,6 +198,82 @@
     assert!(matches!(answer, Some(AcceptAnswer::Refused { .. })), "{answer:?}");
 }
 
+/// The store that leads the shard of this key.
+fn primary_of(key: &str) -> StoreId {
+    let placement = placement(1, [HERE, THERE, FAR]);
+    placement.shard(placement.shard_of(key).unwrap()).unwrap().primary
+}
+
+/// The same shards, with `next` in the place of `lost`.
+fn without(lost: StoreId, next: StoreId) -> Placement {
+    placement(2, [HERE, THERE, FAR].map(|primary| if primary == lost { next } else { primary }))
+}
+
+#[test]
+fn a_message_with_a_given_shard_waits_for_the_next_primary_of_a_lost_one() {
+    let mut rig = Rig::new();
+    let lost = primary_of("key-1");
+    let next = if lost == HERE { THERE } else { HERE };
+    rig.give(0, Input::StoreClosed { store: lost });
+    let out = submit_as(&mut rig, 200, 7, Place::Named("key-1".into()));
+    assert_eq!((accept_in(&out), answer_in(&out)), (None, None));
+    assert_eq!(rig.run(600), vec![]);
+    let (store, request, id) = accept_in(&rig.give(610, Input::Placement(without(lost, next)))).unwrap();
+    assert_eq!(store, next);
+    let out = rig.store_says(615, next, ToDispatcher::Accepted { request, token: None });
+    assert_eq!(answer_in(&out), Some(AcceptAnswer::Kept { id }));
+}
+
+#[test]
+fn a_message_that_waits_in_vain_for_a_primary_is_refused_in_time() {
+    let mut rig = Rig::new();
+    rig.give(0, Input::StoreClosed { store: primary_of("key-1") });
+    submit_as(&mut rig, 200, 7, Place::Named("key-1".into()));
+    assert_eq!(answer_in(&rig.run(699)), None);
+    let answer = answer_in(&rig.run(700));
+    assert!(matches!(answer, Some(AcceptAnswer::Refused { .. })), "{answer:?}");
+    submit_as(&mut rig, 701, 8, Place::Named("key-1".into()));
+    let answer = answer_in(&rig.run(900));
+    assert!(matches!(answer, Some(AcceptAnswer::Refused { .. })), "{answer:?}");
+}
+
+#[test]
+fn a_client_that_leaves_before_a_primary_can_be_replaced_is_told_at_once() {
+    let mut rig = Rig::new();
+    rig.give(0, Input::StoreClosed { store: primary_of("key-1") });
+    let out = submit_as(&mut rig, 10, 8, Place::Named("key-1".into()));
+    assert!(matches!(answer_in(&out), Some(AcceptAnswer::Refused { .. })), "{out:?}");
+}
+
+#[test]
+fn a_primary_that_returns_is_waited_for_as_well() {
+    let mut rig = Rig::new();
+    let lost = primary_of("key-1");
+    rig.give(0, Input::StoreClosed { store: lost });
+    submit_as(&mut rig, 200, 7, Place::Named("key-1".into()));
+    assert_eq!(accept_in(&rig.give(400, Input::StoreConnected { store: lost })).unwrap().0, lost);
+}
+
+#[test]
+fn a_primary_that_is_long_lost_is_not_waited_for() {
+    let mut rig = Rig::new();
+    rig.give(0, Input::StoreClosed { store: primary_of("key-1") });
+    let out = submit_as(&mut rig, 5000, 8, Place::Named("key-1".into()));
+    assert!(matches!(answer_in(&out), Some(AcceptAnswer::Refused { .. })), "{out:?}");
+}
+
+#[test]
+fn where_too_few_replicas_are_left_nothing_is_waited_for() {
+    let mut rig = Rig::new();
+    let lost = primary_of("key-1");
+    let other = if lost == HERE { THERE } else { HERE };
+    for store in [lost, other] {
+        rig.give(0, Input::StoreClosed { store });
+    }
+    let answer = answer_in(&submit_as(&mut rig, 200, 7, Place::Named("key-1".into())));
+    assert!(matches!(answer, Some(AcceptAnswer::Refused { .. })), "{answer:?}");
+}
+
 #[test]
 fn full_stores_refuse_with_their_advice() {
     let mut rig = Rig::new();
