Refuse what cannot be passed on to a worker as it was sent

Found by reading and by a test with drawn requests. Causes: hyper cuts a fragment off the target, so a worker ran another path than was sent; of a repeated X-Request-Id, X-Order-Key (ordered routes), X-Delay-Ms, X-Deadline-Ms or X-Callback-Url the first was heeded here and the worker might heed another; a Connection header that lists X-Order-Key took it off the request; the host of an absolute request line picked the route, while the worker got, and the message was resolved again by, the Host header.

Such targets and repeats are answered 400; X-Order-Key and X-Request-Id go to the worker whatever Connection lists; the message's host is the one asked for.

--- a/system/http/src/front/framing.rs
+++ b/system/http/src/front/framing.rs
@@ -1,7 +1,7 @@
-//! Follows the requests on a connection byte by byte and finds those whose framing can be read in two ways.
+//! Follows the requests on a connection byte by byte and finds those that can be read in two ways.
 //!
 //! Hyper settles some doubts by itself (`Transfer-Encoding` beside `Content-Length`, a line that ends in a bare line
-//! feed) and hides them from the service. A neighbour that settles them otherwise sees other requests in the same
+//! feed, a fragment behind the target) and hides them from the service. A neighbour that settles them otherwise sees other requests in the same
 //! bytes, so such a request is refused (RFC 9112, sections 2.2 and 6.3). What hyper refuses by itself is not looked
 //! for here: it closes the connection.
 
@@ -11,6 +11,8 @@
 const CHUNK_DIGITS: usize = 16;
 /// The line end after the data of a chunk.
 const LINE_END_BYTES: u64 = 2;
+/// Begins what hyper cuts off a target. No target of a request may have it.
+const FRAGMENT: u8 = b'#';
 const CONTENT_LENGTH: &[u8] = b"content-length";
 const TRANSFER_ENCODING: &[u8] = b"transfer-encoding";
 const CHUNKED: &[u8] = b"chunked";
@@ -49,6 +51,8 @@
     length: usize,
     /// The last byte was a carriage return.
     ends_in_return: bool,
+    /// A number sign was among the bytes.
+    has_fragment: bool,
 }
 
 /// Follows the requests on one connection.
@@ -115,6 +119,7 @@
         let is_empty = line.content()?.is_empty();
         match self.place {
             Place::RequestLine if is_empty => {}
+            Place::RequestLine if line.has_fragment => return Err(Ambiguous),
             Place::RequestLine => self.place = Place::Headers(Body::None),
             Place::Headers(body) if is_empty => self.end_head(body),
             Place::Headers(body) => self.place = Place::Headers(with_header(body, &line)?),
@@ -141,7 +146,7 @@
 
 impl Line {
     fn new() -> Line {
-        Line { start: [0; LOOKED_AT_BYTES], length: 0, ends_in_return: false }
+        Line { start: [0; LOOKED_AT_BYTES], length: 0, ends_in_return: false, has_fragment: false }
     }
 
     /// Takes bytes up to the line feed; whether the line is whole, and the bytes after it.
@@ -163,6 +168,7 @@
         let count = bytes.len().min(LOOKED_AT_BYTES - from);
         self.start[from..from + count].copy_from_slice(&bytes[..count]);
         self.length += bytes.len();
+        self.has_fragment |= bytes.contains(&FRAGMENT);
         self.ends_in_return = bytes.last().map_or(self.ends_in_return, |last| *last == b'\r');
     }
 
--- a/system/http/src/headers.rs
+++ b/system/http/src/headers.rs
@@ -41,10 +41,15 @@
     header::UPGRADE,
 ];
 
+/// Headers that go from the sender to the worker whatever `Connection` says of them: without them the worker would
+/// run another message than was sent.
+const END_TO_END: [HeaderName; 2] = [REQUEST_ID, ORDER_KEY];
+
 /// Removes what must not be passed on from one connection to another: headers about the connection, those that
 /// `Connection` lists, and those that frame the body.
 pub fn strip_per_connection(headers: &mut HeaderMap) {
-    for name in listed_in_connection(headers) {
+    let listed = listed_in_connection(headers);
+    for name in listed.into_iter().filter(|name| !END_TO_END.contains(name)) {
         headers.remove(name);
     }
     for name in &PER_CONNECTION {
--- a/system/http/tests/framing.rs
+++ b/system/http/tests/framing.rs
@@ -29,7 +29,7 @@
 const SOUND_INNER: &str = "GET /q HTTP/1.1\nContent-Length\r\n";
 
 /// Requests that somebody might read otherwise, or that nobody can read.
-const AMBIGUOUS: [&str; 24] = [
+const AMBIGUOUS: [&str; 25] = [
     "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
     "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 5\r\n\r\n0\r\n\r\n",
     "POST /p HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nxy",
@@ -50,6 +50,7 @@
     "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding:\r\n chunked\r\n\r\n0\r\n\r\n",
     "POST /p HTTP/1.1\r\nHost: a\nContent-Length: 2\r\n\r\nxy",
     "POST /p HTTP/1.1\nHost: a\n\n",
+    "GET /p#q HTTP/1.1\r\nHost: a\r\n\r\n",
     "\nGET /p HTTP/1.1\r\nHost: a\r\n\r\n",
     "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\nz\r\n0\r\n\r\n",
     "POST /p HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX: y\n\r\n\r\n",
--- a/system/http/tests/headers.rs
+++ b/system/http/tests/headers.rs
@@ -32,6 +32,17 @@
     assert_eq!(left, ["content-type", "host", "x-kept"]);
 }
 
+#[test]
+fn what_names_a_message_and_its_order_goes_to_the_worker_whatever_connection_lists() {
+    let mut headers = HeaderMap::new();
+    for name in ["x-order-key", "x-request-id"] {
+        headers.insert(HeaderName::from_static(name), HeaderValue::from_static("x"));
+    }
+    headers.insert("connection", HeaderValue::from_static("X-Order-Key, x-request-id"));
+    strip_per_connection(&mut headers);
+    assert_eq!(headers.len(), 2, "{headers:?}");
+}
+
 #[test]
 fn a_load_is_three_numbers() {
     assert_eq!("3,0,8".parse(), Ok(ServerLoad { running: 3, waiting: 0, slots: 8 }));
--- a/system/node/src/edge/front.rs
+++ b/system/node/src/edge/front.rs
@@ -32,6 +32,10 @@
 const STATE_PATH: &str = "/message/";
 const BODY_PATH: &str = "/message-body/";
 
+/// Headers of which only one value can hold; with two, a reader elsewhere may heed the other one.
+const SINGLE: [HeaderName; 4] =
+    [headers::REQUEST_ID, headers::DEADLINE_MS, headers::DELAY_MS, headers::CALLBACK_URL];
+
 /// Headers of the client's request that are not the worker's, or that the delivery sets.
 const NOT_PASSED_ON: [HeaderName; 7] = [
     HOST,
@@ -60,8 +64,10 @@
     Delay,
     #[error("X-Callback-Url is not an http URL with an IP number")]
     CallbackUrl,
-    #[error("X-Order-Key is too long or not text")]
+    #[error("X-Order-Key is empty, too long or not text")]
     OrderKey,
+    #[error("a header that may be there once is there more often")]
+    Repeated,
 }
 
 /// Answers clients' requests.
@@ -187,6 +193,9 @@
 
 /// Makes a message of a request on a route.
 fn submitted(in_force: &InForce, route: &Route, request: Request) -> Result<Submitted, BadRequest> {
+    if SINGLE.iter().any(|header| is_repeated(&request, header)) {
+        return Err(BadRequest::Repeated);
+    }
     let request_id = name(&request, &headers::REQUEST_ID).ok_or(BadRequest::RequestId)?;
     let order_key = order_key(route, &request)?;
     let delay_ms = match request.header(&headers::DELAY_MS) {
@@ -206,7 +215,7 @@
         callback_url: callback_url(route, &request)?,
         method: request.method.as_str().to_owned(),
         path: request.path_and_query.as_str().to_owned(),
-        host: request.header(&HOST).unwrap_or_default().to_owned(),
+        host: asked_host(&request).to_owned(),
         service: route.service.to_string(),
         priority: route.priority,
         target_start_ms: route.target_start.as_millis() as u32,
@@ -218,6 +227,18 @@
     Ok(Submitted { message, place, answer_within: answer_within(&request) })
 }
 
+fn is_repeated(request: &Request, header: &HeaderName) -> bool {
+    request.headers.get_all(header).iter().nth(1).is_some()
+}
+
+/// The host that is asked, with its port; the one in the request line goes before the header.
+fn asked_host(request: &Request) -> &str {
+    match &request.authority {
+        Some(authority) => authority.as_str(),
+        None => request.header(&HOST).unwrap_or_default(),
+    }
+}
+
 fn name(request: &Request, header: &HeaderName) -> Option<String> {
     let text = request.header(header)?;
     let fits = !text.is_empty() && text.len() <= MOST_ID_BYTES;
@@ -228,6 +249,9 @@
     if !route.fifo || !request.headers.contains_key(headers::ORDER_KEY) {
         return Ok(None);
     }
+    if is_repeated(request, &headers::ORDER_KEY) {
+        return Err(BadRequest::Repeated);
+    }
     name(request, &headers::ORDER_KEY).map(Some).ok_or(BadRequest::OrderKey)
 }
 
--- a/system/node/tests/system/main.rs
+++ b/system/node/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod configuration;
 mod hostile;
 mod messages;
+mod passing_on;
 mod recovery;
 mod stops;
 mod workers;
