--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -56,7 +56,9 @@
         file: PathBuf,
     },
     /// This process is about to end.
-    Leaving,
+    Leaving {
+        done: oneshot::Sender<()>,
+    },
 }
 
 /// Owns the replicated state machine, the placement manager, the reader and all connections.
@@ -91,6 +93,8 @@
     seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
     client: Client,
     swept: u64,
+    /// Waits for the moment at which this process may end.
+    leaving: Option<oneshot::Sender<()>>,
 }
 
 /// A read that confirms this machine's state.
@@ -135,6 +139,7 @@
             settings,
             client,
             swept: 0,
+            leaving: None,
             node,
         }
     }
@@ -189,6 +194,14 @@
             }
             self.look_at_gate();
             self.carry_out();
+            self.tell_departure();
+        }
+    }
+
+    /// Tells once the core can do without this machine, after it was told to end.
+    fn tell_departure(&mut self) {
+        if self.leaving.is_some() && self.node.may_go(self.clock.micros()) {
+            self.leaving.take().map(|done| done.send(()));
         }
     }
 
@@ -249,7 +262,8 @@
                 }
             }
             Event::Reload { file } => self.reload(&file),
-            Event::Leaving => {
+            Event::Leaving { done } => {
+                self.leaving = Some(done);
                 self.guard(GateInput::Leaving);
                 self.node.handle(self.clock.micros(), Input::Leave);
             }
--- a/system/node/tests/system/main.rs
+++ b/system/node/tests/system/main.rs
@@ -6,6 +6,7 @@
 mod contact;
 mod hostile;
 mod messages;
+mod passing_on;
 mod recovery;
 mod stops;
 mod workers;
