Start a core machine without waiting for its seeds

Cause: a restarted core machine asked its seeds one after the other before it began, 0.5 s where one of them was cut off (store and core killed at 8.000, first view told at 8.512, state confirmed at 8.717); and the number of seeds that happened to answer set the smallest view, so that a machine that reached none could go on alone.

--- a/system/contact/src/gate.rs
+++ b/system/contact/src/gate.rs
@@ -44,6 +44,8 @@
         round: RoundNumber,
     },
     Tick,
+    /// There is a connection to another core machine: a read that was asked for without one may end now.
+    PeerOpened,
     /// This machine is about to end.
     Leaving,
 }
@@ -130,7 +132,7 @@
     /// Whether a majority has confirmed this machine's state of late, so that answers may rest on it.
     pub fn has_majority(&self, now: u64) -> bool {
         let recent = |at: u64| now.saturating_sub(at) < MOST_AGE_MS;
-        self.contact && self.confirmed_at.is_some_and(recent)
+        self.confirmed_at.is_some_and(recent)
     }
 
     /// Whether this machine takes orders: not when it is cut off, and not when it ends.
@@ -161,10 +163,7 @@
 
     /// Handles one input. `contact` tells whether this machine hears a majority of the core now, and is heard by it.
     pub fn handle(&mut self, now: u64, contact: bool, input: Input, out: &mut Vec<Output>) {
-        if contact && !self.contact {
-            self.next_read = now;
-        }
-        self.contact = contact;
+        self.note_contact(now, contact, out);
         self.expire_read(now, out);
         self.refuse_unconfirmed(now, out);
         match input {
@@ -177,16 +176,34 @@
             Input::State(state) => self.on_state(state, out),
             Input::ReadReady { round } => self.on_ready(now, round, out),
             Input::Tick => {}
+            Input::PeerOpened => self.on_peer_opened(now, out),
             Input::Leaving => self.on_leaving(out),
         }
         self.start_read_if_due(now, out);
         self.due = self.find_deadline();
     }
 
+    /// Lost contact ends what was confirmed: the next confirmation must have begun later.
+    fn note_contact(&mut self, now: u64, contact: bool, out: &mut Vec<Output>) {
+        let is_lost = self.contact && !contact;
+        self.contact = contact;
+        if is_lost {
+            self.confirmed_at = None;
+            self.restart_read(now, out);
+        }
+    }
+
+    fn restart_read(&mut self, now: u64, out: &mut Vec<Output>) {
+        if let Some(read) = self.reading.take() {
+            out.push(Output::AbandonRead { round: read.round });
+        }
+        self.next_read = now;
+    }
+
     fn find_deadline(&self) -> Option<u64> {
         let read = match self.reading {
             Some(read) => Some(read.started + MOST_AGE_MS),
-            None => Some(self.next_read).filter(|_| self.may_read()),
+            None => Some(self.next_read).filter(|_| !self.leaving),
         };
         let confirmed = self.confirmed_at.map(|at| at + MOST_AGE_MS);
         let confirmed = confirmed.filter(|_| self.admitted().next().is_some());
@@ -209,7 +226,7 @@
             out.push(Output::TryAnother { connection });
             return;
         }
-        let refused = !self.contact;
+        let refused = !self.contact && !self.has_majority(now);
         if refused {
             out.push(Output::NoMajority { connection });
         }
@@ -229,9 +246,6 @@
 
     fn on_ready(&mut self, now: u64, round: RoundNumber, out: &mut Vec<Output>) {
         let Some(read) = self.reading.take_if(|read| read.round == round) else { return };
-        if !self.contact {
-            return;
-        }
         self.confirmed_at = Some(read.started);
         let age_ms = now.saturating_sub(read.started);
         for (connection, registrant) in &mut self.registrants {
@@ -246,6 +260,12 @@
         }
     }
 
+    fn on_peer_opened(&mut self, now: u64, out: &mut Vec<Output>) {
+        if !self.has_majority(now) {
+            self.restart_read(now, out);
+        }
+    }
+
     fn on_leaving(&mut self, out: &mut Vec<Output>) {
         self.leaving = true;
         let connections = std::mem::take(&mut self.registrants);
@@ -254,22 +274,20 @@
 
     /// Gives up a read that has taken so long that its confirmation would not count.
     fn expire_read(&mut self, now: u64, out: &mut Vec<Output>) {
-        let is_late = |read: &mut Read| now.saturating_sub(read.started) >= MOST_AGE_MS;
-        if let Some(read) = self.reading.take_if(is_late) {
-            out.push(Output::AbandonRead { round: read.round });
-            self.next_read = now;
+        if self.reading.is_some_and(|read| now.saturating_sub(read.started) >= MOST_AGE_MS) {
+            self.restart_read(now, out);
         }
     }
 
     /// Takes back the admission of all when the state cannot be confirmed, and says so to those who wait too long.
     fn refuse_unconfirmed(&mut self, now: u64, out: &mut Vec<Output>) {
-        let (contact, has_majority) = (self.contact, self.has_majority(now));
+        let has_majority = self.has_majority(now);
         let next = self.last_round.next();
         for (connection, registrant) in &mut self.registrants {
             let is_refused = match registrant.standing {
                 Standing::Admitted => !has_majority,
                 Standing::Waiting { refused: true, .. } => false,
-                Standing::Waiting { since, .. } => !contact || now.saturating_sub(since) >= MOST_AGE_MS,
+                Standing::Waiting { since, .. } => now.saturating_sub(since) >= MOST_AGE_MS,
             };
             if is_refused {
                 registrant.standing = Standing::Waiting { round: next, since: now, refused: true };
@@ -279,7 +297,7 @@
     }
 
     fn start_read_if_due(&mut self, now: u64, out: &mut Vec<Output>) {
-        if self.reading.is_some() || now < self.next_read || !self.may_read() {
+        if self.reading.is_some() || now < self.next_read || self.leaving {
             return;
         }
         let round = self.last_round.next();
@@ -289,11 +307,6 @@
         out.push(Output::StartRead { round });
     }
 
-    /// Without contact a read would not end.
-    fn may_read(&self) -> bool {
-        self.contact && !self.leaving
-    }
-
     /// Whether somebody waits for a read that has not been started.
     fn has_fresh_waiters(&self) -> bool {
         let last = self.last_round;
--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -252,6 +252,7 @@
                 self.peers.send(address, &ToCorePort::Workers { list });
                 let count = self.registrants.dispatchers();
                 self.peers.send(address, &ToCorePort::Dispatchers { count });
+                self.guard(GateInput::PeerOpened);
             }
             Event::SeedFound { address } => self.peers.know(address),
             Event::Operator { order, reply } => self.on_order(order, reply),
--- a/system/node/src/core/mod.rs
+++ b/system/node/src/core/mod.rs
@@ -25,19 +25,22 @@
 use millrudder_system_http::client::{Client, ClientLimits};
 use millrudder_system_http::front::{self, RequestLimits, ServerLimits, Stop, StopPlan};
 use millrudder_transport::{listener, LinkEvent, Outbox};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::oneshot;
-use tokio::task::JoinHandle;
+use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::{sleep, timeout};
 
 /// Largest body of an order, in bytes: a configuration of tens of thousands of routes.
 const MOST_ORDER_BYTES: usize = 16 << 20;
 /// Pause between two rounds of questions to seeds.
 const SEEDS_AGAIN: Duration = Duration::from_millis(200);
+/// The same once they have been asked for long.
+const SEEDS_LONGEST: Duration = Duration::from_secs(5);
 /// How long a stopping machine still answers operators.
 const STOP_WITHIN: Duration = Duration::from_millis(1500);
 /// It takes part in the core until that can do without it, or until this long before it is ended by force.
@@ -70,7 +73,7 @@
     accept_internal(listen(internal)?, events.clone());
 
     let grace = settings.bounds.grace;
-    let machine = Machine { settings, folder, control, internal, events: events.clone() };
+    let machine = Machine { settings, folder, internal, events: events.clone() };
     let watched = async {
         loop {
             match signals.next().await {
@@ -98,7 +101,6 @@
 struct Machine {
     settings: Settings,
     folder: PathBuf,
-    control: SocketAddr,
     internal: SocketAddr,
     events: UnboundedSender<Event>,
 }
@@ -114,14 +116,14 @@
         let client = Client::new(ClientLimits::default());
         loop {
             let founds = self.settings.bootstrap && opened.state.is_none();
-            let seeds = find_seeds(&client, &self.settings, self.control, self.internal, founds).await;
-            let node = make_node(&self.settings, self.internal, opened.state, &seeds)?;
+            let founders = if founds { self.find_founders(&client).await } else { Vec::new() };
+            let node = make_node(&self.settings, self.internal, opened.state, &founders)?;
             let (reports, mut reported) = unbounded_channel();
             let journal = journal::Journal::start(opened.store, reports);
             let settings = self.settings.clone();
             let mut host =
                 CoreHost::new(node, settings, self.internal, journal, client.clone(), self.events.clone());
-            host.know(&seeds);
+            host.know(&founders);
             let seed_watch = spawn_seed_watch(&host, self.events.clone());
             let ended = host.run(&mut queue, &mut reported).await;
             seed_watch.abort();
@@ -132,6 +134,22 @@
         }
     }
 
+    /// Internal addresses of all machines that the settings name, once all of them answer: this machine has never been
+    /// part of a core, and is about to found one with them.
+    async fn find_founders(&self, client: &Client) -> Vec<SocketAddr> {
+        let mut found = BTreeSet::new();
+        loop {
+            let mut answers = ask_seeds(client, &self.settings.seeds);
+            while let Some(answer) = answers.join_next().await {
+                found.extend(answer.ok().flatten());
+            }
+            if found.len() >= self.settings.seeds.len() {
+                return found.into_iter().collect();
+            }
+            sleep(SEEDS_AGAIN).await;
+        }
+    }
+
     /// Waits until the disk holds a state and takes writes.
     async fn reopen(&self) -> journal::Opened {
         let mut pause = REOPEN_FIRST;
@@ -159,71 +177,54 @@
     }));
 }
 
-/// Internal addresses of the machines that the settings name. A machine that has never been part of a core waits for
-/// all of them, since it may be about to found one; others go on with those that answer.
-async fn find_seeds(
-    client: &Client,
-    settings: &Settings,
-    control: SocketAddr,
-    internal: SocketAddr,
-    founding: bool,
-) -> Vec<SocketAddr> {
-    loop {
-        let mut found = Vec::new();
-        for seed in &settings.seeds {
-            if *seed == control {
-                found.push(internal);
-            } else if let Some(address) = locate::internal_address(client, *seed).await {
-                found.push(address);
-            }
-        }
-        if !founding || found.len() == settings.seeds.len() {
-            return found;
-        }
-        sleep(SEEDS_AGAIN).await;
-    }
-}
-
-/// Asks seeds that did not answer again now and then, for a machine that knows too few others.
+/// Asks the seeds where they listen, at once and then now and then: each that answers is reported. A machine that has
+/// been part of a core knows the others from its disk, and does not wait for them.
 fn spawn_seed_watch(host: &CoreHost, events: UnboundedSender<Event>) -> JoinHandle<()> {
     let (client, seeds) = (host.client(), host.seeds());
     tokio::task::spawn_local(async move {
         let mut pause = SEEDS_AGAIN;
         loop {
-            sleep(pause).await;
-            pause = (pause * 2).min(Duration::from_secs(5));
-            for seed in seeds.load().iter() {
-                if let Some(address) = locate::internal_address(&client, *seed).await {
+            let mut answers = ask_seeds(&client, &seeds.load());
+            while let Some(answer) = answers.join_next().await {
+                if let Ok(Some(address)) = answer {
                     drop(events.send(Event::SeedFound { address }));
                 }
             }
+            sleep(pause).await;
+            pause = (pause * 2).min(SEEDS_LONGEST);
         }
     })
 }
 
+/// Asks all seeds at once: a silent one does not hold the others up.
+fn ask_seeds(client: &Client, seeds: &[SocketAddr]) -> JoinSet<Option<SocketAddr>> {
+    let mut questions = JoinSet::new();
+    for seed in seeds {
+        let (client, seed) = (client.clone(), *seed);
+        questions.spawn_local(async move { locate::internal_address(&client, seed).await });
+    }
+    questions
+}
+
 fn make_node(
     settings: &Settings,
     internal: SocketAddr,
     state: Option<DurableState>,
-    seeds: &[SocketAddr],
+    founders: &[SocketAddr],
 ) -> Result<CoreNode<ControlState>, RoleError> {
     let mut config = CoreConfig::new(internal.to_string());
-    config.minimum_members = minimum_members(settings, seeds.len());
+    let view = state.as_ref().and_then(|state| state.view());
+    let founding = Some(founders.len()).filter(|_| !founders.is_empty());
+    config.minimum_members = settings.smallest_core(view.map(|view| view.members.len()).or(founding));
     config.voters = voters(settings);
     config.roles = vec![Role(CONTROLLER.to_owned())];
     config.lease = LeaseConfig::default();
-    if settings.bootstrap && state.is_none() && seeds.contains(&internal) {
-        config.founders = seeds.iter().map(SocketAddr::to_string).collect();
+    if settings.bootstrap && state.is_none() && founders.contains(&internal) {
+        config.founders = founders.iter().map(SocketAddr::to_string).collect();
     }
     Ok(CoreNode::new(config, state, clock::seed(), 0)?)
 }
 
-/// Members of the smallest view: one more than may be lost, as far as there are so many.
-fn minimum_members(settings: &Settings, seeds: usize) -> usize {
-    let wanted = settings.fault_tolerance.machines as usize + 1;
-    wanted.min(seeds.max(1))
-}
-
 /// Core machines that vote, as far as there are so many: those that are left after the losses are the majority.
 fn voters(settings: &Settings) -> usize {
     2 * settings.fault_tolerance.machines as usize + 1
--- a/system/settings/src/settings.rs
+++ b/system/settings/src/settings.rs
@@ -121,6 +121,14 @@
 }
 
 impl Settings {
+    /// Members of the smallest core that may go on alone: one more than may be lost, so that what is acknowledged
+    /// outlives each loss. A core that was founded with fewer, `members` of them, stays as it is; how many machines
+    /// answer at the moment must not count.
+    pub fn smallest_core(&self, members: Option<usize>) -> usize {
+        let wanted = self.fault_tolerance.machines as usize + 1;
+        members.map_or(wanted, |members| wanted.min(members.max(1)))
+    }
+
     /// Reads and checks a file. It blocks: not for tasks of an executor.
     ///
     /// # Errors
--- a/system/settings/tests/settings.rs
+++ b/system/settings/tests/settings.rs
@@ -239,3 +239,15 @@
     std::fs::write(&file, "#".repeat((1 << 20) + 10)).unwrap();
     assert!(matches!(Settings::load(&file), Err(SettingsError::TooLong { most: 1_048_576, .. })));
 }
+
+#[test]
+fn the_smallest_core_outlives_the_losses_however_few_machines_answer() {
+    let mut settings = parse(THIN).unwrap();
+    settings.fault_tolerance.machines = 1;
+    assert_eq!(settings.smallest_core(None), 2);
+    assert_eq!(settings.smallest_core(Some(3)), 2);
+    settings.fault_tolerance.machines = 2;
+    assert_eq!(settings.smallest_core(Some(5)), 3);
+    assert_eq!(settings.smallest_core(Some(1)), 1, "it was founded by one machine");
+    assert_eq!(settings.smallest_core(Some(0)), 1);
+}
