Remember accepted configurations by version, within a bound

Change: the newest 4,096 digests by their versions (24 bytes each). Versions only rise, so an order above the forgotten ones is known to be accepted or not; one below has no clear answer and no effect, unless its own numbers exclude that it was ever accepted.

--- a/system/control-state/src/accepted.rs
+++ b/system/control-state/src/accepted.rs
@@ -1,37 +1,47 @@
-//! Which configurations were accepted, so that a repeat is acknowledged again however much later it comes.
+//! Which configurations were accepted lately, so that a repeat is acknowledged again.
+//!
+//! The size is bounded, and with it what a checkpoint writes and a member that is brought up receives.
 
 use speedy::{Readable, Writable};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use xxhash_rust::xxh3::xxh3_128;
 
-/// Accepted configurations remembered; at 8,200 changes a day those of some 24 days.
-const MOST: usize = 200_000;
+/// Accepted configurations remembered, at 24 bytes each. All members must use the same number, since it decides what
+/// a repeat answers.
+pub(crate) const REMEMBERED_CONFIGURATIONS: usize = 4096;
 
-/// Digests of accepted configurations, the oldest first.
+/// Digests of the newest accepted configurations by their versions.
+///
+/// Versions in force only rise, so each version stands for one accepted configuration at the most, and all versions
+/// up to the highest forgotten one are forgotten.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
 pub(crate) struct Accepted {
-    /// By the count of configurations accepted before it.
-    order: BTreeMap<u64, u128>,
-    next: u64,
-    known: BTreeSet<u128>,
+    digests: BTreeMap<u64, u128>,
+    forgotten_through: Option<u64>,
 }
 
 impl Accepted {
+    /// Whether these very bytes are remembered as accepted.
+    ///
+    /// The bytes hold the version, but are looked for as a whole: a program that reads configurations differently
+    /// after an update acknowledges them all the same.
     pub fn contains(&self, json: &[u8]) -> bool {
-        self.known.contains(&xxh3_128(json))
+        let digest = xxh3_128(json);
+        self.digests.values().any(|accepted| *accepted == digest)
     }
 
-    pub fn add(&mut self, json: &[u8]) {
-        let digest = xxh3_128(json);
-        if !self.known.insert(digest) {
-            return;
-        }
-        self.order.insert(self.next, digest);
-        self.next += 1;
-        if self.order.len() > MOST {
-            if let Some((_, oldest)) = self.order.pop_first() {
-                self.known.remove(&oldest);
-            }
+    /// Whether it is not known any more which configuration was accepted under `version`, if any was.
+    pub fn is_forgotten(&self, version: u64) -> bool {
+        self.forgotten_through.is_some_and(|through| version <= through)
+    }
+
+    /// Remembers an accepted configuration, whose version is higher than all before, and forgets the oldest one
+    /// beyond the bound.
+    pub fn add(&mut self, version: u64, json: &[u8]) {
+        self.digests.insert(version, xxh3_128(json));
+        if self.digests.len() > REMEMBERED_CONFIGURATIONS {
+            let oldest = self.digests.pop_first();
+            self.forgotten_through = oldest.map(|(version, _)| version).or(self.forgotten_through);
         }
     }
 }
--- a/system/control-state/src/command.rs
+++ b/system/control-state/src/command.rs
@@ -21,7 +21,10 @@
     ConfigurationAccepted,
     /// These very bytes were accepted before; whether or not they are in force still.
     ConfigurationKnown,
-    /// Another version is current.
+    /// Its version is so old that it is not known any more whether it was accepted: neither a refusal nor an
+    /// acknowledgement would be sure to be right.
+    ConfigurationForgotten,
+    /// Another version is current, and this configuration was never accepted.
     ConfigurationConflict {
         current: u64,
     },
--- a/system/control-state/src/state.rs
+++ b/system/control-state/src/state.rs
@@ -26,7 +26,7 @@
         &self.placement
     }
 
-    /// These very bytes were accepted before.
+    /// These very bytes were accepted before, and that is remembered.
     pub fn has_accepted(&self, json: &[u8]) -> bool {
         self.accepted.contains(json)
     }
@@ -36,13 +36,17 @@
         if self.accepted.contains(&configuration.json) {
             return Reply::ConfigurationKnown;
         }
+        let builds_on_lower = configuration.version > expected_version;
+        if builds_on_lower && self.accepted.is_forgotten(configuration.version) {
+            return Reply::ConfigurationForgotten;
+        }
         if expected_version != current {
             return Reply::ConfigurationConflict { current };
         }
-        if configuration.version <= current {
+        if !builds_on_lower {
             return Reply::VersionNotHigher { current };
         }
-        self.accepted.add(&configuration.json);
+        self.accepted.add(configuration.version, &configuration.json);
         self.configuration = configuration.clone();
         Reply::ConfigurationAccepted
     }
--- a/system/node/src/core/orders.rs
+++ b/system/node/src/core/orders.rs
@@ -93,6 +93,8 @@
                 let reason = format!("its version is not higher than {current}, which is current");
                 Outcome::Invalid { reason }
             }
+            // Its caller gets no clear answer.
+            Reply::ConfigurationForgotten => return,
             Reply::PlacementSet | Reply::PlacementConflict { .. } => return,
         };
         answer(waiting.reply, outcome);
