--- a/coordination/chain/src/lib.rs
+++ b/coordination/chain/src/lib.rs
@@ -80,6 +80,7 @@
 mod replica;
 mod replies;
 mod store;
+mod transfer;
 
 pub use config::{ConfigError, CoreConfig};
 pub use durable::{DurableState, Record, Snapshot};
@@ -90,3 +91,4 @@
 pub use millrudder_lease::{Fencing, LeaseConfig, Role};
 pub use millrudder_view::{DetectorConfig, Epoch, Member, NodeId, View};
 pub use node::{CoreNode, Input, Output, PersistToken, StartError};
+pub use transfer::{SnapshotId, SnapshotPart, MAX_SNAPSHOT_BYTES};
--- a/coordination/chain/src/link.rs
+++ b/coordination/chain/src/link.rs
@@ -1,5 +1,6 @@
 //! The link from a node to one that it feeds: the next member of the chain, or a learner at the tail.
 
+use crate::transfer::Transfer;
 use crate::{Position, Sequence};
 
 /// How far a fed node is.
@@ -13,8 +14,8 @@
     pub(crate) committed_sent: Sequence,
     /// When it last made progress, or something was sent to it while nothing was outstanding (microseconds).
     pub(crate) progress_at: u64,
-    /// A snapshot was sent and the fed node has not reached it yet.
-    pub(crate) installing: Option<Position>,
+    /// A snapshot is being sent and the fed node has not reached it yet.
+    pub(crate) transfer: Option<Transfer>,
 }
 
 impl Link {
@@ -24,29 +25,34 @@
             sent: end.sequence,
             committed_sent: Sequence::default(),
             progress_at: now,
-            installing: None,
+            transfer: None,
         }
     }
 
     /// Notes that the fed node holds commands up to `end`.
     pub(crate) fn acknowledged(&mut self, end: Position, now: u64) {
-        let installed = self.installing == Some(end);
+        let installed = self.transfer.is_some_and(|transfer| transfer.id.position == end);
         if end.sequence <= self.end.sequence && !installed {
             return;
         }
         self.end = end;
         self.sent = if installed { end.sequence } else { self.sent.max(end.sequence) };
         self.progress_at = now;
-        let reached = |target: &Position| end.sequence >= target.sequence;
-        self.installing = self.installing.filter(|target| !reached(target));
+        self.transfer = self.transfer.filter(|transfer| end.sequence < transfer.id.position.sequence);
     }
 
-    /// Sends everything after the acknowledged end again if nothing was acknowledged for `retry_after`.
+    /// Where the fed node's log will end once a snapshot under way is installed.
+    pub(crate) fn base(&self) -> Position {
+        self.transfer.map_or(self.end, |transfer| transfer.id.position)
+    }
+
+    /// Sends everything after the acknowledged end again if nothing was acknowledged for `retry_after`. Of a snapshot
+    /// the start goes out again: the answer to it tells what the fed node holds.
     pub(crate) fn rewind_if_stalled(&mut self, now: u64, retry_after: u64) {
-        let outstanding = self.sent > self.end.sequence || self.installing.is_some();
+        let outstanding = self.sent > self.end.sequence || self.transfer.is_some();
         if outstanding && now.saturating_sub(self.progress_at) >= retry_after {
             self.sent = self.end.sequence;
-            self.installing = None;
+            self.transfer = self.transfer.map(|transfer| Transfer::new(transfer.id));
             self.progress_at = now;
         }
     }
--- a/coordination/chain/src/message.rs
+++ b/coordination/chain/src/message.rs
@@ -5,7 +5,7 @@
 use speedy::{Readable, Writable};
 use thiserror::Error;
 
-use crate::{Entry, Position, RequestId, Sequence, Snapshot};
+use crate::{Entry, Position, RequestId, Sequence, SnapshotId, SnapshotPart};
 
 /// Sent to every peer at a fixed pace. Its fields repeat what a lost message may have said.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -50,8 +50,10 @@
     View(ViewMessage),
     /// Commands, from a member to the next one or from the tail to a learner.
     Append(AppendBatch),
-    /// The replicated state, for a node that is too far behind.
-    Install { epoch: Epoch, snapshot: Snapshot, complete_at: Sequence },
+    /// A part of the replicated state, for a node that is too far behind.
+    Install { epoch: Epoch, part: SnapshotPart, complete_at: Sequence },
+    /// The sender holds this many bytes from the start of a snapshot that is being sent to it.
+    InstallReceived { epoch: Epoch, id: SnapshotId, received: u64 },
     /// The sender holds commands up to `end` durably, and those up to `committed` are committed.
     Appended { epoch: Epoch, end: Position, committed: Sequence },
     /// A command for the head.
@@ -86,6 +88,7 @@
         match self {
             CoreMessage::Append(batch) => Some(batch.epoch),
             CoreMessage::Install { epoch, .. }
+            | CoreMessage::InstallReceived { epoch, .. }
             | CoreMessage::Appended { epoch, .. }
             | CoreMessage::ReadIndex { epoch, .. }
             | CoreMessage::ConfirmEpoch { epoch, .. }
--- a/coordination/chain/src/node/messages.rs
+++ b/coordination/chain/src/node/messages.rs
@@ -31,8 +31,11 @@
         }
         match message {
             CoreMessage::Append(batch) => self.replica.append(now, from, batch),
-            CoreMessage::Install { snapshot, complete_at, .. } => {
-                self.replica.install(now, from, snapshot, complete_at)
+            CoreMessage::Install { part, complete_at, .. } => {
+                self.replica.install(now, from, part, complete_at)
+            }
+            CoreMessage::InstallReceived { id, received, .. } => {
+                self.replica.install_received(now, from, id, received)
             }
             CoreMessage::Appended { end, committed, .. } => {
                 self.replica.acknowledged(now, from, end, committed)
--- a/coordination/chain/src/replica/feeding.rs
+++ b/coordination/chain/src/replica/feeding.rs
@@ -6,6 +6,9 @@
 use crate::link::Link;
 use crate::{AppendBatch, CoreMessage, Entry, Machine, Position, Sequence};
 
+/// Bytes of commands that may be under way to one node; a single larger command goes alone.
+const BYTES_IN_FLIGHT: usize = 1 << 20;
+
 impl<M: Machine> Replica<M> {
     /// How far behind the commit point a fed learner is, in commands.
     pub(crate) fn lag_of(&self, learner: NodeId) -> Option<u64> {
@@ -38,6 +41,15 @@
         for id in fed {
             self.feed(now, id);
         }
+        self.keep_for_fed();
+    }
+
+    /// Keeps the commands that fed nodes still lack, within the store's bound.
+    fn keep_for_fed(&mut self) {
+        let bases = self.links.values().map(Link::base);
+        let reachable = bases.filter(|base| self.store.log.contains(*base));
+        let needed_after = reachable.map(|base| base.sequence).min();
+        self.store.keep_after(needed_after);
     }
 
     /// Sends what the fed node lacks: a snapshot if the logs do not meet, else commands.
@@ -45,31 +57,23 @@
         let Some(mut link) = self.links.get(&to).copied() else {
             return;
         };
-        if link.installing.is_some() {
-            return;
-        }
-        if link.sent == link.end.sequence {
+        if link.sent == link.end.sequence && link.transfer.is_none() {
             link.progress_at = now;
+            if !self.store.log.contains(link.end) {
+                self.begin_transfer(&mut link);
+            }
         }
-        if link.sent == link.end.sequence && !self.store.log.contains(link.end) {
-            self.send_snapshot(to, &mut link);
-        } else {
-            self.send_entries(to, &mut link);
+        match link.transfer {
+            Some(_) => self.send_parts(to, &mut link),
+            None => self.send_entries(to, &mut link),
         }
         self.links.insert(to, link);
     }
 
-    fn send_snapshot(&mut self, to: NodeId, link: &mut Link) {
-        let snapshot = self.store.snapshot();
-        link.sent = snapshot.position.sequence;
-        link.installing = Some(snapshot.position);
-        let message = CoreMessage::Install { epoch: self.epoch(), snapshot, complete_at: self.complete_at };
-        self.send(to, message);
-    }
-
     fn send_entries(&mut self, to: NodeId, link: &mut Link) {
         let limit = if self.is_tail() { self.committed() } else { self.end().sequence };
-        while link.sent < limit {
+        let mut under_way = self.bytes_under_way(link);
+        while link.sent < limit && under_way < BYTES_IN_FLIGHT {
             let Some(previous) = self.store.log.position_at(link.sent) else {
                 return;
             };
@@ -78,6 +82,7 @@
                 return;
             };
             link.sent = last.position.sequence;
+            under_way += entries.iter().map(|entry| entry.command.len()).sum::<usize>();
             link.committed_sent = self.committed();
             self.send_batch(to, previous, entries);
         }
@@ -88,6 +93,13 @@
         }
     }
 
+    /// Bytes of the commands that were sent and not acknowledged yet.
+    fn bytes_under_way(&self, link: &Link) -> usize {
+        let after = self.store.log.entries_after(link.end.sequence);
+        let sent = after.take_while(|entry| entry.position.sequence <= link.sent);
+        sent.map(|entry| entry.command.len()).sum()
+    }
+
     fn batch_after(&self, sequence: Sequence, limit: Sequence) -> Vec<Entry> {
         let mut bytes = 0;
         let mut entries = Vec::new();
--- a/coordination/chain/src/replica/mod.rs
+++ b/coordination/chain/src/replica/mod.rs
@@ -1,6 +1,7 @@
 //! One node's part in the chain of the present view.
 
 mod feeding;
+mod installing;
 mod progress;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -10,7 +11,8 @@
 
 use crate::link::Link;
 use crate::store::{Applied, Store};
-use crate::{AppendBatch, CoreMessage, Entry, Machine, Position, Record, RequestId, Sequence, Snapshot};
+use crate::transfer::{IncomingSnapshot, OutgoingSnapshot};
+use crate::{AppendBatch, CoreMessage, Entry, Machine, Position, Record, RequestId, Sequence};
 
 /// What a replica asks of the node around it, in this order.
 #[derive(Clone, Debug)]
@@ -62,6 +64,10 @@
     /// Grows when the log loses entries, so that older marks do not count.
     generation: u64,
     links: BTreeMap<NodeId, Link>,
+    /// The snapshot that is sent to fed nodes that need one, as long as the log goes on from it.
+    outgoing: Option<OutgoingSnapshot>,
+    /// What has come of a snapshot.
+    incoming: Option<IncomingSnapshot>,
     /// Requests at the head that are not committed yet.
     pending: BTreeSet<RequestId>,
     outputs: Vec<ReplicaOutput<M>>,
@@ -83,6 +89,8 @@
             persisted,
             generation: 0,
             links: BTreeMap::new(),
+            outgoing: None,
+            incoming: None,
             pending: BTreeSet::new(),
             outputs: Vec::new(),
         }
@@ -133,6 +141,7 @@
     pub(crate) fn activate(&mut self, now: u64, view: &View) {
         self.view = view.clone();
         self.links.clear();
+        self.store.keep_after(None);
         self.pending.clear();
         self.synced = false;
         self.sync_target = None;
@@ -212,26 +221,6 @@
         self.acknowledge(from);
     }
 
-    /// Takes the whole state from the node that feeds this one.
-    pub(crate) fn install(&mut self, now: u64, from: NodeId, snapshot: Snapshot, complete_at: Sequence) {
-        if !self.is_fed_by(from) {
-            return;
-        }
-        let held = self.store.log.contains(snapshot.position);
-        let older = snapshot.position.sequence < self.committed();
-        if held || older || self.store.install(&snapshot).is_err() {
-            return self.acknowledge(from);
-        }
-        self.generation += 1;
-        self.persisted = Sequence::default();
-        let sequence = snapshot.position.sequence;
-        self.persist(Record::Installed { snapshot, complete: self.complete });
-        self.outputs.push(ReplicaOutput::Replaced { sequence });
-        self.reach(now, Vec::new(), complete_at);
-        self.feed_all(now);
-        self.acknowledge(from);
-    }
-
     /// A node holds commands up to `end`, and those up to `committed` are committed.
     pub(crate) fn acknowledged(&mut self, now: u64, from: NodeId, end: Position, committed: Sequence) {
         if self.feeds(from) {
@@ -251,6 +240,7 @@
         for link in self.links.values_mut() {
             link.rewind_if_stalled(now, self.limits.retry_after);
         }
+        self.drop_useless_snapshot();
         self.feed_all(now);
     }
 
--- a/coordination/chain/src/store.rs
+++ b/coordination/chain/src/store.rs
@@ -27,8 +27,13 @@
     /// Bytes of the committed commands that the log still has.
     committed_bytes: usize,
     kept: KeptLog,
+    /// A peer that is being brought up lacks the commands after this one.
+    needed_after: Option<Sequence>,
 }
 
+/// While a peer is being brought up, this many times as much of the log stays in memory.
+const KEPT_FOR_PEERS: usize = 8;
+
 /// How much of the committed log stays in memory to bring up peers without a snapshot.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct KeptLog {
@@ -36,6 +41,17 @@
     pub(crate) bytes: usize,
 }
 
+impl KeptLog {
+    fn holds(self, entries: u64, bytes: usize) -> bool {
+        entries <= self.entries as u64 && bytes <= self.bytes
+    }
+
+    fn scaled(self, numerator: usize, denominator: usize) -> KeptLog {
+        let scale = |number: usize| number.saturating_mul(numerator) / denominator;
+        KeptLog { entries: scale(self.entries), bytes: scale(self.bytes) }
+    }
+}
+
 impl<M: Machine> Store<M> {
     /// Rebuilds the state from a snapshot, the log after it, and the last command known to be committed.
     pub(crate) fn new(
@@ -51,6 +67,7 @@
             log: log.clone(),
             committed_bytes: 0,
             kept,
+            needed_after: None,
         };
         store.commit(committed);
         Ok(store)
@@ -93,6 +110,7 @@
         self.applied = snapshot.position;
         self.log = Log::after(snapshot.position);
         self.committed_bytes = 0;
+        self.needed_after = None;
         Ok(())
     }
 
@@ -131,19 +149,28 @@
         Some(Applied { sequence, request_id, origin, command, reply, encoded_reply })
     }
 
-    /// Drops the oldest committed commands once the log holds more than it should.
+    /// Keeps the commands after `sequence` for a peer that is being brought up, as far as the bound allows.
+    pub(crate) fn keep_after(&mut self, sequence: Option<Sequence>) {
+        self.needed_after = sequence;
+    }
+
+    /// Drops the oldest committed commands once the log holds more than it should. What a peer lacks stays, until it
+    /// is so much that the peer is better served by a snapshot.
     ///
     /// A quarter more than needed goes at a time, so that the cost of a commit stays constant on average.
     fn trim(&mut self) {
         let first = self.log.base().sequence.0;
-        let committed = self.applied.sequence.0.saturating_sub(first);
-        if committed <= self.kept.entries as u64 && self.committed_bytes <= self.kept.bytes {
+        let mut remaining = self.applied.sequence.0.saturating_sub(first);
+        if self.kept.holds(remaining, self.committed_bytes) {
             return;
         }
-        let goal = KeptLog { entries: self.kept.entries * 3 / 4, bytes: self.kept.bytes * 3 / 4 };
-        let mut remaining = committed;
+        let goal = self.kept.scaled(3, 4);
+        if !self.kept.scaled(KEPT_FOR_PEERS, 1).holds(remaining, self.committed_bytes) {
+            self.needed_after = None;
+        }
+        let end = self.needed_after.map_or(self.applied.sequence, |needed| needed.min(self.applied.sequence));
         let mut through = first;
-        while remaining > goal.entries as u64 || self.committed_bytes > goal.bytes {
+        while through < end.0 && !goal.holds(remaining, self.committed_bytes) {
             let Some(entry) = self.log.get(Sequence(through + 1)) else {
                 break;
             };
@@ -151,7 +178,9 @@
             through += 1;
             remaining = remaining.saturating_sub(1);
         }
-        self.log.trim_to(Sequence(through.min(self.applied.sequence.0)));
+        if through > first {
+            self.log.trim_to(Sequence(through));
+        }
     }
 }
 
