--- a/coordination/chain/src/config.rs
+++ b/coordination/chain/src/config.rs
@@ -31,7 +31,7 @@
     pub kept_entries: usize,
     /// The same in bytes of commands.
     pub kept_bytes: usize,
-    /// Bytes of commands in one message; a single larger command is sent alone.
+    /// Bytes of entries or of a snapshot in one message; a single larger entry is sent alone.
     pub batch_bytes: usize,
 }
 
--- a/coordination/chain/src/entry.rs
+++ b/coordination/chain/src/entry.rs
@@ -41,3 +41,10 @@
     /// The encoded command.
     pub command: Vec<u8>,
 }
+
+impl Entry {
+    /// Bytes that the entry takes in a message.
+    pub(crate) fn encoded_bytes(&self) -> usize {
+        Writable::<speedy::LittleEndian>::bytes_needed(self).unwrap_or(self.command.len())
+    }
+}
--- a/coordination/chain/src/link.rs
+++ b/coordination/chain/src/link.rs
@@ -3,6 +3,9 @@
 use crate::transfer::Transfer;
 use crate::{Position, Sequence};
 
+/// Between two rewinds for a gap lies at least this share of the pause before an unanswered message is sent again.
+const GAP_SHARE: u64 = 16;
+
 /// How far a fed node is.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Link {
@@ -16,6 +19,8 @@
     pub(crate) progress_at: u64,
     /// A snapshot is being sent and the fed node has not reached it yet.
     pub(crate) transfer: Option<Transfer>,
+    /// When commands were sent again last (microseconds).
+    rewound_at: u64,
 }
 
 impl Link {
@@ -26,6 +31,7 @@
             committed_sent: Sequence::default(),
             progress_at: now,
             transfer: None,
+            rewound_at: now,
         }
     }
 
@@ -41,6 +47,21 @@
         self.transfer = self.transfer.filter(|transfer| end.sequence < transfer.id.position.sequence);
     }
 
+    /// The fed node cannot take what it got, since it lacks the commands before: they are sent again at once.
+    pub(crate) fn gap(&mut self, now: u64, retry_after: u64) {
+        let rested = now.saturating_sub(self.rewound_at) >= retry_after / GAP_SHARE;
+        if rested && self.transfer.is_none() {
+            self.rewind(now);
+        }
+    }
+
+    fn rewind(&mut self, now: u64) {
+        self.sent = self.end.sequence;
+        self.transfer = self.transfer.map(|transfer| Transfer::new(transfer.id));
+        self.progress_at = now;
+        self.rewound_at = now;
+    }
+
     /// Where the fed node's log will end once a snapshot under way is installed.
     pub(crate) fn base(&self) -> Position {
         self.transfer.map_or(self.end, |transfer| transfer.id.position)
@@ -51,9 +72,7 @@
     pub(crate) fn rewind_if_stalled(&mut self, now: u64, retry_after: u64) {
         let outstanding = self.sent > self.end.sequence || self.transfer.is_some();
         if outstanding && now.saturating_sub(self.progress_at) >= retry_after {
-            self.sent = self.end.sequence;
-            self.transfer = self.transfer.map(|transfer| Transfer::new(transfer.id));
-            self.progress_at = now;
+            self.rewind(now);
         }
     }
 }
--- a/coordination/chain/src/message.rs
+++ b/coordination/chain/src/message.rs
@@ -56,6 +56,8 @@
     InstallReceived { epoch: Epoch, id: SnapshotId, received: u64 },
     /// The sender holds commands up to `end` durably, and those up to `committed` are committed.
     Appended { epoch: Epoch, end: Position, committed: Sequence },
+    /// The sender's log ends at `end`, before the commands that it was sent.
+    Gap { epoch: Epoch, end: Position },
     /// A command for the head.
     Submit { request_id: RequestId, command: Vec<u8> },
     /// The reply to a command.
@@ -90,6 +92,7 @@
             CoreMessage::Install { epoch, .. }
             | CoreMessage::InstallReceived { epoch, .. }
             | CoreMessage::Appended { epoch, .. }
+            | CoreMessage::Gap { epoch, .. }
             | CoreMessage::ReadIndex { epoch, .. }
             | CoreMessage::ConfirmEpoch { epoch, .. }
             | CoreMessage::EpochConfirmed { epoch, .. }
--- a/coordination/chain/src/node/campaign.rs
+++ b/coordination/chain/src/node/campaign.rs
@@ -7,12 +7,15 @@
 use crate::{CoreMessage, Machine};
 
 impl<M: Machine> CoreNode<M> {
+    /// Renews what is held. A role is claimed anew only by a node that holds what its chain holds: a member that has
+    /// just come back would lead with old state.
     pub(super) fn poll_leases(&mut self, now: u64) {
+        let in_step = self.is_in_step();
         for index in 0..self.holders.len() {
             let step = self.holders[index].poll(now);
             let role = self.holders[index].role().clone();
             self.lease_event(&role, step.event);
-            let Some(request) = step.request else {
+            let Some(request) = step.request.filter(|request| request.held || in_step) else {
                 continue;
             };
             let epoch = self.agreement.epoch();
--- a/coordination/chain/src/node/messages.rs
+++ b/coordination/chain/src/node/messages.rs
@@ -40,6 +40,7 @@
             CoreMessage::Appended { end, committed, .. } => {
                 self.replica.acknowledged(now, from, end, committed)
             }
+            CoreMessage::Gap { end, .. } => self.replica.gap(now, from, end),
             CoreMessage::ReadIndex { request_id, .. } => {
                 self.on_read_index(Reader { origin: from, request_id })
             }
--- a/coordination/chain/src/replica/feeding.rs
+++ b/coordination/chain/src/replica/feeding.rs
@@ -6,7 +6,7 @@
 use crate::link::Link;
 use crate::{AppendBatch, CoreMessage, Entry, Machine, Position, Sequence};
 
-/// Bytes of commands that may be under way to one node; a single larger command goes alone.
+/// Bytes of entries that may be under way to one node; a single larger one goes alone.
 const BYTES_IN_FLIGHT: usize = 1 << 20;
 
 impl<M: Machine> Replica<M> {
@@ -82,7 +82,7 @@
                 return;
             };
             link.sent = last.position.sequence;
-            under_way += entries.iter().map(|entry| entry.command.len()).sum::<usize>();
+            under_way += entries.iter().map(Entry::encoded_bytes).sum::<usize>();
             link.committed_sent = self.committed();
             self.send_batch(to, previous, entries);
         }
@@ -97,14 +97,14 @@
     fn bytes_under_way(&self, link: &Link) -> usize {
         let after = self.store.log.entries_after(link.end.sequence);
         let sent = after.take_while(|entry| entry.position.sequence <= link.sent);
-        sent.map(|entry| entry.command.len()).sum()
+        sent.map(Entry::encoded_bytes).sum()
     }
 
     fn batch_after(&self, sequence: Sequence, limit: Sequence) -> Vec<Entry> {
         let mut bytes = 0;
         let mut entries = Vec::new();
         for entry in self.store.log.entries_after(sequence) {
-            bytes += entry.command.len();
+            bytes += entry.encoded_bytes();
             let full = !entries.is_empty() && bytes > self.limits.batch_bytes;
             if full || entry.position.sequence > limit {
                 break;
--- a/coordination/chain/src/replica/installing.rs
+++ b/coordination/chain/src/replica/installing.rs
@@ -81,7 +81,7 @@
         }
         let same = self.incoming.take().filter(|incoming| incoming.id == part.id);
         let mut incoming = same.unwrap_or_else(|| IncomingSnapshot::new(part.id));
-        incoming.take(&part);
+        incoming.take(part);
         if incoming.is_whole() {
             return self.install_whole(now, from, incoming.decode(), complete_at);
         }
--- a/coordination/chain/src/replica/mod.rs
+++ b/coordination/chain/src/replica/mod.rs
@@ -206,7 +206,7 @@
             return;
         }
         if !self.store.log.contains(batch.previous) {
-            return self.acknowledge(from);
+            return self.report_gap(from);
         }
         let agreed = Sequence(batch.previous.sequence.0.saturating_add(batch.entries.len() as u64));
         let Some(fresh) = self.fresh_entries(batch.entries) else {
@@ -221,7 +221,7 @@
         self.acknowledge(from);
     }
 
-    /// A node holds commands up to `end`, and those up to `committed` are committed.
+    /// A node says that it holds commands up to `end`, and that those up to `committed` are committed.
     pub(crate) fn acknowledged(&mut self, now: u64, from: NodeId, end: Position, committed: Sequence) {
         if self.feeds(from) {
             let link = self.links.entry(from).or_insert_with(|| Link::new(end, now));
@@ -233,6 +233,14 @@
         }
     }
 
+    /// A fed node's log ends at `end`, before the commands that it was sent.
+    pub(crate) fn gap(&mut self, now: u64, from: NodeId, end: Position) {
+        if let Some(link) = self.links.get_mut(&from) {
+            link.gap(now, self.limits.retry_after);
+        }
+        self.acknowledged(now, from, end, Sequence::default());
+    }
+
     /// Sends again what was not acknowledged, and forgets learners that are gone.
     pub(crate) fn tick(&mut self, now: u64, is_gone: impl Fn(NodeId) -> bool) {
         let view = &self.view;
@@ -273,6 +281,10 @@
         Some(entries.into_iter().filter(|entry| entry.position.sequence > end).collect())
     }
 
+    fn report_gap(&mut self, to: NodeId) {
+        self.send(to, CoreMessage::Gap { epoch: self.epoch(), end: self.end() });
+    }
+
     pub(super) fn acknowledge(&mut self, to: NodeId) {
         let message =
             CoreMessage::Appended { epoch: self.epoch(), end: self.end(), committed: self.committed() };
--- a/coordination/chain/src/transfer.rs
+++ b/coordination/chain/src/transfer.rs
@@ -3,6 +3,7 @@
 //! A transfer goes on where it stood after lost messages and after a change of view, as long as the same snapshot is
 //! sent: the receiver keeps the part that it holds, and answers the first part with how far it is.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use speedy::{Readable, Writable};
@@ -101,11 +102,13 @@
 pub(crate) struct IncomingSnapshot {
     pub(crate) id: SnapshotId,
     bytes: Vec<u8>,
+    /// Parts that came before their turn, by offset; no more than may be under way.
+    early: BTreeMap<u64, Vec<u8>>,
 }
 
 impl IncomingSnapshot {
     pub(crate) fn new(id: SnapshotId) -> IncomingSnapshot {
-        IncomingSnapshot { id, bytes: Vec::new() }
+        IncomingSnapshot { id, bytes: Vec::new(), early: BTreeMap::new() }
     }
 
     /// Bytes held from the start.
@@ -113,12 +116,19 @@
         self.bytes.len() as u64
     }
 
-    /// Takes a part that follows; any other is ignored.
-    pub(crate) fn take(&mut self, part: &SnapshotPart) {
+    /// Takes a part. One that comes much too early is ignored, as one that is held already.
+    pub(crate) fn take(&mut self, part: SnapshotPart) {
         let end = part.offset.saturating_add(part.bytes.len() as u64);
-        if part.id == self.id && part.offset == self.received() && end <= self.id.length {
-            self.bytes.extend_from_slice(&part.bytes);
+        let fits = part.id == self.id && end <= self.id.length;
+        let is_news = part.offset >= self.received() && self.early.len() < PARTS_IN_FLIGHT as usize;
+        if fits && is_news {
+            self.early.insert(part.offset, part.bytes);
         }
+        while let Some(next) = self.early.remove(&self.received()) {
+            self.bytes.extend_from_slice(&next);
+        }
+        let received = self.received();
+        self.early.retain(|offset, _| *offset > received);
     }
 
     pub(crate) fn is_whole(&self) -> bool {
--- a/coordination/chain/tests/cores/main.rs
+++ b/coordination/chain/tests/cores/main.rs
@@ -3,3 +3,4 @@
 mod recovery;
 mod simulation;
 mod simulator;
+mod storm;
--- a/coordination/chain/tests/cores/simulator/clients.rs
+++ b/coordination/chain/tests/cores/simulator/clients.rs
@@ -5,9 +5,6 @@
 use super::history::Submission;
 use super::world::{EventKind, World};
 
-/// Shortest and longest pause between two requests of the clients, in microseconds.
-const CLIENT_MICROS: std::ops::Range<u64> = 5_000..100_000;
-
 impl World {
     pub(super) fn client(&mut self) {
         let machine = self.random.usize(0..self.hosts.len());
@@ -25,7 +22,7 @@
             }
             _ => self.read(machine),
         }
-        let pause = self.random.u64(CLIENT_MICROS);
+        let pause = self.random.u64(self.plan.client_pause.clone());
         self.schedule(self.now + pause, EventKind::Client);
     }
 
--- a/coordination/chain/tests/cores/simulator/history.rs
+++ b/coordination/chain/tests/cores/simulator/history.rs
@@ -12,11 +12,24 @@
     pub view: View,
 }
 
+/// A node was granted a lease.
+#[derive(Clone, Copy, Debug)]
+pub struct Grant {
+    /// Microseconds of true time.
+    pub at: u64,
+    pub machine: usize,
+    /// Whether the node had caught up with its chain.
+    pub in_step: bool,
+}
+
 /// Times of views, writes and messages, in microseconds of true time.
 #[derive(Clone, Debug, Default)]
 pub struct History {
     pub views: Vec<ViewEntered>,
+    pub grants: Vec<Grant>,
     pub messages: usize,
+    /// Length of the longest message, in bytes.
+    pub longest_message: usize,
     submitted: BTreeMap<Submission, u64>,
     pub waits: Vec<Wait>,
 }
--- a/coordination/chain/tests/cores/simulator/outputs.rs
+++ b/coordination/chain/tests/cores/simulator/outputs.rs
@@ -4,7 +4,7 @@
 
 use super::checker::Violation;
 use super::disk::DiskWrite;
-use super::history::{Submission, ViewEntered};
+use super::history::{Grant, Submission, ViewEntered};
 use super::world::{EventKind, World};
 
 /// Shortest and longest time of an ordinary write to disk, in microseconds.
@@ -63,6 +63,8 @@
                 return Err(Violation::TwoHolders { first: other, second: machine });
             }
         }
+        let in_step = self.is_in_step(machine);
+        self.history.grants.push(Grant { at: self.now, machine, in_step });
         self.checker.lease_granted(fencing)
     }
 
@@ -73,7 +75,9 @@
             return;
         };
         let sender = node.id();
-        let message = CoreMessage::decode(&message.encode()).expect("a message survives its encoding");
+        let bytes = message.encode();
+        self.history.longest_message = self.history.longest_message.max(bytes.len());
+        let message = CoreMessage::decode(&bytes).expect("a message survives its encoding");
         for delay in self.network.delays(&mut self.random, from, machine) {
             let event = EventKind::Deliver { machine, from: sender, to, message: message.clone() };
             self.schedule(self.now + delay, event);
--- a/coordination/chain/tests/cores/simulator/plan.rs
+++ b/coordination/chain/tests/cores/simulator/plan.rs
@@ -22,8 +22,21 @@
     pub faults: Vec<PlannedFault>,
     /// Faults end here (microseconds).
     pub calm_after: u64,
+    /// Shortest and longest pause between two requests of the clients, in microseconds.
+    pub client_pause: std::ops::Range<u64>,
+    /// Committed commands that a node keeps in memory.
+    pub kept_entries: usize,
+    /// Bytes of entries or of a snapshot in one message.
+    pub batch_bytes: usize,
 }
 
+/// Pauses of clients who are in no hurry.
+const CLIENT_MICROS: std::ops::Range<u64> = 5_000..100_000;
+/// Small, so that snapshots are needed often ...
+const KEPT_ENTRIES: usize = 20;
+/// ... and go out in many parts.
+const BATCH_BYTES: usize = 1 << 10;
+
 /// Faults start when the core can have been founded.
 const FIRST_FAULT_MICROS: u64 = 2_000_000;
 
@@ -38,7 +51,17 @@
     pub fn with_fault(seed: u64, at: u64, fault: Fault) -> Plan {
         let network = NetworkFaults { loss: 0.0, doubled: 0.0, late: 0.0 };
         let faults = vec![PlannedFault { at, after_acknowledgement: false, fault }];
-        Plan { seed, machines: 3, minimum_members: 2, network, faults, calm_after: at }
+        Plan {
+            seed,
+            machines: 3,
+            minimum_members: 2,
+            network,
+            faults,
+            calm_after: at,
+            client_pause: CLIENT_MICROS,
+            kept_entries: KEPT_ENTRIES,
+            batch_bytes: BATCH_BYTES,
+        }
     }
 
     /// One more fault.
@@ -72,7 +95,17 @@
             doubled: [0.0, 0.02][random.usize(0..2)],
             late: [0.0, 0.0, 0.005][random.usize(0..3)],
         };
-        Plan { seed, machines, minimum_members: machines / 2 + 1, network, faults, calm_after }
+        Plan {
+            seed,
+            machines,
+            minimum_members: machines / 2 + 1,
+            network,
+            faults,
+            calm_after,
+            client_pause: CLIENT_MICROS,
+            kept_entries: KEPT_ENTRIES,
+            batch_bytes: BATCH_BYTES,
+        }
     }
 }
 
--- a/coordination/chain/tests/cores/simulator/world.rs
+++ b/coordination/chain/tests/cores/simulator/world.rs
@@ -143,6 +143,11 @@
         nodes.map(|node| node.view().map_or(0, |view| view.members.len())).collect()
     }
 
+    /// Whether the node at `machine` is a member and holds what the chain of its view holds.
+    pub fn is_in_step(&self, machine: usize) -> bool {
+        self.hosts[machine].node.as_ref().is_some_and(CoreNode::is_in_step)
+    }
+
     pub(super) fn schedule(&mut self, at: u64, event: EventKind) {
         let number = self.next_event;
         self.next_event += 1;
@@ -212,7 +217,8 @@
         config.minimum_members = self.plan.minimum_members;
         config.roles = vec![Role("reader".to_owned())];
         config.checkpoint_bytes = 4 << 10;
-        config.kept_entries = 20;
+        config.kept_entries = self.plan.kept_entries;
+        config.batch_bytes = self.plan.batch_bytes;
         if !self.hosts[machine].wiped {
             config.founders = (0..self.plan.machines.min(3)).map(World::address).collect();
         }
