--- a/coordination/chain/tests/cores/simulator/history.rs
+++ b/coordination/chain/tests/cores/simulator/history.rs
@@ -17,7 +17,6 @@
 pub struct Grant {
     /// Microseconds of true time.
     pub at: u64,
-    pub machine: usize,
     /// Whether the node had caught up with its chain.
     pub in_step: bool,
 }
--- a/coordination/chain/tests/cores/simulator/outputs.rs
+++ b/coordination/chain/tests/cores/simulator/outputs.rs
@@ -64,7 +64,7 @@
             }
         }
         let in_step = self.is_in_step(machine);
-        self.history.grants.push(Grant { at: self.now, machine, in_step });
+        self.history.grants.push(Grant { at: self.now, in_step });
         self.checker.lease_granted(fencing)
     }
 
--- a/system/node/src/core/mod.rs
+++ b/system/node/src/core/mod.rs
@@ -20,6 +20,7 @@
 use host::{CoreHost, Event};
 use millrudder_chain::{CoreConfig, CoreNode, DurableState, LeaseConfig, Role};
 use millrudder_control_state::ControlState;
+use millrudder_protocol::frame::MAX_CONTENT_BYTES;
 use millrudder_settings::Settings;
 use millrudder_system_http::client::{Client, ClientLimits};
 use millrudder_system_http::front::{self, RequestLimits, ServerLimits, Stop, StopPlan};
@@ -33,8 +34,9 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-/// Largest body of an order, in bytes: a configuration of tens of thousands of routes.
-const MOST_ORDER_BYTES: usize = 16 << 20;
+/// Largest body of an order, in bytes: a configuration of ten thousand routes. It goes to the other core machines and
+/// to dispatchers in one frame each; a larger one would be taken and never get any further.
+const MOST_ORDER_BYTES: usize = MAX_CONTENT_BYTES / 2;
 /// Pause between two rounds of questions to seeds.
 const SEEDS_AGAIN: Duration = Duration::from_millis(200);
 /// How long a stopping machine still answers ...
