--- a/coordination/chain/src/lib.rs
+++ b/coordination/chain/src/lib.rs
@@ -69,6 +69,7 @@
 #![forbid(unsafe_code)]
 
 mod config;
+mod contact;
 mod durable;
 mod entry;
 mod link;
@@ -83,6 +84,7 @@
 mod transfer;
 
 pub use config::{ConfigError, CoreConfig};
+pub use contact::{Heard, Stamp};
 pub use durable::{DurableState, Record, Snapshot};
 pub use entry::{Entry, Position, RequestId, Sequence};
 pub use log::Log;
