--- a/coordination/chain/src/replica/feeding.rs
+++ b/coordination/chain/src/replica/feeding.rs
@@ -10,10 +10,14 @@
 const BYTES_IN_FLIGHT: usize = 1 << 20;
 
 impl<M: Machine> Replica<M> {
-    /// How far behind the commit point a fed learner is, in commands.
+    /// How far behind the commit point a fed learner is, in commands; `None` if it needs a snapshot, or more bytes of
+    /// commands than go out at once. A chain would wait for it that long.
     pub(crate) fn lag_of(&self, learner: NodeId) -> Option<u64> {
         let link = self.links.get(&learner)?;
-        Some(self.committed().0.saturating_sub(link.end.sequence.0))
+        let meets = link.transfer.is_none() && self.store.log.contains(link.end);
+        let bytes = self.bytes_between(link.end.sequence, self.committed());
+        let close = meets && bytes <= BYTES_IN_FLIGHT;
+        close.then(|| self.committed().0.saturating_sub(link.end.sequence.0))
     }
 
     /// A fed node has restarted and does not know that it is up to date.
@@ -72,7 +76,7 @@
 
     fn send_entries(&mut self, to: NodeId, link: &mut Link) {
         let limit = if self.is_tail() { self.committed() } else { self.end().sequence };
-        let mut under_way = self.bytes_under_way(link);
+        let mut under_way = self.bytes_between(link.end.sequence, link.sent);
         while link.sent < limit && under_way < BYTES_IN_FLIGHT {
             let Some(previous) = self.store.log.position_at(link.sent) else {
                 return;
@@ -93,11 +97,11 @@
         }
     }
 
-    /// Bytes of the commands that were sent and not acknowledged yet.
-    fn bytes_under_way(&self, link: &Link) -> usize {
-        let after = self.store.log.entries_after(link.end.sequence);
-        let sent = after.take_while(|entry| entry.position.sequence <= link.sent);
-        sent.map(Entry::encoded_bytes).sum()
+    /// Bytes of the entries after `after` up to `through`.
+    fn bytes_between(&self, after: Sequence, through: Sequence) -> usize {
+        let entries = self.store.log.entries_after(after);
+        let entries = entries.take_while(|entry| entry.position.sequence <= through);
+        entries.map(Entry::encoded_bytes).sum()
     }
 
     fn batch_after(&self, sequence: Sequence, limit: Sequence) -> Vec<Entry> {
--- a/coordination/chain/src/transfer.rs
+++ b/coordination/chain/src/transfer.rs
@@ -116,19 +116,21 @@
         self.bytes.len() as u64
     }
 
-    /// Takes a part. One that comes much too early is ignored, as one that is held already.
+    /// Takes a part. Of those that come before their turn the nearest are kept.
     pub(crate) fn take(&mut self, part: SnapshotPart) {
         let end = part.offset.saturating_add(part.bytes.len() as u64);
-        let fits = part.id == self.id && end <= self.id.length;
-        let is_news = part.offset >= self.received() && self.early.len() < PARTS_IN_FLIGHT as usize;
-        if fits && is_news {
-            self.early.insert(part.offset, part.bytes);
+        if part.id != self.id || end > self.id.length || part.offset < self.received() {
+            return;
         }
+        self.early.insert(part.offset, part.bytes);
         while let Some(next) = self.early.remove(&self.received()) {
             self.bytes.extend_from_slice(&next);
         }
         let received = self.received();
         self.early.retain(|offset, _| *offset > received);
+        if self.early.len() as u64 > PARTS_IN_FLIGHT {
+            self.early.pop_last();
+        }
     }
 
     pub(crate) fn is_whole(&self) -> bool {
