--- a/system/simulation/src/orders.rs
+++ b/system/simulation/src/orders.rs
@@ -91,6 +91,7 @@
             Reply::ConfigurationConflict { .. } if !mutant.has(Mechanism::LoserRefused) => Answer::Accepted,
             Reply::ConfigurationConflict { .. } => Answer::Conflict,
             Reply::VersionNotHigher { .. } => Answer::NotHigher,
+            Reply::ConfigurationForgotten => Answer::Unavailable,
             Reply::PlacementSet | Reply::PlacementConflict { .. } => return None,
         };
         Some((waiting.call, answer))
