--- a/coordination/chain/src/message.rs
+++ b/coordination/chain/src/message.rs
@@ -5,7 +5,7 @@
 use speedy::{Readable, Writable};
 use thiserror::Error;
 
-use crate::{Entry, Heard, Position, RequestId, Sequence, Snapshot, Stamp};
+use crate::{Entry, Heard, Position, RequestId, Sequence, SnapshotId, SnapshotPart, Stamp};
 
 /// Sent to every peer at a fixed pace. Its fields repeat what a lost message may have said.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
@@ -54,10 +54,14 @@
     View(ViewMessage),
     /// Commands, from a member to the next one or from the tail to a learner.
     Append(AppendBatch),
-    /// The replicated state, for a node that is too far behind.
-    Install { epoch: Epoch, snapshot: Snapshot, complete_at: Sequence },
+    /// A part of the replicated state, for a node that is too far behind.
+    Install { epoch: Epoch, part: SnapshotPart, complete_at: Sequence },
+    /// The sender holds this many bytes from the start of a snapshot that is being sent to it.
+    InstallReceived { epoch: Epoch, id: SnapshotId, received: u64 },
     /// The sender holds commands up to `end` durably, and those up to `committed` are committed.
     Appended { epoch: Epoch, end: Position, committed: Sequence },
+    /// The sender's log ends at `end`, before the commands that it was sent.
+    Gap { epoch: Epoch, end: Position },
     /// A command for the head.
     Submit { request_id: RequestId, command: Vec<u8> },
     /// The reply to a command.
@@ -92,7 +96,9 @@
         match self {
             CoreMessage::Append(batch) => Some(batch.epoch),
             CoreMessage::Install { epoch, .. }
+            | CoreMessage::InstallReceived { epoch, .. }
             | CoreMessage::Appended { epoch, .. }
+            | CoreMessage::Gap { epoch, .. }
             | CoreMessage::ReadIndex { epoch, .. }
             | CoreMessage::ConfirmEpoch { epoch, .. }
             | CoreMessage::EpochConfirmed { epoch, .. }
