Answer every request that was read whole, also at the end of a stop

Cause: at the stop's deadline (grace less 0.5 s) the server closed the connections of requests whose handler was still at work, for example one in order whose store is frozen and whose client waits for 30 s: read whole, and cut without an answer. Readiness followed the state's owner, which learns of the stop only behind the events that wait before it.

At the deadline such requests are answered 504, which promises nothing, and 200 ms are left to write these answers; connections whose request has not come whole are closed as before. Readiness says 503 from the signal on.

--- a/system/http/src/front/connection.rs
+++ b/system/http/src/front/connection.rs
@@ -116,7 +116,7 @@
     let response = match read(request, state, shared).await {
         Ok(request) => {
             state.enter(Phase::Handling);
-            (shared.handler)(request).await
+            handle(request, state, shared).await
         }
         Err(RequestError::Answered(status)) => Response::empty(status).closing(),
         Err(RequestError::Cut) => return Err(CutRequest),
@@ -126,6 +126,19 @@
     Ok(into_hyper(response))
 }
 
+/// Has the handler answer; 504, which promises nothing, once it is not waited for any longer: a request that was read
+/// whole gets a whole answer, also at the end of a stop.
+async fn handle(request: Request, state: &ConnectionState, shared: &Shared) -> Response {
+    let mut handling = (shared.handler)(request);
+    poll_fn(|context| match handling.as_mut().poll(context) {
+        Poll::Pending if state.is_given_up() => {
+            Poll::Ready(Response::empty(http::StatusCode::GATEWAY_TIMEOUT).closing())
+        }
+        polled => polled,
+    })
+    .await
+}
+
 /// Why a request does not reach the handler.
 enum RequestError {
     /// It is answered with this status.
--- a/system/http/src/front/phase.rs
+++ b/system/http/src/front/phase.rs
@@ -40,6 +40,8 @@
     /// Requests that hyper has given to the service.
     requests: Cell<u64>,
     close: Cell<bool>,
+    /// The handler is not waited for any longer.
+    given_up: Cell<bool>,
     waker: RefCell<Option<Waker>>,
 }
 
@@ -53,6 +55,7 @@
             framing: RefCell::new(Framing::new()),
             requests: Cell::new(0),
             close: Cell::new(false),
+            given_up: Cell::new(false),
             waker: RefCell::new(None),
         }
     }
@@ -101,6 +104,16 @@
         self.wake();
     }
 
+    /// Has a request that is at the handler answered without it.
+    pub(super) fn give_up(&self) {
+        self.given_up.set(true);
+        self.wake();
+    }
+
+    pub(super) fn is_given_up(&self) -> bool {
+        self.given_up.get()
+    }
+
     pub(super) fn must_close(&self) -> bool {
         self.close.get()
     }
--- a/system/http/src/front/registry.rs
+++ b/system/http/src/front/registry.rs
@@ -50,13 +50,19 @@
         self.connections.borrow().values().for_each(|state| state.wake());
     }
 
-    /// Closes all; returns how many were in the midst of a request.
-    pub(super) fn close_all(&self) -> usize {
+    /// Has all requests that are at the handler answered without it; returns how many connections were in the midst
+    /// of a request.
+    pub(super) fn give_up_all(&self) -> usize {
         let connections = self.connections.borrow();
-        connections.values().for_each(|state| state.close());
+        connections.values().for_each(|state| state.give_up());
         connections.values().filter(|state| state.idle_since().is_none()).count()
     }
 
+    /// Closes all.
+    pub(super) fn close_all(&self) {
+        self.connections.borrow().values().for_each(|state| state.close());
+    }
+
     /// Waits until no connection is open.
     pub(super) async fn emptied(&self) {
         while self.len() > 0 {
--- a/system/http/src/front/server.rs
+++ b/system/http/src/front/server.rs
@@ -9,7 +9,7 @@
 
 use arc_swap::ArcSwap;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout_at, Instant};
+use tokio::time::{sleep, timeout, timeout_at, Instant};
 
 use super::connection::{drive, Shared};
 use super::limits::{RequestLimits, ServerLimits};
@@ -22,10 +22,14 @@
 /// Pause after a failed accept, which lasts as long as descriptors are short.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time to write the answers to what is not waited for any longer at the stop's deadline: one way to the client and
+/// back, with room.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
 /// How a server ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Ended {
-    /// Connections that were closed at the deadline in the midst of a request.
+    /// Connections that were in the midst of a request at the deadline: answered 504 if it was whole, else closed.
     pub abandoned: usize,
 }
 
@@ -55,10 +59,13 @@
 async fn finish(registry: &Registry, shared: &Shared, times: StopTimes) -> Ended {
     shared.closed_to_new.set(true);
     registry.wake_all();
-    match timeout_at(times.deadline, registry.emptied()).await {
-        Ok(()) => Ended { abandoned: 0 },
-        Err(_elapsed) => Ended { abandoned: registry.close_all() },
+    if timeout_at(times.deadline, registry.emptied()).await.is_ok() {
+        return Ended { abandoned: 0 };
     }
+    let abandoned = registry.give_up_all();
+    let _all_written = timeout(LAST_ANSWERS, registry.emptied()).await;
+    registry.close_all();
+    Ended { abandoned }
 }
 
 /// Takes new connections, without end.
--- a/system/http/src/front/stop.rs
+++ b/system/http/src/front/stop.rs
@@ -10,7 +10,8 @@
 pub struct StopPlan {
     /// How long new connections are still taken, as callers learn of the stop with a delay.
     pub accept_for: Duration,
-    /// When connections that are still busy are closed, from the beginning of the stop.
+    /// When requests that are still at the handler are answered 504 and other busy connections closed, from the
+    /// beginning of the stop.
     pub finish_within: Duration,
 }
 
--- a/system/node/src/edge/mod.rs
+++ b/system/node/src/edge/mod.rs
@@ -56,13 +56,14 @@
     let handler = front::serve(in_force, events.clone());
     let server = serve(listen(front_address)?, server_limits, limits, handler, stop.clone());
     let server = tokio::task::spawn_local(server);
-    let ready = Rc::clone(&shown);
+    let (ready, stopping) = (Rc::clone(&shown), stop.clone());
     let probe_limits = Arc::new(ArcSwap::from_pointee(RequestLimits::default()));
     tokio::task::spawn_local(serve(
         listen(readiness_address)?,
         ServerLimits::default(),
         probe_limits,
-        readiness(move || ready.ready.get()),
+        // From the signal on, whatever events still wait for the state's owner.
+        readiness(move || ready.ready.get() && !stopping.is_begun()),
         readiness_stop,
     ));
 
@@ -75,10 +76,10 @@
             }
         }
         log::info!("stopping: no new deliveries, clients' requests are finished");
-        drop(events.send(Event::Leaving));
         let finish_within = grace.saturating_sub(STOP_MARGIN);
         let deadline = Instant::now() + finish_within;
         stop.begin(StopPlan { accept_for: CLIENTS_COME.min(finish_within), finish_within });
+        drop(events.send(Event::Leaving));
         let _ = server.await;
         finish(&shown, deadline).await;
     };
