Read no list of addresses by a length that lies

Cause: a custom decoder of addresses told no least size, so a list of them was allocated by the length on the wire before anything was read: a frame of some 20 bytes with a right checksum asks for 137 GB, and the process aborts. All other kinds derive their least size and were bounded already.

--- a/system/protocol/src/address.rs
+++ b/system/protocol/src/address.rs
@@ -10,6 +10,8 @@
 
 const FAMILY_V4: u8 = 4;
 const FAMILY_V6: u8 = 6;
+/// Bytes of the shortest address: family, octets of IPv4, port.
+const LEAST_BYTES: usize = 1 + 4 + 2;
 
 impl fmt::Display for Address {
     fn fmt(&self, out: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -34,6 +36,11 @@
         let port: u16 = reader.read_value()?;
         Ok(Address(SocketAddr::new(ip, port)))
     }
+
+    /// Without it, a list of addresses with a lying length would be allocated before it is read.
+    fn minimum_bytes_needed() -> usize {
+        LEAST_BYTES
+    }
 }
 
 impl<C: Context> Writable<C> for Address {
