--- a/system/settings/tests/arbitrary.rs
+++ b/system/settings/tests/arbitrary.rs
@@ -24,6 +24,9 @@
     "---",
 ];
 
+/// Levels of nesting, deeper than any file needs.
+const DEPTH: usize = 100_000;
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: 512, failure_persistence: None, ..ProptestConfig::default() })]
 
@@ -40,3 +43,26 @@
         prop_assert!(Settings::parse(&text, Path::new("local.yaml")).is_err());
     }
 }
+
+/// Files that are small and would be large, or deep, once read.
+#[test]
+fn files_that_unfold_end_in_an_error() {
+    let aliases = (1..30).map(|level| {
+        let before = level - 1;
+        format!(
+            "k{level}: &a{level} [*a{before}, *a{before}, *a{before}, *a{before}, *a{before}, *a{before}]\n"
+        )
+    });
+    let aliases: String = std::iter::once("k0: &a0 [x, x, x, x]\n".to_owned()).chain(aliases).collect();
+    let files = [
+        aliases,
+        "[".repeat(DEPTH),
+        "{a: ".repeat(DEPTH),
+        (0..DEPTH / 100).map(|depth| format!("{}a:\n", " ".repeat(depth))).collect(),
+        "- ".repeat(DEPTH),
+    ];
+    for text in files {
+        let read = Settings::parse(&text, Path::new("local.yaml"));
+        assert!(read.is_err(), "{}", &text[..40]);
+    }
+}
