Look each second for messages that lie though nothing holds them back

Cause: a dispatcher that lives and forgot a call-back kept its receiver's place for ever, so that receivers with few places got nothing more from a store; and a ceiling that rose left the next message to the permit time of the old rate (at 0.05 a second: twenty seconds).

Change: a watchdog in the store's state machine finds what is due and waits for no delay, key, ceiling, credit or disk, puts it on its way and tells the shell, which counts and logs it. Call-backs of which a dispatcher says nothing for ten seconds are granted anew. The permit's time is brought forward when the rate rises.

Seen failing with the mechanism off: what_a_dispatcher_that_lives_forgot_is_ called_back_all_the_same, a_forgotten_call_back_that_is_done_after_all_is_over, a_rate_that_rises_does_not_leave_the_next_message_to_the_old_ones_time.

--- a/system/node/src/storage/host.rs
+++ b/system/node/src/storage/host.rs
@@ -81,6 +81,8 @@
     /// The disk has no room for new messages.
     disk_short: bool,
     full_retry_after_ms: u32,
+    /// Messages that were found lying though nothing held them back.
+    strays: u64,
     output: Vec<Output>,
 }
 
@@ -125,6 +127,7 @@
             serving,
             disk_short: false,
             full_retry_after_ms,
+            strays: 0,
             output: Vec::new(),
         }
     }
@@ -345,6 +348,10 @@
                 self.filled.add(shard);
                 self.heartbeat_at = 0;
             }
+            Output::Stray { id, cause } => {
+                self.strays += 1;
+                log::warn!("{id} lay though nothing held it back ({cause:?}); {} so far", self.strays);
+            }
             Output::Released { id } => self.disk.release(id),
         }
     }
--- a/system/queue/src/api.rs
+++ b/system/queue/src/api.rs
@@ -67,6 +67,23 @@
     Tick,
 }
 
+/// Why a message lay though nothing held it back. Each is a mistake of this or another process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StrayCause {
+    /// A dispatcher had room for it, and its service was not looked at.
+    NotGranted,
+    /// It was in no queue.
+    NotScheduled,
+    /// Its wait was over.
+    NotWoken,
+    /// Its lease was held by no dispatcher that is known.
+    LeaseForgotten,
+    /// Its call-back was in no queue.
+    CallbackNotOwed,
+    /// A dispatcher did not say how its call-back ended.
+    CallbackForgotten,
+}
+
 /// An action for the shell. Actions are to be carried out in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -90,6 +107,11 @@
     CaughtUp {
         shard: ShardId,
     },
+    /// The message lay though nothing held it back, and is on its way again: to be counted and logged.
+    Stray {
+        id: MessageId,
+        cause: StrayCause,
+    },
     /// Nothing on the disk about this message is needed any more.
     Released {
         id: MessageId,
--- a/system/queue/src/callback_flow.rs
+++ b/system/queue/src/callback_flow.rs
@@ -40,7 +40,7 @@
         let Some(dispatcher) = self.callback_dispatcher(id) else { return false };
         let Some(connection) = self.dispatchers.connection_of(dispatcher) else { return false };
         let Some(token) = self.token(id) else { return false };
-        self.callbacks.take(id, CallbackLease { dispatcher, token });
+        self.callbacks.take(id, CallbackLease { dispatcher, token, granted_at: self.now });
         if let Some(life) = self.dispatchers.get_mut(dispatcher) {
             life.callbacks.insert(id);
         }
@@ -129,7 +129,7 @@
         }
     }
 
-    fn forget_callback_lease(&mut self, id: MessageId) {
+    pub(crate) fn forget_callback_lease(&mut self, id: MessageId) {
         let lease = self.callbacks.lease(id);
         if let Some(life) = lease.and_then(|lease| self.dispatchers.get_mut(lease.dispatcher)) {
             life.callbacks.remove(&id);
--- a/system/queue/src/callbacks.rs
+++ b/system/queue/src/callbacks.rs
@@ -13,6 +13,7 @@
 pub(crate) struct CallbackLease {
     pub dispatcher: DispatcherId,
     pub token: LeaseToken,
+    pub granted_at: Time,
 }
 
 #[derive(Clone, Debug)]
@@ -108,6 +109,18 @@
         self.owed.get(&id)?.lease
     }
 
+    /// It is known that this call-back is owed.
+    pub fn is_owed(&self, id: MessageId) -> bool {
+        self.owed.contains_key(&id)
+    }
+
+    /// Call-backs that were granted at `before` or earlier and are out still.
+    pub fn out_since(&self, before: Time) -> Vec<MessageId> {
+        let is_old = |lease: &CallbackLease| lease.granted_at <= before;
+        let old = self.owed.iter().filter(|(_, callback)| callback.lease.as_ref().is_some_and(is_old));
+        old.map(|(id, _)| *id).collect()
+    }
+
     /// The receiver did not take it.
     pub fn failed(&mut self, id: MessageId, retry_after_ms: u32, now: Time, config: &Config) {
         let Some(callback) = self.owed.get_mut(&id) else { return };
--- a/system/queue/src/config.rs
+++ b/system/queue/src/config.rs
@@ -45,6 +45,11 @@
     pub scrub_interval_ms: u64,
     /// Messages of one shard that are compared at a time.
     pub scrub_messages: usize,
+    /// Time between two looks for messages that lie though nothing holds them back; 0 for none.
+    pub watch_interval_ms: u64,
+    /// Time after which a dispatcher that has not said how a call-back ended is taken to have forgotten it: more than
+    /// what it takes one to be done with all that it may hold for a receiver that answers.
+    pub callback_lease_ms: u64,
     /// Seed of the jitter of back-offs.
     pub seed: u64,
 }
@@ -74,6 +79,8 @@
             repair_window_bytes: 512 << 10,
             scrub_interval_ms: 5_000,
             scrub_messages: 128,
+            watch_interval_ms: 1_000,
+            callback_lease_ms: 10_000,
             seed: 0,
         }
     }
--- a/system/queue/src/dispatchers.rs
+++ b/system/queue/src/dispatchers.rs
@@ -16,6 +16,13 @@
     },
 }
 
+impl Hold {
+    /// It was to be confirmed by `at` at the latest, and was not.
+    pub fn is_over(&self, at: Time) -> bool {
+        matches!(self, Hold::Unconfirmed { until } if *until <= at)
+    }
+}
+
 /// One life of a dispatcher process.
 #[derive(Clone, Debug)]
 pub(crate) struct Life {
@@ -59,8 +66,7 @@
 
     /// Leases that were not confirmed in time.
     pub fn overdue(&self, now: Time) -> Vec<MessageId> {
-        let is_over = |hold: &Hold| matches!(hold, Hold::Unconfirmed { until } if *until <= now);
-        self.leases.iter().filter(|(_, hold)| is_over(hold)).map(|(id, _)| *id).collect()
+        self.leases.iter().filter(|(_, hold)| hold.is_over(now)).map(|(id, _)| *id).collect()
     }
 }
 
--- a/system/queue/src/grants.rs
+++ b/system/queue/src/grants.rs
@@ -144,7 +144,7 @@
     }
 
     /// Grants the first ready message of a service, if a dispatcher has room and the ceiling allows it.
-    fn grant_first(&mut self, index: ServiceIndex) -> bool {
+    pub(crate) fn grant_first(&mut self, index: ServiceIndex) -> bool {
         let now = self.now;
         let service = self.services.get_mut(index);
         let Some(key) = service.first_ready(now) else { return false };
@@ -189,7 +189,8 @@
             return true;
         }
         let next = ceiling.next();
-        if service.permit_at.is_none() {
+        // A rate that has risen brings the permit forward.
+        if service.permit_at.is_none_or(|permit_at| next < permit_at) {
             service.permit_at = Some(next);
             self.timers.set(next, Timer::Permit(index));
         }
--- a/system/queue/src/keys.rs
+++ b/system/queue/src/keys.rs
@@ -42,6 +42,15 @@
         queue.active == Some(id)
     }
 
+    /// Nothing of its key is before this message.
+    pub fn may_go(&self, key: &str, id: MessageId) -> bool {
+        let Some(queue) = self.queues.get(&id.shard).and_then(|queues| queues.get(key)) else {
+            return true;
+        };
+        let is_first = queue.waiting.first().is_some_and(|(_, first)| *first == id);
+        queue.active.map_or(is_first, |active| active == id)
+    }
+
     /// Makes a message the one on its way that a former primary had granted.
     pub fn adopt(&mut self, key: &str, id: MessageId) {
         if let Some(queue) = self.queues.get_mut(&id.shard).and_then(|queues| queues.get_mut(key)) {
--- a/system/queue/src/lib.rs
+++ b/system/queue/src/lib.rs
@@ -33,6 +33,7 @@
 //! - `callbacks`, `callback_flow`: what its end owes.
 //! - `dispatchers`, `connections`: who is connected and holds what.
 //! - `expiry`, `timers`: retention and forgetting.
+//! - `watch`: a look for what lies though nothing holds it back.
 //!
 //! # What dispatchers must keep to
 //!
@@ -71,7 +72,8 @@
 mod takeover;
 mod time;
 mod timers;
+mod watch;
 
-pub use api::{ConnectionId, DiskRecord, Input, Output, Recovered, Ticket};
+pub use api::{ConnectionId, DiskRecord, Input, Output, Recovered, StrayCause, Ticket};
 pub use config::Config;
 pub use node::StoreNode;
--- a/system/queue/src/node.rs
+++ b/system/queue/src/node.rs
@@ -46,6 +46,10 @@
     pub(crate) dispatchers: Dispatchers,
     pub(crate) callbacks: Callbacks,
     pub(crate) dumps: BTreeMap<(StoreId, ShardId), Dump>,
+    /// The watchdog is to look once all other timers that are due have gone off.
+    watch_due: bool,
+    /// The message that the watchdog looked at last.
+    pub(crate) watched: Option<MessageId>,
     pub(crate) silence_at: Option<Time>,
     pub(crate) random: fastrand::Rng,
     leaving: bool,
@@ -82,12 +86,15 @@
             dispatchers: Dispatchers::default(),
             callbacks: Callbacks::default(),
             dumps: BTreeMap::new(),
+            watch_due: false,
+            watched: None,
             silence_at: None,
             random,
             leaving: false,
         };
         node.recover(recovered);
         node.set_scrub_timer();
+        node.set_watch_timer();
         node
     }
 
@@ -112,6 +119,11 @@
         self.now = self.now.max(Time::from_steady(now_ms));
         self.fire_timers();
         self.settle();
+        // After all that was due: a process that was halted finds many timers due at once.
+        if std::mem::take(&mut self.watch_due) {
+            self.watch();
+            self.settle();
+        }
         self.take(input);
         self.settle();
         out.append(&mut self.out);
@@ -155,6 +167,7 @@
                 Timer::Silence => self.close_silent(),
                 Timer::Piece(store, shard) => self.send_piece(store, shard),
                 Timer::Scrub => self.scrub(),
+                Timer::Watch => self.watch_due = true,
             }
         }
     }
--- a/system/queue/src/table.rs
+++ b/system/queue/src/table.rs
@@ -4,6 +4,7 @@
 use crate::time::Time;
 use millrudder_protocol::{MessageId, ShardId};
 use std::collections::BTreeMap;
+use std::ops::Bound;
 
 /// All messages that this store knows, by name.
 #[derive(Clone, Debug, Default)]
@@ -54,6 +55,17 @@
         self.entries.range(first..=last).map(|(_, entry)| entry.as_ref())
     }
 
+    /// Names of all messages behind `after`, in order.
+    pub fn ids_after(&self, after: Option<MessageId>) -> impl Iterator<Item = MessageId> + '_ {
+        let from = after.map_or(Bound::Unbounded, Bound::Excluded);
+        self.entries.range((from, Bound::Unbounded)).map(|(id, _)| *id)
+    }
+
+    /// Messages that are known, live or not.
+    pub fn count(&self) -> u64 {
+        u64::try_from(self.entries.len()).unwrap_or(u64::MAX)
+    }
+
     pub fn ids(&self) -> impl Iterator<Item = MessageId> + '_ {
         self.entries.keys().copied()
     }
--- a/system/queue/src/timers.rs
+++ b/system/queue/src/timers.rs
@@ -22,6 +22,8 @@
     Silence,
     /// Compare the next messages with what replicas know of them.
     Scrub,
+    /// Look for messages that lie though nothing holds them back.
+    Watch,
     /// The next piece of a shard's states goes to its new primary.
     Piece(StoreId, ShardId),
 }
--- a/system/queue/tests/call_backs.rs
+++ b/system/queue/tests/call_backs.rs
@@ -5,8 +5,8 @@
 use millrudder_protocol::message::{End, Message};
 use millrudder_protocol::store::{AttemptOutcome, FromDispatcher, ToDispatcher};
 use millrudder_protocol::{LeaseToken, MessageId};
-use millrudder_queue::{ConnectionId, Input};
-use wired::{message, Wired};
+use millrudder_queue::{Config, ConnectionId, Input, StrayCause};
+use wired::{message, Stray, Wired};
 
 #[derive(Clone, Debug, PartialEq)]
 struct Call {
@@ -168,3 +168,47 @@
     let calls = take_calls(&mut wired);
     assert_eq!((calls[0].id, &calls[0].end), (id, &End::DeadLetter));
 }
+
+/// Moves on while the dispatcher shows that it lives.
+fn advance_alive(wired: &mut Wired, ms: u64) {
+    for _ in 0..ms / 100 {
+        wired.advance(100);
+        wired.say(0, 1, FromDispatcher::Ping);
+    }
+}
+
+#[test]
+fn what_a_dispatcher_that_lives_forgot_is_called_back_all_the_same() {
+    let mut wired = one_store();
+    let forgotten: Vec<MessageId> = (0..2).map(|_| complete(&mut wired, owing("r"))).collect();
+    assert_eq!(take_calls(&mut wired).len(), 2);
+    let behind = complete(&mut wired, owing("r"));
+    let lease_ms = Config::default().callback_lease_ms;
+    advance_alive(&mut wired, lease_ms - 1_000);
+    assert!(take_calls(&mut wired).is_empty(), "two are under way, as far as is known");
+    advance_alive(&mut wired, 2_500);
+    let mut called: Vec<MessageId> = Vec::new();
+    for _ in 0..3 {
+        for call in take_calls(&mut wired) {
+            report(&mut wired, &call, true);
+            called.push(call.id);
+        }
+    }
+    assert!(forgotten.iter().chain([&behind]).all(|id| called.contains(id)), "{called:?}");
+    let stray = |id: &MessageId| Stray { id: *id, cause: StrayCause::CallbackForgotten };
+    assert!(forgotten.iter().all(|id| wired.strays.contains(&stray(id))), "{:?}", wired.strays);
+    assert_eq!(wired.strays.len(), 2);
+}
+
+#[test]
+fn a_forgotten_call_back_that_is_done_after_all_is_over() {
+    let mut wired = one_store();
+    let id = complete(&mut wired, owing("r"));
+    let first = take_calls(&mut wired).remove(0);
+    advance_alive(&mut wired, Config::default().callback_lease_ms + 1_500);
+    assert_eq!(take_calls(&mut wired).len(), 1);
+    report(&mut wired, &first, true);
+    assert!(wired.state(0, id).unwrap().callback_done);
+    advance_alive(&mut wired, 15_000);
+    assert!(take_calls(&mut wired).is_empty());
+}
--- a/system/queue/tests/ceilings.rs
+++ b/system/queue/tests/ceilings.rs
@@ -138,3 +138,15 @@
         prop_assert!(most_in_window(&starts(&wired)) as f64 <= most);
     }
 }
+
+#[test]
+fn a_rate_that_rises_does_not_leave_the_next_message_to_the_old_ones_time() {
+    let mut wired = rated_store(0.05);
+    wired.accept(0, 1, message(), true);
+    advance(&mut wired, 500);
+    assert!(wired.grants.is_empty());
+    wired.rate(0, "service", 20.0);
+    advance(&mut wired, 300);
+    assert_eq!(wired.grants.len(), 1, "its permit was twenty seconds away, and is a twentieth now");
+    assert!(wired.strays.is_empty());
+}
--- a/system/queue/tests/cluster/mod.rs
+++ b/system/queue/tests/cluster/mod.rs
@@ -22,7 +22,7 @@
 use millrudder_protocol::{DispatcherId, LeaseToken, MessageId, ShardId, StoreId};
 use millrudder_queue::{Config, ConnectionId, Input};
 use std::collections::BTreeMap;
-use stores::Store;
+use stores::{Store, Stray};
 
 /// Time between two looks of a dispatcher or of the manager.
 const TICK_MS: u64 = 100;
@@ -101,6 +101,8 @@
     pub faults_until_ms: u64,
     pub wiped_at_ms: Option<u64>,
     pub clients_until_ms: u64,
+    /// What stores found lying.
+    pub strays: Vec<Stray>,
     pub trace: bool,
     events: BTreeMap<(u64, u64), Event>,
     order: u64,
@@ -128,6 +130,7 @@
             faults_until_ms: 0,
             wiped_at_ms: None,
             clients_until_ms: 0,
+            strays: Vec::new(),
             trace: std::env::var("TRACE").is_ok(),
             events: BTreeMap::new(),
             order: 0,
--- a/system/queue/tests/cluster/stores.rs
+++ b/system/queue/tests/cluster/stores.rs
@@ -4,7 +4,7 @@
 use super::links::{End, LinkId};
 use super::{Cluster, Event, Options, Payload};
 use millrudder_protocol::{MessageId, ShardId, StoreId};
-use millrudder_queue::{Input, Output, StoreNode};
+use millrudder_queue::{Input, Output, StoreNode, StrayCause};
 use std::collections::BTreeSet;
 
 /// Names of stores begin here, so that they are no indexes by chance.
@@ -12,6 +12,14 @@
 /// A store that was wiped gets its old name and this much more.
 const NEXT_DISK: u64 = 100;
 
+/// A message that a store found lying.
+#[derive(Clone, Copy, Debug)]
+pub struct Stray {
+    pub at_ms: u64,
+    pub id: MessageId,
+    pub cause: StrayCause,
+}
+
 /// One store machine.
 pub struct Store {
     pub id: StoreId,
@@ -141,6 +149,7 @@
             Output::CaughtUp { shard } => {
                 self.stores[index].caught_up.insert(shard);
             }
+            Output::Stray { id, cause } => self.strays.push(Stray { at_ms: self.now_ms, id, cause }),
             Output::Released { id } => {
                 self.stores[index].released.insert(id);
             }
--- a/system/queue/tests/simulation.rs
+++ b/system/queue/tests/simulation.rs
@@ -60,6 +60,7 @@
 }
 
 fn check_end(cluster: &Cluster) {
+    assert!(cluster.strays.is_empty(), "lay though nothing held them back: {:?}", cluster.strays);
     let mut unended = Vec::new();
     for (id, truth) in &cluster.ledger.messages {
         let state = state_of(cluster, *id);
--- a/system/queue/tests/wired/mod.rs
+++ b/system/queue/tests/wired/mod.rs
@@ -11,7 +11,9 @@
 use millrudder_protocol::{
     Address, DispatcherId, Epoch, LeaseToken, MessageId, RequestNumber, ShardId, StoreId,
 };
-use millrudder_queue::{Config, ConnectionId, DiskRecord, Input, Output, Recovered, StoreNode, Ticket};
+use millrudder_queue::{
+    Config, ConnectionId, DiskRecord, Input, Output, Recovered, StoreNode, StrayCause, Ticket,
+};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -28,6 +30,13 @@
     pub at_ms: u64,
 }
 
+/// A message that a store found lying.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stray {
+    pub id: MessageId,
+    pub cause: StrayCause,
+}
+
 /// One store of the harness.
 pub struct Place {
     pub node: Option<StoreNode>,
@@ -52,6 +61,7 @@
     pub closed: Vec<ConnectionId>,
     pub released: BTreeSet<MessageId>,
     pub caught_up: Vec<(usize, ShardId)>,
+    pub strays: Vec<Stray>,
     /// Messages between stores so far.
     pub writes: u64,
     links_down: BTreeSet<(usize, usize)>,
@@ -100,6 +110,7 @@
             closed: Vec::new(),
             released: BTreeSet::new(),
             caught_up: Vec::new(),
+            strays: Vec::new(),
             writes: 0,
             links_down: BTreeSet::new(),
             queue: VecDeque::new(),
@@ -239,6 +250,7 @@
             }
             Output::CloseDispatcher { connection } => self.closed.push(connection),
             Output::CaughtUp { shard } => self.caught_up.push((index, shard)),
+            Output::Stray { id, cause } => self.strays.push(Stray { id, cause }),
             Output::Released { id } => {
                 self.released.insert(id);
             }
