--- a/system/http/tests/pool.rs
+++ b/system/http/tests/pool.rs
@@ -9,6 +9,8 @@
 use tokio::task::{spawn_local, JoinHandle};
 
 const LONG: Duration = Duration::from_secs(10);
+/// Such connections are not closed because they are idle while a test runs.
+const LONG_IDLE: &str = "Keep-Alive: timeout=60\r\n";
 
 fn client() -> Client {
     Client::new(ClientLimits::default())
@@ -243,7 +245,7 @@
         for request_id in ["id-2", "id-3"] {
             let sent = send(&client, worker.target(), request_id);
             let mut peer = worker.accept().await;
-            answer(&mut peer, request_id, "").await;
+            answer(&mut peer, request_id, LONG_IDLE).await;
             assert!(sent.await.unwrap().unwrap().complete);
             peer.closed().await;
         }
@@ -259,7 +261,7 @@
         peer.read_message().await.unwrap();
         peer.write(worker_answer("id-0", "")).await;
         assert_eq!(sent.await.unwrap(), Err(SendError::Garbled));
-        let mut peer = first_exchange(&client, &worker, "").await;
+        let mut peer = first_exchange(&client, &worker, LONG_IDLE).await;
         peer.closed().await;
         let other = TestWorker::start().await;
         let mut peer = first_exchange(&client, &other, "").await;
