--- a/system/intake/tests/intake.rs
+++ b/system/intake/tests/intake.rs
@@ -20,12 +20,8 @@
         address: Address(([127, 0, 0, 1], 7000).into()),
         alive: true,
     };
-    let shard = |primary| ShardEntry {
-        primary,
-        replicas: vec![HERE, THERE, FAR],
-        learners: Vec::new(),
-        since: Epoch(epoch),
-    };
+    let shard =
+        |primary| ShardEntry { primary, replicas: vec![HERE, THERE, FAR], change: None, since: Epoch(epoch) };
     Placement {
         epoch: Epoch(epoch),
         tolerated_losses: 1,
--- a/system/node/src/core/host/commits.rs
+++ b/system/node/src/core/host/commits.rs
@@ -73,7 +73,7 @@
         if placement.epoch.0 > self.followed_epoch {
             let placement = placement.clone();
             self.followed_epoch = placement.epoch.0;
-            let filled: usize = placement.shards.iter().map(|shard| shard.learners.len()).sum();
+            let filled = placement.shards.iter().filter(|shard| shard.change.is_some()).count();
             log::info!("placement {} is in force, {filled} replicas are being filled", placement.epoch.0);
             self.manage(PlacementInput::Committed(placement));
         }
--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -113,7 +113,8 @@
         events: UnboundedSender<Event>,
     ) -> Self {
         let seed = crate::clock::seed();
-        let mut manager = PlacementManager::new(settings.fault_tolerance.machines);
+        let catch_up_ms = settings.bounds.catch_up.as_millis() as u64;
+        let mut manager = PlacementManager::new(settings.fault_tolerance.machines).with_catch_up(catch_up_ms);
         manager.handle(0, PlacementInput::Committed(node.machine().placement().clone()));
         CoreHost {
             clock: SteadyClock::start(),
--- a/system/node/src/storage/host.rs
+++ b/system/node/src/storage/host.rs
@@ -9,6 +9,7 @@
 use millrudder_configuration::Configuration;
 use millrudder_contact::Freshness;
 use millrudder_protocol::control::{FromCore, Registrant, ToCore};
+use millrudder_protocol::placement::{Placement, ShardEntry};
 use millrudder_protocol::store::{
     BetweenStores, FromDispatcher, NotAccepted, ServiceRate, ToDispatcher, ToStore,
 };
@@ -76,8 +77,10 @@
     me: StoreId,
     filled: Filled,
     heartbeat_at: u64,
-    /// Shards that this store leads, as of its last heartbeat.
-    serving: Rc<Cell<u32>>,
+    /// Shards that this store leads, or hands over to a learner, as of its last heartbeat.
+    needed: Rc<Cell<u32>>,
+    /// Shards in which another store is being filled to take this one's place.
+    handing_over: u32,
     /// The disk has no room for new messages.
     disk_short: bool,
     full_retry_after_ms: u32,
@@ -91,7 +94,7 @@
         internal: SocketAddr,
         events: UnboundedSender<Event>,
         reports: UnboundedSender<Report>,
-        serving: Rc<Cell<u32>>,
+        needed: Rc<Cell<u32>>,
     ) -> Self {
         let me = opened.id;
         let seed = crate::clock::seed();
@@ -122,7 +125,8 @@
             me,
             filled: Filled::default(),
             heartbeat_at: 0,
-            serving,
+            needed,
+            handing_over: 0,
             disk_short: false,
             full_retry_after_ms,
             output: Vec::new(),
@@ -174,7 +178,7 @@
         if self.heartbeat_at <= now {
             self.heartbeat_at = now + HEARTBEAT_MS;
             let health = self.node.health(now);
-            self.serving.set(health.serving);
+            self.needed.set(health.serving + self.handing_over);
             self.control.tell_all(&ToCore::Heartbeat { health: Some(health) });
             if let Some(shards) = self.filled.due(now) {
                 self.control.tell_all(&ToCore::CaughtUp { shards });
@@ -290,6 +294,7 @@
                 self.control.hold(self.held);
                 self.links.follow(&placement);
                 self.filled.follow(&placement, self.me);
+                self.handing_over = handing_over(&placement, self.me);
                 self.give(Input::Placement(placement));
                 // The core learns at once which shards have gone.
                 self.heartbeat_at = 0;
@@ -341,8 +346,8 @@
                     outbox.close();
                 }
             }
-            Output::CaughtUp { shard } => {
-                self.filled.add(shard);
+            Output::CaughtUp { filled } => {
+                self.filled.add(filled);
                 self.heartbeat_at = 0;
             }
             Output::Released { id } => self.disk.release(id),
@@ -367,6 +372,12 @@
     }
 }
 
+/// Shards in which another store is being filled to take the place of `store`.
+fn handing_over(placement: &Placement, store: StoreId) -> u32 {
+    let leaves = |shard: &&ShardEntry| shard.change.is_some_and(|change| change.leaves == Some(store));
+    u32::try_from(placement.shards.iter().filter(leaves).count()).unwrap_or(u32::MAX)
+}
+
 fn config(settings: &Settings, seed: u64) -> Config {
     let memory = settings.limits.memory_bytes as f64 * MEMORY_SHARE;
     let disk = settings.limits.disk_bytes as f64 * DISK_SHARE;
--- a/system/node/src/storage/mod.rs
+++ b/system/node/src/storage/mod.rs
@@ -26,7 +26,7 @@
 
 /// What a stopping store leaves of the time that the platform gives it.
 const STOP_MARGIN: Duration = Duration::from_millis(700);
-/// How often a stopping store looks whether others have taken its shards.
+/// How often a stopping store looks whether others have taken its shards and places.
 const STOP_LOOK: Duration = Duration::from_millis(20);
 /// Pauses between tries to use a disk that has failed.
 const REOPEN_FIRST: Duration = Duration::from_millis(500);
@@ -46,9 +46,8 @@
     let opened = open(&folder, &settings)?;
     accept(listen(internal)?, events.clone());
     let grace = settings.bounds.grace;
-    let serving = Rc::new(Cell::new(u32::MAX));
-    let machine =
-        Machine { settings, folder, internal, events: events.clone(), serving: Rc::clone(&serving) };
+    let needed = Rc::new(Cell::new(u32::MAX));
+    let machine = Machine { settings, folder, internal, events: events.clone(), needed: Rc::clone(&needed) };
 
     let watched = async {
         loop {
@@ -60,7 +59,7 @@
         log::info!("stopping: shards go to other stores");
         drop(events.send(Event::Leaving));
         let deadline = Instant::now() + grace.saturating_sub(STOP_MARGIN);
-        while serving.get() > 0 && Instant::now() < deadline {
+        while needed.get() > 0 && Instant::now() < deadline {
             sleep(STOP_LOOK).await;
         }
         sleep(STOP_LINGER).await;
@@ -83,8 +82,8 @@
     folder: PathBuf,
     internal: SocketAddr,
     events: UnboundedSender<Event>,
-    /// Shards that this store leads.
-    serving: Rc<Cell<u32>>,
+    /// Shards that this store leads, or hands over to a learner.
+    needed: Rc<Cell<u32>>,
 }
 
 impl Machine {
@@ -93,9 +92,9 @@
     async fn serve(&self, mut opened: disk::Opened, mut queue: UnboundedReceiver<Event>) {
         loop {
             let (reports, mut reported) = unbounded_channel();
-            let serving = Rc::clone(&self.serving);
+            let needed = Rc::clone(&self.needed);
             let mut host =
-                StoreHost::new(opened, &self.settings, self.internal, self.events.clone(), reports, serving);
+                StoreHost::new(opened, &self.settings, self.internal, self.events.clone(), reports, needed);
             let ended = host.run(&mut queue, &mut reported).await;
             host.disconnect();
             drop(host);
--- a/system/placement/src/founding.rs
+++ b/system/placement/src/founding.rs
@@ -3,7 +3,7 @@
 use crate::health::Seen;
 use millrudder_protocol::placement::{Placement, ShardEntry, StoreEntry};
 use millrudder_protocol::{Epoch, StoreId};
-use std::collections::BTreeSet;
+use std::collections::BTreeMap;
 
 /// Shards for each store at the founding: so many that a lost store's part is spread evenly over the others.
 const SHARDS_A_STORE: usize = 8;
@@ -20,9 +20,13 @@
 pub fn found(stores: &[&Seen], tolerated_losses: u32) -> Placement {
     let count = (SHARDS_A_STORE * stores.len()).clamp(FEWEST_SHARDS, MOST_SHARDS);
     let epoch = Epoch(1);
+    let mut load: BTreeMap<StoreId, usize> = BTreeMap::new();
     let shards = (0..count).map(|number| {
-        let replicas = spread(stores, number, replicas_wanted(tolerated_losses));
-        ShardEntry { primary: replicas[0], replicas, learners: Vec::new(), since: epoch }
+        let replicas = spread(stores, number, replicas_wanted(tolerated_losses), &load);
+        for store in &replicas {
+            *load.entry(*store).or_default() += 1;
+        }
+        ShardEntry { primary: replicas[0], replicas, change: None, since: epoch }
     });
     let shards = if stores.is_empty() { Vec::new() } else { shards.collect() };
     Placement { epoch, tolerated_losses, stores: stores.iter().map(|seen| entry(seen)).collect(), shards }
@@ -39,8 +43,8 @@
 }
 
 /// `wanted` stores for shard `number`: the first in turn, the others after it in an order that differs from shard to
-/// shard, other zones first.
-fn spread(stores: &[&Seen], number: usize, wanted: usize) -> Vec<StoreId> {
+/// shard; other zones first, then those that hold least.
+fn spread(stores: &[&Seen], number: usize, wanted: usize, load: &BTreeMap<StoreId, usize>) -> Vec<StoreId> {
     let count = stores.len();
     let (first, round) = (number % count, number / count);
     let mut order: Vec<&Seen> = (0..count).map(|step| stores[(first + step) % count]).collect();
@@ -48,17 +52,12 @@
     if count > 2 {
         order[1..].rotate_left(round % (count - 1));
     }
-    let mut chosen: Vec<StoreId> = Vec::new();
-    let mut zones: BTreeSet<&str> = BTreeSet::new();
-    for seen in &order {
-        if chosen.len() < wanted && zones.insert(&seen.zone) {
-            chosen.push(seen.id);
-        }
-    }
-    for seen in &order {
-        if chosen.len() < wanted && !chosen.contains(&seen.id) {
-            chosen.push(seen.id);
-        }
+    let mut chosen = vec![order.remove(0)];
+    while chosen.len() < wanted && !order.is_empty() {
+        let has_zone = |seen: &Seen| chosen.iter().any(|other| other.zone == seen.zone);
+        let rank = |at: &usize| (has_zone(order[*at]), load.get(&order[*at].id).copied().unwrap_or(0));
+        let Some(next) = (0..order.len()).min_by_key(rank) else { break };
+        chosen.push(order.remove(next));
     }
-    chosen
+    chosen.into_iter().map(|seen| seen.id).collect()
 }
--- a/system/placement/src/health.rs
+++ b/system/placement/src/health.rs
@@ -20,17 +20,24 @@
     pub address: Address,
     health: StoreHealth,
     heard: u64,
+    /// When it registered first.
+    first_seen: u64,
     /// Since when it has been well without a break.
     well_since: Option<u64>,
+    /// Since when it has been unwell without a break.
+    unwell_since: Option<u64>,
     /// It has been unwell since this manager watches.
     has_failed: bool,
 }
 
 impl Seen {
+    fn is_silent(&self, now: u64) -> bool {
+        now.saturating_sub(self.heard) >= SILENT_MS
+    }
+
     /// It can serve as a primary now.
     fn is_well(&self, now: u64) -> bool {
-        let silent = now.saturating_sub(self.heard) >= SILENT_MS;
-        !silent && self.health.oldest_unsynced_ms < STALLED_MS && !self.health.leaving
+        !self.is_silent(now) && self.health.oldest_unsynced_ms < STALLED_MS && !self.health.leaving
     }
 }
 
@@ -49,21 +56,33 @@
             address,
             health: StoreHealth::default(),
             heard: now,
+            first_seen: now,
             well_since: Some(now),
+            unwell_since: None,
             has_failed: false,
         };
-        let before = self.seen.get(&id);
-        let has_failed = before.is_some_and(|before| before.has_failed);
-        let well_since = before.map_or(Some(now), |before| before.well_since);
-        self.seen.insert(id, Seen { has_failed, well_since, ..fresh });
+        let seen = match self.seen.get(&id) {
+            None => fresh,
+            // What it said last holds until it says more: one that stops may only have connected anew.
+            Some(before) => Seen {
+                health: before.health,
+                first_seen: before.first_seen,
+                well_since: before.well_since,
+                unwell_since: before.unwell_since,
+                has_failed: before.has_failed,
+                ..fresh
+            },
+        };
+        self.seen.insert(id, seen);
     }
 
-    pub fn heartbeat(&mut self, now: u64, id: StoreId, health: StoreHealth) {
+    /// Notes a heartbeat; true if anybody has become unwell or well.
+    pub fn heartbeat(&mut self, now: u64, id: StoreId, health: StoreHealth) -> bool {
         if let Some(seen) = self.seen.get_mut(&id) {
             seen.heard = now;
             seen.health = health;
         }
-        self.judge(now);
+        self.judge(now)
     }
 
     /// Notes who has become unwell or well; true if anything changed.
@@ -73,11 +92,13 @@
             match (seen.is_well(now), seen.well_since) {
                 (false, Some(_)) => {
                     seen.well_since = None;
+                    seen.unwell_since = Some(if seen.is_silent(now) { seen.heard } else { now });
                     seen.has_failed = true;
                     changed = true;
                 }
                 (true, None) => {
                     seen.well_since = Some(now);
+                    seen.unwell_since = None;
                     changed = true;
                 }
                 _ => {}
@@ -108,6 +129,36 @@
         seen.is_well(now) && (long || !seen.has_failed)
     }
 
+    /// For how long (ms) it has been unwell; 0 while it is well. One that never registered counts from `watched_since`.
+    pub fn unwell_ms(&self, now: u64, id: StoreId, watched_since: u64) -> u64 {
+        if self.is_well(now, id) {
+            return 0;
+        }
+        let since = self.seen.get(&id).map_or(watched_since, |seen| seen.unwell_since.unwrap_or(seen.heard));
+        now.saturating_sub(since)
+    }
+
+    /// Since when it has been well without a break.
+    pub fn well_since(&self, id: StoreId) -> Option<u64> {
+        self.seen.get(&id).and_then(|seen| seen.well_since)
+    }
+
+    /// Its process was told to stop, and still serves.
+    pub fn is_leaving(&self, now: u64, id: StoreId) -> bool {
+        self.seen.get(&id).is_some_and(|seen| seen.health.leaving && !seen.is_silent(now))
+    }
+
+    /// When it registered first, as far as this manager knows.
+    pub fn first_seen(&self, id: StoreId) -> Option<u64> {
+        self.seen.get(&id).map(|seen| seen.first_seen)
+    }
+
+    /// Its machine has another disk now: this one never comes back.
+    pub fn is_gone(&self, now: u64, id: StoreId, name: &str) -> bool {
+        let is_successor = |seen: &Seen| seen.id != id && seen.name == name;
+        !self.is_well(now, id) && self.seen.values().any(|seen| is_successor(seen) && seen.is_well(now))
+    }
+
     pub fn get(&self, id: StoreId) -> Option<&Seen> {
         self.seen.get(&id)
     }
--- a/system/placement/src/manager.rs
+++ b/system/placement/src/manager.rs
@@ -1,21 +1,32 @@
 //! Watches stores and proposes placements while it holds the lease.
 
-use crate::arrange::{self, CaughtUp};
+use crate::arrange;
 use crate::founding;
 use crate::health::{Seen, Stores};
-use millrudder_protocol::control::StoreHealth;
-use millrudder_protocol::placement::{Placement, ShardEntry};
-use millrudder_protocol::{Address, ShardId, StoreId};
+use crate::knowledge::{CaughtUp, Knowledge, Patience, Report};
+use millrudder_protocol::control::{FilledShard, StoreHealth};
+use millrudder_protocol::placement::Placement;
+use millrudder_protocol::{Address, StoreId};
+use std::collections::BTreeSet;
 
 /// The first placement waits until no new store has come for so long (ms) ...
 const FOUNDING_CALM_MS: u64 = 1000;
 /// ... and, where there are fewer stores than a shard has replicas, for so long (ms).
 const FOUNDING_PATIENCE_MS: u64 = 5000;
-/// A new lease holder first listens for so long (ms): stores that it has not heard yet are not dead.
+/// A new lease holder that does not know all stores first listens for so long (ms): those that it has not heard yet
+/// are not dead.
 const LISTEN_MS: u64 = 700;
+/// While stores connect, others may be about to: no store is called dead for so long (ms) after a registration by a
+/// lease holder that has just begun.
+const CONNECTING_MS: u64 = 300;
 /// A proposal without an outcome is made again after so long (ms).
 const AGAIN_MS: u64 = 400;
 
+/// Heartbeats that tell nothing new lead to a decision this often (ms).
+const DECIDE_EVERY_MS: u64 = 50;
+/// Time (ms) in which a replaced store must hold all again, where the settings name none.
+const CATCH_UP_MS: u64 = 4500;
+
 /// What happened.
 #[derive(Clone, Debug)]
 pub enum Input {
@@ -32,8 +43,10 @@
     },
     CaughtUp {
         id: StoreId,
-        shards: Vec<ShardId>,
+        shards: Vec<FilledShard>,
     },
+    /// Names of the machines that are to be emptied, or were, by the state in force.
+    Retiring(BTreeSet<String>),
     /// The placement in force.
     Committed(Placement),
     /// This machine holds the lease, or not any more.
@@ -48,10 +61,15 @@
     stores: Stores,
     current: Placement,
     caught_up: CaughtUp,
+    retiring: BTreeSet<String>,
+    patience: Patience,
     leading_since: Option<u64>,
     last_newcomer: u64,
+    last_registered: u64,
     first_newcomer: Option<u64>,
     proposed: Option<u64>,
+    /// When it was last worked out what should change.
+    decided: u64,
 }
 
 impl PlacementManager {
@@ -62,13 +80,24 @@
             stores: Stores::default(),
             current: Placement::default(),
             caught_up: CaughtUp::default(),
+            retiring: BTreeSet::new(),
+            patience: Patience::from_catch_up(CATCH_UP_MS),
             leading_since: None,
             last_newcomer: 0,
+            last_registered: 0,
             first_newcomer: None,
             proposed: None,
+            decided: 0,
         }
     }
 
+    /// `catch_up_ms`: time in which a replaced store must hold all again.
+    #[must_use]
+    pub fn with_catch_up(mut self, catch_up_ms: u64) -> Self {
+        self.patience = Patience::from_catch_up(catch_up_ms);
+        self
+    }
+
     /// Takes an input in; the placement returned is to be submitted.
     pub fn handle(&mut self, now: u64, input: Input) -> Option<Placement> {
         match input {
@@ -77,17 +106,22 @@
                     self.last_newcomer = now;
                     self.first_newcomer.get_or_insert(now);
                 }
+                self.last_registered = now;
                 self.stores.registered(now, id, name, zone, address);
             }
-            Input::Heartbeat { id, health } => self.stores.heartbeat(now, id, health),
-            Input::CaughtUp { id, shards } => {
-                self.caught_up.extend(shards.into_iter().map(|shard| (shard, id)));
+            Input::Heartbeat { id, health } => {
+                let changed = self.stores.heartbeat(now, id, health);
+                if !changed && now.saturating_sub(self.decided) < DECIDE_EVERY_MS {
+                    return None;
+                }
             }
+            Input::CaughtUp { id, shards } => self.caught_up(now, id, &shards),
+            Input::Retiring(names) => self.retiring = names,
             Input::Committed(placement) => {
                 if placement.epoch > self.current.epoch {
-                    let before = std::mem::replace(&mut self.current, placement);
+                    self.current = placement;
                     self.proposed = None;
-                    self.forget_admitted(&before);
+                    self.forget_done();
                 }
             }
             Input::Leading(true) => {
@@ -113,20 +147,32 @@
 
     fn propose(&mut self, now: u64) -> Option<Placement> {
         let since = self.leading_since?;
-        let listened = now.saturating_sub(since) >= LISTEN_MS;
+        let listened = now.saturating_sub(since) >= LISTEN_MS || self.has_watched(now);
         let waits = self.proposed.is_some_and(|at| now.saturating_sub(at) < AGAIN_MS);
         if !listened || waits {
             return None;
         }
+        self.decided = now;
         let placement = if self.current.epoch.0 == 0 {
             self.found(now)
         } else {
-            arrange::next(now, &self.current, &self.stores, &self.caught_up)
+            // A store that never registered here counts as away since others did.
+            let watched_since = self.first_newcomer.unwrap_or(since);
+            arrange::next(&self.knowledge(now, watched_since), &self.current)
         }?;
         self.proposed = Some(now);
         Some(placement)
     }
 
+    /// It has been watching the stores before it led: it knows each of them, and hears most of them now.
+    fn has_watched(&self, now: u64) -> bool {
+        let stores = &self.current.stores;
+        let well = stores.iter().filter(|store| self.stores.is_well(now, store.id)).count();
+        let knows_all = stores.iter().all(|store| self.stores.get(store.id).is_some());
+        let is_quiet = now.saturating_sub(self.last_registered) >= CONNECTING_MS;
+        knows_all && is_quiet && 2 * well > stores.len()
+    }
+
     fn found(&self, now: u64) -> Option<Placement> {
         let well: Vec<&Seen> = self.stores.iter().filter(|seen| self.stores.is_well(now, seen.id)).collect();
         let calm = now.saturating_sub(self.last_newcomer) >= FOUNDING_CALM_MS;
@@ -138,16 +184,36 @@
         (calm && enough).then(|| founding::found(&well, self.tolerated_losses))
     }
 
-    /// What a learner reported holds until it has become a replica.
-    ///
-    /// A new primary fills it anew: what it had from the former one may lack what that one never told.
-    fn forget_admitted(&mut self, before: &Placement) {
-        let shards = &self.current.shards;
-        self.caught_up.retain(|(shard, id)| {
-            let same_primary =
-                |entry: &ShardEntry| before.shard(*shard).is_some_and(|old| old.since == entry.since);
-            let entry = shards.get(usize::from(shard.0));
-            entry.is_some_and(|entry| entry.learners.contains(id) && same_primary(entry))
+    fn knowledge(&self, now: u64, watched_since: u64) -> Knowledge<'_> {
+        Knowledge {
+            now,
+            tolerated_losses: self.tolerated_losses,
+            stores: &self.stores,
+            caught_up: &self.caught_up,
+            retiring: &self.retiring,
+            patience: self.patience,
+            watched_since,
+        }
+    }
+
+    fn caught_up(&mut self, now: u64, id: StoreId, shards: &[FilledShard]) {
+        for filled in shards {
+            let report = self.caught_up.entry((filled.shard, id));
+            let report = report.or_insert(Report { change: filled.change, at: now });
+            if report.change < filled.change {
+                *report = Report { change: filled.change, at: now };
+            }
+        }
+    }
+
+    /// What a learner reported is of use until its change is done or given up.
+    fn forget_done(&mut self) {
+        let current = &self.current;
+        self.caught_up.retain(|(shard, id), report| {
+            let change = current.shard(*shard).and_then(|entry| entry.change);
+            let is_under_way =
+                change.is_some_and(|change| change.joins == *id && change.since == report.change);
+            is_under_way || report.change > current.epoch
         });
     }
 }
--- a/system/placement/tests/manager.rs
+++ b/system/placement/tests/manager.rs
@@ -1,76 +1,13 @@
 //! Founding, failures, returns and lost disks.
 
+mod rig;
+
 use millrudder_placement::{Input, PlacementManager};
 use millrudder_protocol::control::StoreHealth;
-use millrudder_protocol::placement::Placement;
-use millrudder_protocol::{Address, ShardId, StoreId};
+use millrudder_protocol::StoreId;
+use rig::{Rig, STEP_MS};
 use std::collections::BTreeMap;
 
-const ZONES: [&str; 3] = ["a", "b", "c"];
-const STEP_MS: u64 = 100;
-
-/// A manager, its stores' heartbeats and the commits of what it proposes.
-struct Rig {
-    manager: PlacementManager,
-    now: u64,
-    /// Stores that send heartbeats, with what they say.
-    beating: BTreeMap<u64, StoreHealth>,
-    placement: Placement,
-    commits: usize,
-}
-
-impl Rig {
-    fn new(stores: u64, tolerated_losses: u32) -> Self {
-        let mut rig = Rig {
-            manager: PlacementManager::new(tolerated_losses),
-            now: 0,
-            beating: BTreeMap::new(),
-            placement: Placement::default(),
-            commits: 0,
-        };
-        rig.give(Input::Leading(true));
-        for id in 1..=stores {
-            rig.register(id, &format!("store-{id}"));
-        }
-        rig
-    }
-
-    fn register(&mut self, id: u64, name: &str) {
-        let number: u64 = name.trim_start_matches("store-").parse().unwrap();
-        let zone = ZONES[(number as usize - 1) % ZONES.len()].into();
-        let address = Address(([127, 0, 0, 1], 7000 + id as u16).into());
-        self.give(Input::Registered { id: StoreId(id), name: name.into(), zone, address });
-        self.beating.insert(id, StoreHealth::default());
-    }
-
-    fn give(&mut self, input: Input) {
-        if let Some(placement) = self.manager.handle(self.now, input) {
-            self.placement = placement.clone();
-            self.commits += 1;
-            self.give(Input::Committed(placement));
-        }
-    }
-
-    fn run(&mut self, ms: u64) {
-        let end = self.now + ms;
-        while self.now < end {
-            self.now += STEP_MS;
-            for (id, health) in self.beating.clone() {
-                self.give(Input::Heartbeat { id: StoreId(id), health });
-            }
-            self.give(Input::Tick);
-        }
-    }
-
-    fn primaries(&self) -> BTreeMap<StoreId, usize> {
-        let mut counts = BTreeMap::new();
-        for shard in &self.placement.shards {
-            *counts.entry(shard.primary).or_default() += 1;
-        }
-        counts
-    }
-}
-
 #[test]
 fn three_stores_share_the_shards_evenly() {
     let mut rig = Rig::new(3, 1);
@@ -175,10 +112,10 @@
     rig.run(1000);
     rig.register(11, "store-1");
     rig.run(1000);
-    let learners = rig.placement.shards.iter().filter(|shard| shard.learners == vec![StoreId(11)]);
+    let learners = rig.placement.shards.iter().filter(|shard| shard.learner() == Some(StoreId(11)));
     assert_eq!(learners.count(), 24);
     assert!(rig.placement.shards.iter().all(|shard| !shard.replicas.contains(&StoreId(11))));
-    rig.give(Input::CaughtUp { id: StoreId(11), shards: (0..24).map(ShardId).collect() });
+    rig.report_filled(11);
     rig.run(3000);
     assert!(rig.placement.shards.iter().all(|shard| shard.replicas.contains(&StoreId(11))));
     assert!(rig.placement.store(StoreId(1)).is_none());
@@ -196,3 +133,27 @@
         assert_eq!(old.primary == new.primary, old.since == new.since);
     }
 }
+
+#[test]
+fn a_new_lease_holder_that_has_watched_before_acts_at_once() {
+    let mut rig = Rig::new(3, 1);
+    rig.run(2000);
+    rig.give(Input::Leading(false));
+    rig.beating.remove(&1);
+    rig.run(800);
+    assert_eq!(rig.commits, 1);
+    rig.give(Input::Leading(true));
+    assert_eq!(rig.primaries().get(&StoreId(1)), None);
+}
+
+#[test]
+fn a_new_lease_holder_that_hears_few_stores_listens_first() {
+    let mut rig = Rig::new(3, 1);
+    rig.run(2000);
+    rig.give(Input::Leading(false));
+    rig.beating.remove(&1);
+    rig.beating.remove(&2);
+    rig.run(800);
+    rig.give(Input::Leading(true));
+    assert_eq!(rig.commits, 1);
+}
--- /dev/null
+++ b/system/placement/tests/repair.rs
@@ -0,0 +1,256 @@
+//! Lost, added and stopping stores: which places go to whom, and when.
+
+mod rig;
+
+use millrudder_placement::Input;
+use millrudder_protocol::placement::ChangeReason;
+use millrudder_protocol::StoreId;
+use rig::Rig;
+use std::collections::BTreeSet;
+
+/// Time in which a replaced store must hold all again (ms), as the manager has it by default.
+const CATCH_UP_MS: u64 = 4500;
+/// Shares that differ by less are left as they are.
+const UNEVEN: usize = 3;
+
+fn founded(stores: u64, tolerated_losses: u32) -> Rig {
+    let mut rig = Rig::new(stores, tolerated_losses);
+    rig.run(2000);
+    rig
+}
+
+#[test]
+fn a_store_of_another_name_takes_the_place_of_a_silent_one() {
+    let mut rig = founded(3, 1);
+    rig.beating.remove(&1);
+    rig.run(1000);
+    rig.register(4, "store-4");
+    rig.run(1500);
+    assert_eq!(rig.learning(4), 24);
+    rig.report_filled(4);
+    rig.run(200);
+    assert_eq!(rig.held(4), 24);
+    assert_eq!(rig.held(1), 0);
+    assert!(rig.placement.store(StoreId(1)).is_none());
+}
+
+#[test]
+fn a_replaced_machine_is_being_filled_well_within_its_time() {
+    let mut rig = founded(3, 1);
+    rig.beating.remove(&1);
+    rig.run(1000);
+    rig.register(4, "store-4");
+    rig.run(CATCH_UP_MS / 3);
+    assert_eq!(rig.learning(4), 24);
+}
+
+#[test]
+fn nothing_moves_for_a_restart_that_comes_back_in_time() {
+    let mut rig = founded(4, 1);
+    let before = rig.placement.clone();
+    rig.beating.remove(&1);
+    rig.run(CATCH_UP_MS * 2);
+    rig.register(1, "store-1");
+    rig.run(3000);
+    assert_eq!(rig.changes_begun, 0);
+    for (old, new) in before.shards.iter().zip(&rig.placement.shards) {
+        assert_eq!(old.replicas, new.replicas);
+    }
+}
+
+#[test]
+fn a_short_silence_moves_nothing_to_a_store_that_stands_by() {
+    let mut rig = founded(3, 1);
+    rig.register(4, "store-4");
+    rig.beating.remove(&1);
+    rig.run(1200);
+    rig.register(1, "store-1");
+    rig.run(1000);
+    assert_eq!(rig.changes_begun, 0);
+}
+
+#[test]
+fn a_store_that_comes_back_while_its_successor_is_filled_keeps_its_places() {
+    let mut rig = founded(3, 1);
+    rig.beating.remove(&1);
+    rig.run(1000);
+    rig.register(4, "store-4");
+    rig.run(1000);
+    assert_eq!(rig.learning(4), 24);
+    rig.register(1, "store-1");
+    rig.run(300);
+    assert_eq!(rig.learning(4), 0);
+    assert_eq!(rig.held(1), 24);
+}
+
+#[test]
+fn a_store_that_is_away_for_long_is_replaced_by_those_that_hold_shards() {
+    let mut rig = founded(5, 1);
+    rig.beating.remove(&1);
+    rig.run_filling(CATCH_UP_MS * 3 + 3000);
+    assert_eq!(rig.held(1), 0);
+    assert!(rig.placement.shards.iter().all(|shard| shard.replicas.len() == 3));
+}
+
+#[test]
+fn where_a_learner_dies_another_is_chosen() {
+    let mut rig = founded(3, 1);
+    rig.beating.remove(&1);
+    rig.run(1000);
+    rig.register(4, "store-4");
+    rig.run(1000);
+    rig.beating.remove(&4);
+    rig.register(5, "store-5");
+    rig.run(1000);
+    assert_eq!(rig.learning(4), 0);
+    assert_eq!(rig.learning(5), 24);
+}
+
+#[test]
+fn a_report_for_a_change_that_was_given_up_counts_for_nothing() {
+    let mut rig = founded(3, 1);
+    rig.beating.remove(&1);
+    rig.run(1000);
+    rig.register(4, "store-4");
+    rig.run(1000);
+    let stale = rig.reports_of(4);
+    rig.beating.remove(&4);
+    rig.run(1000);
+    assert_eq!(rig.learning(4), 0);
+    rig.register(4, "store-4");
+    rig.run(2000);
+    assert_eq!(rig.learning(4), 24);
+    rig.give(Input::CaughtUp { id: StoreId(4), shards: stale });
+    rig.run(1000);
+    assert_eq!(rig.held(4), 0);
+}
+
+#[test]
+fn a_stopping_store_hands_its_places_to_one_that_stands_by() {
+    let mut rig = founded(3, 1);
+    rig.register(4, "store-4");
+    rig.run(200);
+    rig.beating.get_mut(&2).unwrap().leaving = true;
+    rig.run(200);
+    assert_eq!(rig.learning(4), 24);
+    assert_eq!(rig.held(2), 24, "it counts until its successor is admitted");
+    rig.report_filled(4);
+    assert_eq!(rig.held(2), 0);
+}
+
+#[test]
+fn a_stopping_store_hands_no_places_to_stores_that_hold_shards() {
+    let mut rig = founded(5, 1);
+    rig.beating.get_mut(&2).unwrap().leaving = true;
+    rig.run(1000);
+    rig.beating.remove(&2);
+    rig.run(2000);
+    assert_eq!(rig.changes_begun, 0);
+}
+
+#[test]
+fn two_replaced_stores_in_a_row_leave_three_live_replicas() {
+    let mut rig = founded(3, 1);
+    for (lost, fresh) in [(1, 4), (2, 5)] {
+        rig.beating.remove(&lost);
+        rig.run_filling(1000);
+        rig.register(fresh, &format!("store-{fresh}"));
+        rig.run_filling(CATCH_UP_MS);
+        assert_eq!(rig.held(fresh), 24);
+    }
+    let live: BTreeSet<StoreId> = [3, 4, 5].map(StoreId).into();
+    for shard in &rig.placement.shards {
+        assert_eq!(shard.replicas.iter().copied().collect::<BTreeSet<_>>(), live);
+    }
+}
+
+#[test]
+fn a_machine_with_an_emptied_disk_needs_no_patience() {
+    let mut rig = founded(3, 1);
+    rig.beating.remove(&1);
+    rig.run(600);
+    rig.register(11, "store-1");
+    rig.run(100);
+    assert_eq!(rig.learning(11), 24);
+}
+
+#[test]
+fn a_lost_store_that_comes_back_after_its_replacement_stands_by() {
+    let mut rig = founded(3, 1);
+    rig.beating.remove(&1);
+    rig.run(1000);
+    rig.register(4, "store-4");
+    rig.run_filling(3000);
+    let before = rig.placement.clone();
+    rig.register(1, "store-1");
+    rig.run_filling(3000);
+    assert_eq!(rig.placement.shards, before.shards);
+}
+
+#[test]
+fn an_added_store_gets_its_share_after_a_while() {
+    let mut rig = founded(9, 1);
+    rig.register(10, "store-10");
+    rig.run_filling(CATCH_UP_MS - 500);
+    assert_eq!(rig.held(10), 0);
+    rig.run_filling(20_000);
+    let fewest = (1..=9).map(|id| rig.held(id)).min().unwrap();
+    assert!(rig.held(10) + UNEVEN > fewest, "{} of {fewest}", rig.held(10));
+    let homes = rig.placement.shards.iter().filter(|shard| shard.primary == StoreId(10)).count();
+    assert!((5..=9).contains(&homes), "{homes} primaries");
+    let moved = rig.held(10);
+    assert_eq!(rig.changes_begun, moved, "no place moves for another reason");
+    assert!(rig.reasons.iter().all(|reason| *reason == ChangeReason::Balance));
+}
+
+#[test]
+fn shares_even_out_without_fewer_zones() {
+    let mut rig = founded(3, 1);
+    rig.register(4, "store-4");
+    rig.run_filling(20_000);
+    assert_eq!(rig.held(1) + rig.held(4), 24, "both are in one zone");
+    assert!(rig.held(1).abs_diff(rig.held(4)) < UNEVEN);
+    assert_eq!((rig.held(2), rig.held(3)), (24, 24));
+}
+
+#[test]
+fn no_share_moves_while_a_store_is_away() {
+    let mut rig = founded(9, 1);
+    rig.register(10, "store-10");
+    rig.run(4000);
+    rig.beating.remove(&3);
+    rig.run_filling(900);
+    assert!(!rig.reasons.contains(&ChangeReason::Balance));
+}
+
+#[test]
+fn a_lost_replica_goes_before_an_even_share() {
+    let mut rig = founded(9, 1);
+    rig.register(10, "store-10");
+    rig.run(CATCH_UP_MS + 200);
+    let moving = |rig: &Rig| rig.placement.shards.iter().filter(|shard| shard.change.is_some()).count();
+    assert!(moving(&rig) > 0);
+    let shard = rig.placement.shards.iter().find(|shard| shard.change.is_some()).unwrap();
+    let change = shard.change.unwrap();
+    let lost = *shard.replicas.iter().find(|id| Some(**id) != change.leaves).unwrap();
+    rig.beating.remove(&lost.0);
+    rig.run(700);
+    let is_its = |shard: &&millrudder_protocol::placement::ShardEntry| shard.replicas.contains(&lost);
+    for shard in rig.placement.shards.iter().filter(is_its) {
+        let balances = shard.change.is_some_and(|change| change.reason == ChangeReason::Balance);
+        assert!(!balances || shard.change.unwrap().leaves == Some(lost));
+    }
+}
+
+#[test]
+fn a_stopping_store_that_connects_anew_still_stops() {
+    let mut rig = founded(3, 1);
+    rig.register(4, "store-4");
+    rig.run(200);
+    rig.beating.get_mut(&2).unwrap().leaving = true;
+    rig.run(200);
+    let name = "store-2".to_owned();
+    let address = rig.placement.store(StoreId(2)).unwrap().address;
+    rig.give(Input::Registered { id: StoreId(2), name, zone: "b".into(), address });
+    assert_eq!(rig.learning(4), 24);
+}
--- a/system/protocol/src/control.rs
+++ b/system/protocol/src/control.rs
@@ -1,7 +1,7 @@
 //! Between any process and a core machine: registration, what is in force, workers.
 
 use crate::address::Address;
-use crate::identifiers::StoreId;
+use crate::identifiers::{Epoch, ShardId, StoreId};
 use crate::placement::Placement;
 use speedy::{Readable, Writable};
 
@@ -27,6 +27,14 @@
     pub serving: u32,
 }
 
+/// A shard that a learner has all of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Readable, Writable)]
+pub struct FilledShard {
+    pub shard: ShardId,
+    /// Epoch of the change in which it was filled.
+    pub change: Epoch,
+}
+
 /// From any process to a core machine.
 #[derive(Clone, Debug, PartialEq, Readable, Writable)]
 pub enum ToCore {
@@ -39,9 +47,9 @@
     Heartbeat {
         health: Option<StoreHealth>,
     },
-    /// A store has all that a shard's replicas had; it may count as a replica.
+    /// A store has all that shards' replicas had; it may count as a replica.
     CaughtUp {
-        shards: Vec<crate::identifiers::ShardId>,
+        shards: Vec<FilledShard>,
     },
 }
 
--- a/system/protocol/src/placement.rs
+++ b/system/protocol/src/placement.rs
@@ -18,6 +18,55 @@
     pub alive: bool,
 }
 
+/// Why a replica's place goes to another store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub enum ChangeReason {
+    /// The replica is lost, or the shard has fewer replicas than wanted.
+    Repair,
+    /// The replica's store is to be emptied.
+    Retire,
+    /// The replica's store holds more than its share.
+    Balance,
+}
+
+/// A place of a shard on its way from one store to another.
+///
+/// While it is under way the shard has two memberships, the one before and the one after; what needs a quorum needs
+/// one in each. So the store that joins may be counted or not at any moment without losing what was acknowledged.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct MemberChange {
+    /// The learner: it gets every write and is filled with what was written before.
+    pub joins: StoreId,
+    /// The replica whose place it takes; absent where it is one more.
+    pub leaves: Option<StoreId>,
+    /// Epoch of the placement in which this change began; names it.
+    pub since: Epoch,
+    pub reason: ChangeReason,
+}
+
+/// A set of replicas and how many of them count.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Membership {
+    pub replicas: Vec<StoreId>,
+    /// Disks that must hold a write before it is acknowledged.
+    pub write_quorum: usize,
+    /// Replicas that a new primary must have read: among any so many is one that holds each acknowledged write.
+    pub read_quorum: usize,
+}
+
+impl Membership {
+    fn new(replicas: Vec<StoreId>, tolerated_losses: u32) -> Self {
+        let wanted = usize::try_from(tolerated_losses).unwrap_or(usize::MAX).saturating_add(1);
+        let write_quorum = wanted.min(replicas.len());
+        let read_quorum = replicas.len() + 1 - write_quorum;
+        Membership { replicas, write_quorum, read_quorum }
+    }
+
+    pub fn contains(&self, store: StoreId) -> bool {
+        self.replicas.contains(&store)
+    }
+}
+
 /// Replicas of one shard.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub struct ShardEntry {
@@ -25,8 +74,8 @@
     pub primary: StoreId,
     /// All that hold it, the primary among them.
     pub replicas: Vec<StoreId>,
-    /// Replicas being filled: they get every write but count for nothing yet.
-    pub learners: Vec<StoreId>,
+    /// The one change of the replicas that is under way.
+    pub change: Option<MemberChange>,
     /// Epoch of the placement in which the primary last changed.
     pub since: Epoch,
 }
@@ -68,14 +117,30 @@
 }
 
 impl ShardEntry {
-    /// Disks that must hold a write before it is acknowledged.
+    /// The membership in force and, while a change is under way, the one after it.
+    pub fn memberships(&self, tolerated_losses: u32) -> Vec<Membership> {
+        let now = std::iter::once(self.replicas.clone());
+        let after = self.change.map(|change| self.replicas_after(&change));
+        now.chain(after).map(|replicas| Membership::new(replicas, tolerated_losses)).collect()
+    }
+
+    /// Disks of the replicas in force that must hold a write before it is acknowledged.
     pub fn write_quorum(&self, tolerated_losses: u32) -> usize {
-        let wanted = usize::try_from(tolerated_losses).unwrap_or(usize::MAX).saturating_add(1);
-        wanted.min(self.replicas.len())
+        Membership::new(self.replicas.clone(), tolerated_losses).write_quorum
     }
 
-    /// Replicas that a new primary must have read: among any so many is one that holds each acknowledged write.
-    pub fn read_quorum(&self, tolerated_losses: u32) -> usize {
-        self.replicas.len() + 1 - self.write_quorum(tolerated_losses)
+    /// The replicas once a change is done.
+    pub fn replicas_after(&self, change: &MemberChange) -> Vec<StoreId> {
+        let mut replicas = self.replicas.clone();
+        match replicas.iter_mut().find(|store| Some(**store) == change.leaves) {
+            Some(place) => *place = change.joins,
+            None => replicas.push(change.joins),
+        }
+        replicas
+    }
+
+    /// The store that is being filled.
+    pub fn learner(&self) -> Option<StoreId> {
+        self.change.map(|change| change.joins)
     }
 }
--- a/system/protocol/src/store.rs
+++ b/system/protocol/src/store.rs
@@ -259,10 +259,12 @@
         since: Epoch,
         differing: Vec<MessageId>,
     },
-    /// From a primary to a learner: it has all that the shard's replicas have.
+    /// From a primary to a learner: it has all that the shard's replicas have, by the primary's placement, in which
+    /// the change of this epoch is under way.
     Filled {
         shard: ShardId,
         since: Epoch,
+        change: Epoch,
     },
     /// Answered with `Pong`.
     Ping,
--- a/system/queue/src/api.rs
+++ b/system/queue/src/api.rs
@@ -1,5 +1,6 @@
 //! What goes into the state machine and what comes out of it.
 
+use millrudder_protocol::control::FilledShard;
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::store::{BetweenStores, FromDispatcher, Record, ServiceRate, ToDispatcher};
 use millrudder_protocol::{Epoch, MessageId, ShardId, StoreId};
@@ -88,7 +89,7 @@
     },
     /// This store has all that the shard's replicas have: the core may count it as a replica.
     CaughtUp {
-        shard: ShardId,
+        filled: FilledShard,
     },
     /// Nothing on the disk about this message is needed any more.
     Released {
--- a/system/queue/src/lib.rs
+++ b/system/queue/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! let me = StoreId(1);
 //! let mut node = StoreNode::new(Config::default(), me, "zone".to_owned(), 0, std::iter::empty());
-//! let shard = ShardEntry { primary: me, replicas: vec![me], learners: vec![], since: Epoch(1) };
+//! let shard = ShardEntry { primary: me, replicas: vec![me], change: None, since: Epoch(1) };
 //! let placement = Placement { epoch: Epoch(1), tolerated_losses: 0, stores: vec![], shards: vec![shard] };
 //!
 //! let mut outputs = Vec::new();
--- a/system/queue/src/node.rs
+++ b/system/queue/src/node.rs
@@ -199,7 +199,7 @@
             BetweenStores::Scrubbed { shard, since, differing } => {
                 self.scrubbed(from, shard, since, &differing);
             }
-            BetweenStores::Filled { shard, since } => self.filled(shard, since),
+            BetweenStores::Filled { shard, since, change } => self.filled(shard, since, change),
             BetweenStores::Ping => self.tell_store(from, BetweenStores::Pong),
         }
     }
--- a/system/queue/src/reign.rs
+++ b/system/queue/src/reign.rs
@@ -2,7 +2,8 @@
 
 use crate::api::ConnectionId;
 use crate::entry::Facts;
-use millrudder_protocol::placement::ShardEntry;
+use crate::lead::Lead;
+use millrudder_protocol::placement::{MemberChange, Membership, ShardEntry};
 use millrudder_protocol::{Epoch, LeaseToken, MessageId, Sequence, StoreId};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -44,10 +45,9 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Reign {
     pub since: Epoch,
-    pub replicas: Vec<StoreId>,
-    pub learners: Vec<StoreId>,
-    pub write_quorum: usize,
-    pub read_quorum: usize,
+    /// The membership in force, and the one after the change that is under way.
+    pub memberships: Vec<Membership>,
+    pub change: Option<MemberChange>,
     /// Other replicas that told all they knew in this reign.
     pub heard: BTreeSet<StoreId>,
     /// Present until the shard is served.
@@ -66,10 +66,8 @@
     pub fn new(entry: &ShardEntry, tolerated_losses: u32) -> Self {
         Reign {
             since: entry.since,
-            replicas: entry.replicas.clone(),
-            learners: entry.learners.clone(),
-            write_quorum: entry.write_quorum(tolerated_losses),
-            read_quorum: entry.read_quorum(tolerated_losses),
+            memberships: entry.memberships(tolerated_losses),
+            change: entry.change,
             heard: BTreeSet::new(),
             takeover: Some(Takeover::default()),
             scrub_from: 0,
@@ -82,13 +80,55 @@
         self.takeover.is_none()
     }
 
+    /// Replicas of the membership in force.
+    pub fn replicas(&self) -> &[StoreId] {
+        self.memberships.first().map_or(&[], |membership| &membership.replicas)
+    }
+
     pub fn is_replica(&self, store: StoreId) -> bool {
-        self.replicas.contains(&store)
+        self.replicas().contains(&store)
+    }
+
+    /// It is a replica, or will be one.
+    pub fn is_member(&self, store: StoreId) -> bool {
+        self.memberships.iter().any(|membership| membership.contains(store))
+    }
+
+    /// The store that is being filled.
+    pub fn learner(&self) -> Option<StoreId> {
+        self.change.map(|change| change.joins)
+    }
+
+    /// Its place goes to another store.
+    pub fn is_leaving(&self, store: StoreId) -> bool {
+        self.change.is_some_and(|change| change.leaves == Some(store))
+    }
+
+    /// So many members were heard that one of them holds each write that was acknowledged; `me` hears itself.
+    pub fn has_read_quorum(&self, me: StoreId) -> bool {
+        let is_heard = |store: &&StoreId| **store == me || self.heard.contains(store);
+        let enough = |membership: &Membership| {
+            membership.replicas.iter().filter(is_heard).count() >= membership.read_quorum
+        };
+        self.memberships.iter().all(enough)
+    }
+
+    /// Some membership that `store` is in lacks a write quorum among the `chosen`.
+    pub fn lacks_write_quorum(&self, chosen: &[StoreId], store: StoreId) -> bool {
+        let has_too_few = |membership: &&Membership| {
+            let count = chosen.iter().filter(|chosen| membership.contains(**chosen)).count();
+            count < membership.write_quorum
+        };
+        self.memberships.iter().filter(|membership| membership.contains(store)).any(|m| has_too_few(&m))
     }
 
-    /// It is being filled and counts for nothing yet.
-    pub fn is_learner(&self, store: StoreId) -> bool {
-        self.learners.contains(&store) && !self.is_replica(store)
+    /// Highest version of a message that is on as many disks of each membership as promised.
+    pub fn durable_version(&self, lead: &Lead) -> u32 {
+        let versions = self
+            .memberships
+            .iter()
+            .map(|membership| lead.version_on(&membership.replicas, membership.write_quorum));
+        versions.min().unwrap_or(0)
     }
 
     pub fn sequence(&mut self) -> Sequence {
--- a/system/queue/src/repair.rs
+++ b/system/queue/src/repair.rs
@@ -21,11 +21,15 @@
         }
         let Some(reign) = self.reigns.get(&id.shard) else { return };
         let Some(lead) = self.table.get(id).and_then(|entry| entry.lead.as_ref()) else { return };
-        let expected = reign.replicas.iter().filter(|store| self.is_expected(id, lead, **store)).count();
-        let missing = reign.write_quorum.saturating_sub(expected);
-        let ranked = self.ranked_replicas(id).into_iter();
-        let spare: Vec<StoreId> =
-            ranked.filter(|store| !self.is_under_way(id, lead, *store)).take(missing).collect();
+        let members = reign.replicas().iter().copied().chain(reign.learner());
+        let mut expected: Vec<StoreId> = members.filter(|store| self.is_expected(id, lead, *store)).collect();
+        let mut spare: Vec<StoreId> = Vec::new();
+        for store in self.ranked_replicas(id) {
+            if !self.is_under_way(id, lead, store) && reign.lacks_write_quorum(&expected, store) {
+                expected.push(store);
+                spare.push(store);
+            }
+        }
         for store in spare {
             if let Some(peer) = self.peers.get_mut(&store) {
                 peer.catch_up.insert(id);
@@ -111,8 +115,10 @@
     fn tell_filled(&mut self, store: StoreId) {
         let Some(peer) = self.peers.get_mut(&store) else { return };
         for shard in peer.take_filled() {
-            if let Some(since) = self.reigns.get(&shard).map(|reign| reign.since) {
-                self.tell_store(store, BetweenStores::Filled { shard, since });
+            let Some(reign) = self.reigns.get(&shard) else { continue };
+            let since = reign.since;
+            if let Some(change) = reign.change.filter(|change| change.joins == store) {
+                self.tell_store(store, BetweenStores::Filled { shard, since, change: change.since });
             }
         }
     }
@@ -185,7 +191,7 @@
     /// Fills a learner of a shard that is served with what it lacks.
     pub(crate) fn fill_learner(&mut self, shard: ShardId, store: StoreId) {
         let Some(reign) = self.reigns.get(&shard) else { return };
-        if !reign.is_serving() || !reign.is_learner(store) {
+        if !reign.is_serving() || reign.learner() != Some(store) {
             return;
         }
         let lacks = |id: &MessageId| {
@@ -208,8 +214,8 @@
             }
         }
         let Some(reign) = self.reigns.get(&shard) else { return };
-        for store in reign.learners.clone() {
-            self.fill_learner(shard, store);
+        if let Some(learner) = reign.learner() {
+            self.fill_learner(shard, learner);
         }
     }
 }
--- a/system/queue/src/replication.rs
+++ b/system/queue/src/replication.rs
@@ -27,6 +27,17 @@
     pub bytes: usize,
 }
 
+/// How gladly a replica is written to; the lowest first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    is_overdue: bool,
+    /// What it holds does not count in the membership to come.
+    is_leaving: bool,
+    slowness: u32,
+    holds_nothing: bool,
+    position: usize,
+}
+
 /// Bytes of a record besides the message in it, about.
 const RECORD_BYTES: usize = 100;
 
@@ -134,15 +145,21 @@
         self.tell_store(store, BetweenStores::Write { number, shard, since, records: batch.records });
     }
 
-    /// Other stores that a change is sent to at once: learners, and as many replicas as are promised.
+    /// Other stores that a change is sent to at once: the learner, and as many replicas as are promised.
     fn write_targets(&self, id: MessageId) -> Vec<StoreId> {
         let Some(reign) = self.reigns.get(&id.shard) else { return Vec::new() };
         let is_connected = |store: &StoreId| self.peers.get(store).is_some_and(|peer| peer.connected);
-        let learners = reign.learners.iter().copied().filter(|store| reign.is_learner(*store));
-        let mut targets: Vec<StoreId> = learners.filter(is_connected).collect();
-        let own = usize::from(!self.disk.is_overdue());
-        let wanted = reign.write_quorum.saturating_sub(own);
-        targets.extend(self.ranked_replicas(id).into_iter().take(wanted));
+        let mut targets: Vec<StoreId> = reign.learner().into_iter().filter(is_connected).collect();
+        let mut chosen = targets.clone();
+        if !self.disk.is_overdue() {
+            chosen.push(self.me);
+        }
+        for store in self.ranked_replicas(id) {
+            if reign.lacks_write_quorum(&chosen, store) {
+                chosen.push(store);
+                targets.push(store);
+            }
+        }
         targets
     }
 
@@ -150,13 +167,19 @@
     pub(crate) fn ranked_replicas(&self, id: MessageId) -> Vec<StoreId> {
         let Some(reign) = self.reigns.get(&id.shard) else { return Vec::new() };
         let lead = self.table.get(id).and_then(|entry| entry.lead.as_ref());
-        let mut ranked: Vec<((bool, u32, bool, usize), StoreId)> = Vec::with_capacity(reign.replicas.len());
-        for (position, store) in reign.replicas.iter().enumerate() {
+        let mut ranked: Vec<(Rank, StoreId)> = Vec::with_capacity(reign.replicas().len());
+        for (position, store) in reign.replicas().iter().enumerate() {
             let Some(peer) = self.peers.get(store).filter(|peer| peer.connected && *store != self.me) else {
                 continue;
             };
             let is_holder = lead.is_some_and(|lead| lead.holding(*store).sent > 0);
-            let rank = (peer.is_overdue(), peer.slowness(self.now), !is_holder, position);
+            let rank = Rank {
+                is_overdue: peer.is_overdue(),
+                is_leaving: reign.is_leaving(*store),
+                slowness: peer.slowness(self.now),
+                holds_nothing: !is_holder,
+                position,
+            };
             ranked.push((rank, *store));
         }
         ranked.sort_unstable();
@@ -192,7 +215,7 @@
     pub(crate) fn count_disks(&mut self, id: MessageId) {
         let Some(reign) = self.reigns.get(&id.shard) else { return };
         let Some(lead) = self.table.get_mut(id).and_then(|entry| entry.lead.as_mut()) else { return };
-        let version = lead.version_on(&reign.replicas, reign.write_quorum);
+        let version = reign.durable_version(lead);
         if version == lead.version {
             self.pending.remove(&id);
         } else {
--- a/system/queue/src/takeover.rs
+++ b/system/queue/src/takeover.rs
@@ -45,14 +45,11 @@
 
     fn change_members(&mut self, shard: ShardId, new: Reign) {
         let Some(reign) = self.reigns.get_mut(&shard) else { return };
-        let is_same = reign.replicas == new.replicas && reign.learners == new.learners;
-        if is_same && reign.write_quorum == new.write_quorum {
+        if reign.memberships == new.memberships && reign.change == new.change {
             return;
         }
-        reign.replicas = new.replicas;
-        reign.learners = new.learners;
-        reign.write_quorum = new.write_quorum;
-        reign.read_quorum = new.read_quorum;
+        reign.memberships = new.memberships;
+        reign.change = new.change;
         if reign.is_serving() {
             self.members_changed(shard);
         }
@@ -82,11 +79,11 @@
         }
     }
 
-    /// Asks a replica that did not tell all it knows in this reign.
+    /// Asks a member that did not tell all it knows in this reign.
     pub(crate) fn ask_promise(&mut self, shard: ShardId, store: StoreId) {
         let Some(reign) = self.reigns.get(&shard) else { return };
         let is_connected = self.peers.get(&store).is_some_and(|peer| peer.connected);
-        if is_connected && store != self.me && reign.is_replica(store) && !reign.heard.contains(&store) {
+        if is_connected && store != self.me && reign.is_member(store) && !reign.heard.contains(&store) {
             let since = reign.since;
             self.tell_store(store, BetweenStores::Promise { shard, since });
         }
@@ -174,12 +171,11 @@
         }
     }
 
-    /// Serves the shard if enough replicas were heard.
+    /// Serves the shard if enough members were heard.
     fn try_serve(&mut self, shard: ShardId) {
         let Some(reign) = self.reigns.get_mut(&shard) else { return };
         let own = reign.takeover.as_ref().is_some_and(|takeover| takeover.own_promise);
-        let heard = reign.heard.iter().filter(|store| reign.replicas.contains(store)).count();
-        if !own || heard + 1 < reign.read_quorum {
+        if !own || !reign.has_read_quorum(self.me) {
             return;
         }
         let Some(takeover) = reign.takeover.take() else { return };
@@ -192,9 +188,8 @@
         for withdrawal in takeover.withdrawals {
             self.withdraw(withdrawal.connection, withdrawal.id);
         }
-        let learners = self.reigns.get(&shard).map(|reign| reign.learners.clone()).unwrap_or_default();
-        for store in learners {
-            self.fill_learner(shard, store);
+        if let Some(learner) = self.reigns.get(&shard).and_then(Reign::learner) {
+            self.fill_learner(shard, learner);
         }
     }
 
@@ -214,7 +209,7 @@
         lead.holdings.extend(joined.map(|joined| Holding { store: me, sent: version, acked: joined.synced }));
         if let Some(reign) = self.reigns.get_mut(&id.shard) {
             reign.count_past(entry.sequence, entry.grant.map(|grant| grant.token).unwrap_or_default());
-            lead.durable = lead.version_on(&reign.replicas, reign.write_quorum);
+            lead.durable = reign.durable_version(&lead);
         }
         if entry.grant.is_some() {
             lead.told = Told::Unknown;
--- a/system/queue/tests/cluster/faults.rs
+++ b/system/queue/tests/cluster/faults.rs
@@ -19,7 +19,7 @@
     /// All replicas are well and filled, so that the next fault is within what is tolerated.
     fn is_whole(&self) -> bool {
         let is_well = |store: &super::stores::Store| store.is_up() && store.frozen_until_ms <= self.now_ms;
-        let no_learners = self.manager.placement.shards.iter().all(|shard| shard.learners.is_empty());
+        let no_learners = self.manager.placement.shards.iter().all(|shard| shard.change.is_none());
         self.stores.iter().all(is_well) && no_learners
     }
 
--- a/system/queue/tests/cluster/manager.rs
+++ b/system/queue/tests/cluster/manager.rs
@@ -2,7 +2,8 @@
 
 use super::links::{End, LinkId};
 use super::{Cluster, Event, Options};
-use millrudder_protocol::placement::{Placement, ShardEntry, StoreEntry};
+use millrudder_protocol::control::FilledShard;
+use millrudder_protocol::placement::{ChangeReason, MemberChange, Placement, ShardEntry, StoreEntry};
 use millrudder_protocol::{Address, Epoch, StoreId};
 use millrudder_queue::Input;
 use std::collections::BTreeMap;
@@ -13,6 +14,9 @@
 /// A store that is well for so long gets shards back.
 const WELL_MS: u64 = 1_500;
 
+/// Stands for the epoch of the placement that is being made.
+const NEXT: Epoch = Epoch(u64::MAX);
+
 /// What the manager knows.
 pub struct Manager {
     pub placement: Placement,
@@ -37,7 +41,7 @@
             let members =
                 (0..replicas.min(options.stores)).map(|step| (usize::from(number) + step) % options.stores);
             let replicas: Vec<StoreId> = members.map(store).collect();
-            ShardEntry { primary: replicas[0], replicas, learners: Vec::new(), since: Epoch(1) }
+            ShardEntry { primary: replicas[0], replicas, change: None, since: Epoch(1) }
         };
         let placement = Placement {
             epoch: Epoch(1),
@@ -54,6 +58,10 @@
     }
 }
 
+fn change(joins: StoreId, leaves: Option<StoreId>, reason: ChangeReason) -> MemberChange {
+    MemberChange { joins, leaves, since: NEXT, reason }
+}
+
 /// Disks of one machine have names that differ by whole hundreds.
 fn is_same_machine(one: StoreId, other: StoreId) -> bool {
     one.0 % 100 == other.0 % 100
@@ -86,9 +94,12 @@
         if placement != self.manager.placement {
             placement.epoch = Epoch(placement.epoch.0 + 1);
             for shard in &mut placement.shards {
-                if shard.since == Epoch(u64::MAX) {
+                if shard.since == NEXT {
                     shard.since = placement.epoch;
                 }
+                if let Some(change) = shard.change.as_mut().filter(|change| change.since == NEXT) {
+                    change.since = placement.epoch;
+                }
             }
             self.manager.placement = placement;
             self.spread_placement();
@@ -118,9 +129,12 @@
             let former = entry.id;
             entry.id = store.id;
             for shard in &mut placement.shards {
-                shard.learners.retain(|learner| *learner != former);
-                if shard.replicas.iter().any(|replica| is_same_machine(*replica, store.id)) {
-                    shard.learners.push(store.id);
+                if shard.change.is_some_and(|change| change.joins == former) {
+                    shard.change = None;
+                }
+                let lost = shard.replicas.iter().copied().find(|replica| is_same_machine(*replica, store.id));
+                if lost.is_some() {
+                    shard.change = Some(change(store.id, lost, ChangeReason::Repair));
                 }
             }
         }
@@ -132,8 +146,8 @@
         let all: Vec<StoreId> = placement.stores.iter().map(|store| store.id).collect();
         for shard in placement.shards.iter_mut().filter(|shard| shard.replicas.contains(&retiring)) {
             let is_free = |store: &StoreId| !shard.replicas.contains(store);
-            if let Some(spare) = all.iter().copied().find(is_free).filter(|_| shard.learners.is_empty()) {
-                shard.learners.push(spare);
+            if let Some(spare) = all.iter().copied().find(is_free).filter(|_| shard.change.is_none()) {
+                shard.change = Some(change(spare, Some(retiring), ChangeReason::Retire));
             }
         }
     }
@@ -146,18 +160,13 @@
     /// A learner that has caught up takes the place of the disk that was lost.
     fn promote_learners(&self, placement: &mut Placement) {
         for (number, shard) in placement.shards.iter_mut().enumerate() {
-            let is_done = |learner: &StoreId| {
-                let store = self.stores.iter().find(|store| store.id == *learner);
-                store.is_some_and(|store| store.caught_up.iter().any(|shard| usize::from(shard.0) == number))
-            };
-            let Some(learner) = shard.learners.iter().copied().find(is_done) else { continue };
-            shard.learners.retain(|other| *other != learner);
-            let is_replaced = |replica: &StoreId| is_same_machine(*replica, learner);
-            let retiring = |replica: &StoreId| Some(*replica) == self.manager.retiring;
-            let place = shard.replicas.iter().position(is_replaced);
-            let place = place.or_else(|| shard.replicas.iter().position(retiring));
-            if let Some(place) = place {
-                shard.replicas[place] = learner;
+            let Some(change) = shard.change else { continue };
+            let store = self.stores.iter().find(|store| store.id == change.joins);
+            let is_this =
+                |filled: &FilledShard| usize::from(filled.shard.0) == number && filled.change == change.since;
+            if store.is_some_and(|store| store.caught_up.iter().any(is_this)) {
+                shard.replicas = shard.replicas_after(&change);
+                shard.change = None;
             }
         }
     }
@@ -179,7 +188,7 @@
             let is_better = long_well(best) && load(best, placement) + 1 < load(present, placement);
             if !may_serve(present) || is_better {
                 placement.shards[number].primary = best;
-                placement.shards[number].since = Epoch(u64::MAX);
+                placement.shards[number].since = NEXT;
             }
         }
     }
--- a/system/queue/tests/cluster/stores.rs
+++ b/system/queue/tests/cluster/stores.rs
@@ -3,7 +3,8 @@
 use super::disks::Disk;
 use super::links::{End, LinkId};
 use super::{Cluster, Event, Options, Payload};
-use millrudder_protocol::{MessageId, ShardId, StoreId};
+use millrudder_protocol::control::FilledShard;
+use millrudder_protocol::{MessageId, StoreId};
 use millrudder_queue::{Input, Output, StoreNode};
 use std::collections::BTreeSet;
 
@@ -24,7 +25,7 @@
     pub sync_ms: u64,
     pub leaving: bool,
     /// Shards of which it said that it has caught up.
-    pub caught_up: BTreeSet<ShardId>,
+    pub caught_up: BTreeSet<FilledShard>,
     pub released: BTreeSet<MessageId>,
     ticking_at: Option<u64>,
 }
@@ -138,8 +139,8 @@
                     }
                 }
             }
-            Output::CaughtUp { shard } => {
-                self.stores[index].caught_up.insert(shard);
+            Output::CaughtUp { filled } => {
+                self.stores[index].caught_up.insert(filled);
             }
             Output::Released { id } => {
                 self.stores[index].released.insert(id);
--- a/system/queue/tests/replicas.rs
+++ b/system/queue/tests/replicas.rs
@@ -3,7 +3,9 @@
 
 mod wired;
 
+use millrudder_protocol::control::FilledShard;
 use millrudder_protocol::message::{End, Message};
+use millrudder_protocol::placement::{ChangeReason, MemberChange};
 use millrudder_protocol::store::{
     AttemptOutcome, BetweenStores, FromDispatcher, HeldLease, NotAccepted, QueryAnswer, ToDispatcher,
 };
@@ -376,6 +378,11 @@
     assert!(wired.told.iter().any(|(_, message)| *message == answer));
 }
 
+fn replaces(lost: usize, learner: usize, since: Epoch) -> MemberChange {
+    let (joins, leaves) = (store_id(learner), Some(store_id(lost)));
+    MemberChange { joins, leaves, since, reason: ChangeReason::Repair }
+}
+
 #[test]
 fn a_store_that_holds_a_shard_no_more_does_not_say_that_a_message_is_unknown() {
     let mut wired = three_stores();
@@ -400,16 +407,16 @@
     let before: Vec<MessageId> = (0..30).map(|_| wired.accept(0, 1, message(), true)).collect();
     wired.kill(1);
     let learner = wired.add_place();
-    wired.placement.shards[0].learners.push(store_id(learner));
+    wired.placement.shards[0].change = Some(replaces(1, learner, Epoch(2)));
     wired.placement.epoch = Epoch(2);
     wired.start(learner);
     wired.spread();
     let during = wired.accept(0, 1, message(), true);
-    assert_eq!(wired.caught_up, [(learner, SHARD)]);
+    assert_eq!(wired.caught_up, [(learner, FilledShard { shard: SHARD, change: Epoch(2) })]);
     for id in before.iter().chain([&during]) {
         assert!(wired.state(learner, *id).is_some());
     }
-    wired.placement.shards[0].learners.clear();
+    wired.placement.shards[0].change = None;
     wired.placement.shards[0].replicas = vec![store_id(0), store_id(2), store_id(learner)];
     wired.placement.epoch = Epoch(3);
     wired.spread();
@@ -420,6 +427,84 @@
     }
 }
 
+/// Store 3 is to take the place of store 2, which is well; nothing was said to it yet.
+fn moving_to_a_learner(wired: &mut Wired) -> usize {
+    let learner = wired.add_place();
+    wired.placement.shards[0].change = Some(replaces(2, learner, Epoch(2)));
+    wired.placement.epoch = Epoch(2);
+    wired.start(learner);
+    learner
+}
+
+#[test]
+fn while_a_replica_moves_a_message_needs_a_quorum_before_and_after() {
+    let mut wired = three_stores();
+    let learner = moving_to_a_learner(&mut wired);
+    wired.spread();
+    wired.set_link(0, 1, false);
+    wired.places[learner].held = true;
+    let id = wired.accept(0, 1, message(), true);
+    assert!(wired.state(2, id).is_some());
+    assert_eq!(wired.last_accepted(), None, "stores 0 and 2 are a quorum before, not after");
+    wired.release(learner);
+    assert!(wired.last_accepted().is_some());
+}
+
+#[test]
+fn what_a_leaving_replica_acknowledged_outlives_it_and_the_primary() {
+    let mut wired = three_stores();
+    wired.set_link(0, 1, false);
+    let id = wired.accept(0, 1, message(), true);
+    assert!(wired.last_accepted().is_some() && wired.state(2, id).is_some());
+    wired.set_link(0, 1, true);
+    assert!(wired.state(1, id).is_none());
+    let learner = moving_to_a_learner(&mut wired);
+    wired.spread();
+    assert_eq!(wired.caught_up, [(learner, FilledShard { shard: SHARD, change: Epoch(2) })]);
+    wired.placement.shards[0].change = None;
+    wired.placement.shards[0].replicas = vec![store_id(0), store_id(1), store_id(learner)];
+    wired.placement.epoch = Epoch(3);
+    wired.spread();
+    wired.kill(2);
+    wired.kill(0);
+    wired.move_primary(1);
+    assert!(wired.state(1, id).is_some());
+}
+
+#[test]
+fn a_new_primary_reads_a_quorum_before_and_after() {
+    let mut wired = three_stores();
+    let learner = moving_to_a_learner(&mut wired);
+    wired.spread();
+    wired.hello(1, 2, 7, "zone-0", Vec::new());
+    wired.kill(0);
+    wired.places[2].held = true;
+    wired.move_primary(1);
+    wired.accept(1, 2, message(), true);
+    assert_eq!(wired.last_accepted(), None, "stores 1 and {learner} are a quorum after, not before");
+    wired.places[2].held = false;
+    wired.release(2);
+    wired.accept(1, 2, message(), true);
+    assert!(wired.last_accepted().is_some());
+}
+
+#[test]
+fn a_change_that_was_given_up_and_begun_anew_is_filled_anew() {
+    let mut wired = three_stores();
+    let learner = moving_to_a_learner(&mut wired);
+    wired.spread();
+    wired.placement.shards[0].change = None;
+    wired.placement.epoch = Epoch(3);
+    wired.spread();
+    let between = wired.accept(0, 1, message(), true);
+    assert!(wired.state(learner, between).is_none());
+    wired.placement.shards[0].change = Some(replaces(2, learner, Epoch(4)));
+    wired.placement.epoch = Epoch(4);
+    wired.spread();
+    assert_eq!(wired.caught_up.last(), Some(&(learner, FilledShard { shard: SHARD, change: Epoch(4) })));
+    assert!(wired.state(learner, between).is_some());
+}
+
 #[test]
 fn what_too_few_replicas_hold_is_written_to_more() {
     let mut wired = three_stores();
--- a/system/queue/tests/wired/mod.rs
+++ b/system/queue/tests/wired/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+use millrudder_protocol::control::FilledShard;
 use millrudder_protocol::message::{Message, MessageState};
 use millrudder_protocol::placement::{Placement, ShardEntry, StoreEntry};
 use millrudder_protocol::store::{
@@ -51,7 +52,7 @@
     pub grants: Vec<Granted>,
     pub closed: Vec<ConnectionId>,
     pub released: BTreeSet<MessageId>,
-    pub caught_up: Vec<(usize, ShardId)>,
+    pub caught_up: Vec<(usize, FilledShard)>,
     /// Messages between stores so far.
     pub writes: u64,
     links_down: BTreeSet<(usize, usize)>,
@@ -83,7 +84,7 @@
             alive: true,
         };
         let replicas: Vec<StoreId> = (0..stores).map(store_id).collect();
-        let shard = ShardEntry { primary: replicas[0], replicas, learners: Vec::new(), since: Epoch(1) };
+        let shard = ShardEntry { primary: replicas[0], replicas, change: None, since: Epoch(1) };
         let placement = Placement {
             epoch: Epoch(1),
             tolerated_losses,
@@ -238,7 +239,7 @@
                 }
             }
             Output::CloseDispatcher { connection } => self.closed.push(connection),
-            Output::CaughtUp { shard } => self.caught_up.push((index, shard)),
+            Output::CaughtUp { filled } => self.caught_up.push((index, filled)),
             Output::Released { id } => {
                 self.released.insert(id);
             }
--- a/system/simulation/src/reachability.rs
+++ b/system/simulation/src/reachability.rs
@@ -134,7 +134,7 @@
         let wanted = (2 * self.plan.shape.tolerated_losses as usize + 1).min(self.stores.len());
         let live = |id: &StoreId| self.store_index(*id).is_some_and(|index| self.runs(Place::Store(index)));
         let filled = placement.shards.iter().all(|shard| {
-            shard.learners.is_empty() && shard.replicas.len() >= wanted && shard.replicas.iter().all(live)
+            shard.change.is_none() && shard.replicas.len() >= wanted && shard.replicas.iter().all(live)
         });
         let adopted = self.stores.iter().all(|store| {
             let local = store.clock.local(self.now);
--- a/system/simulation/src/store_machine.rs
+++ b/system/simulation/src/store_machine.rs
@@ -5,10 +5,10 @@
 use crate::mechanism::{Mechanism, Mutant};
 use crate::store_disk::StoreDisk;
 use crate::MILLISECOND;
-use millrudder_protocol::control::{FromCore, Registrant, ToCore};
+use millrudder_protocol::control::{FilledShard, FromCore, Registrant, ToCore};
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::store::BetweenStores;
-use millrudder_protocol::{Address, Epoch, ShardId, StoreId};
+use millrudder_protocol::{Address, Epoch, StoreId};
 use millrudder_queue::{Config, ConnectionId, DiskRecord, Input, Output, StoreNode};
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -42,7 +42,7 @@
 /// Shards that this store was filled with, told until the placement has it as their replica.
 #[derive(Clone, Debug, Default)]
 struct Filled {
-    shards: BTreeSet<ShardId>,
+    shards: BTreeSet<FilledShard>,
     tell_at: u64,
 }
 
@@ -296,9 +296,11 @@
             self.give(scene, Input::StoreClosed { store });
         }
         let me = self.settings.id;
-        let learns =
-            |shard: &ShardId| placement.shard(*shard).is_some_and(|entry| entry.learners.contains(&me));
-        self.filled.shards.retain(learns);
+        self.filled.shards.retain(|filled| {
+            let change = placement.shard(filled.shard).and_then(|entry| entry.change);
+            let learns = change.is_some_and(|change| change.joins == me && change.since == filled.change);
+            learns || filled.change > placement.epoch
+        });
     }
 
     fn give(&mut self, scene: &mut StoreScene<'_>, input: Input) {
@@ -335,8 +337,8 @@
             Output::CloseDispatcher { connection } => {
                 scene.effects.push(Effect::Close { connection: Connection(connection.0) });
             }
-            Output::CaughtUp { shard } => {
-                self.filled.shards.insert(shard);
+            Output::CaughtUp { filled } => {
+                self.filled.shards.insert(filled);
                 self.filled.tell_at = 0;
                 self.heartbeat_at = 0;
             }
