--- a/system/node/src/storage/host.rs
+++ b/system/node/src/storage/host.rs
@@ -84,6 +84,8 @@
     /// The disk has no room for new messages.
     disk_short: bool,
     full_retry_after_ms: u32,
+    /// Messages that were found lying though nothing held them back.
+    strays: u64,
     output: Vec<Output>,
 }
 
@@ -129,6 +131,7 @@
             handing_over: 0,
             disk_short: false,
             full_retry_after_ms,
+            strays: 0,
             output: Vec::new(),
         }
     }
@@ -350,6 +353,10 @@
                 self.filled.add(filled);
                 self.heartbeat_at = 0;
             }
+            Output::Stray { id, cause } => {
+                self.strays += 1;
+                log::warn!("{id} lay though nothing held it back ({cause:?}); {} so far", self.strays);
+            }
             Output::Released { id } => self.disk.release(id),
         }
     }
--- a/system/queue/tests/wired/mod.rs
+++ b/system/queue/tests/wired/mod.rs
@@ -12,7 +12,9 @@
 use millrudder_protocol::{
     Address, DispatcherId, Epoch, LeaseToken, MessageId, RequestNumber, ShardId, StoreId,
 };
-use millrudder_queue::{Config, ConnectionId, DiskRecord, Input, Output, Recovered, StoreNode, Ticket};
+use millrudder_queue::{
+    Config, ConnectionId, DiskRecord, Input, Output, Recovered, StoreNode, StrayCause, Ticket,
+};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -29,6 +31,13 @@
     pub at_ms: u64,
 }
 
+/// A message that a store found lying.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stray {
+    pub id: MessageId,
+    pub cause: StrayCause,
+}
+
 /// One store of the harness.
 pub struct Place {
     pub node: Option<StoreNode>,
@@ -53,6 +62,7 @@
     pub closed: Vec<ConnectionId>,
     pub released: BTreeSet<MessageId>,
     pub caught_up: Vec<(usize, FilledShard)>,
+    pub strays: Vec<Stray>,
     /// Messages between stores so far.
     pub writes: u64,
     links_down: BTreeSet<(usize, usize)>,
@@ -101,6 +111,7 @@
             closed: Vec::new(),
             released: BTreeSet::new(),
             caught_up: Vec::new(),
+            strays: Vec::new(),
             writes: 0,
             links_down: BTreeSet::new(),
             queue: VecDeque::new(),
@@ -240,6 +251,7 @@
             }
             Output::CloseDispatcher { connection } => self.closed.push(connection),
             Output::CaughtUp { filled } => self.caught_up.push((index, filled)),
+            Output::Stray { id, cause } => self.strays.push(Stray { id, cause }),
             Output::Released { id } => {
                 self.released.insert(id);
             }
