--- a/system/protocol/tests/decoders.rs
+++ b/system/protocol/tests/decoders.rs
@@ -5,11 +5,11 @@
 
 use cap::Cap;
 use millrudder_protocol::control::{
-    FromCore, Registrant, StoreHealth, ToCore, WorkerEntry, WorkerList, WorkerState,
+    FilledShard, FromCore, Registrant, StoreHealth, ToCore, WorkerEntry, WorkerList, WorkerState,
 };
 use millrudder_protocol::frame::{decode, encode, Content, HEADER_BYTES};
 use millrudder_protocol::message::{End, Grant, Header, Message, MessageState};
-use millrudder_protocol::placement::{Placement, ShardEntry, StoreEntry};
+use millrudder_protocol::placement::{ChangeReason, MemberChange, Placement, ShardEntry, StoreEntry};
 use millrudder_protocol::store::{
     BetweenStores, FromDispatcher, HeldLease, QueryAnswer, Record, ScrubEntry, ServiceCredit, ToDispatcher,
     ToStore,
@@ -86,7 +86,9 @@
         alive: true,
     };
     let replicas = vec![StoreId(1), StoreId(2), StoreId(3)];
-    let shard = ShardEntry { primary: StoreId(1), replicas, learners: vec![StoreId(4)], since: Epoch(2) };
+    let (joins, leaves) = (StoreId(4), Some(StoreId(1)));
+    let change = Some(MemberChange { joins, leaves, since: Epoch(2), reason: ChangeReason::Repair });
+    let shard = ShardEntry { primary: StoreId(1), replicas, change, since: Epoch(2) };
     Placement {
         epoch: Epoch(5),
         tolerated_losses: 1,
@@ -160,7 +162,7 @@
     };
     add(ToCore::Register { registrant, configuration_version: 7, placement_epoch: 5 }.write_to_vec());
     add(ToCore::Heartbeat { health: Some(StoreHealth::default()) }.write_to_vec());
-    add(ToCore::CaughtUp { shards: vec![shard; 5] }.write_to_vec());
+    add(ToCore::CaughtUp { shards: vec![FilledShard { shard, change: Epoch(2) }; 5] }.write_to_vec());
     all
 }
 
