Shorten the controller's lease to the time in which a cut is seen

Cause: a core machine that holds the lease is cut off: view without it after 0.6 s, but every change of view made the voters withhold grants for a whole lease of 1.5 s, though the voters were the same and remembered whom they had granted. The lease is now 700 ms (600 ms usable, the time after which contact with a majority expires), renewed every 150 ms, and a candidate asks again when the first voter that refused may grant. Suspicion is due by its own deadline instead of at the next heartbeat (0 to 100 ms).

Tests: the lease model restarted its holder from one and the same seed, so that a second restart drew the round numbers of the first and took its late grants for its own; each restart has its own seed now, as Holder::new asks for. The shortest lease that fits is checked at its bound instead of at 500 ms.

--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -120,6 +120,8 @@
     outbox: Outbox<M>,
     random: fastrand::Rng,
     next_heartbeat: u64,
+    /// When the next voter that is heard now becomes suspect unless it is heard again.
+    next_loss: Option<u64>,
     proposal_due: Option<u64>,
     leaving: bool,
     /// Since when the others can do without this node, which is about to end.
@@ -184,6 +186,7 @@
             outbox: Outbox::new(),
             random,
             next_heartbeat: now,
+            next_loss: None,
             proposal_due: None,
             leaving: false,
             dispensable_since: None,
@@ -242,7 +245,7 @@
     /// When [`Input::Tick`] is due.
     pub fn next_deadline(&self) -> u64 {
         let holders = self.holders.iter().filter_map(Holder::next_deadline);
-        let others = holders.chain(self.proposal_due).chain(self.contact_until).min();
+        let others = holders.chain(self.proposal_due).chain(self.contact_until).chain(self.next_loss).min();
         others.map_or(self.next_heartbeat, |due| due.min(self.next_heartbeat))
     }
 
@@ -268,6 +271,7 @@
         }
         self.settle(now);
         self.renew_contact(now);
+        self.next_loss = self.detector.next_loss(now, self.voters().into_iter());
     }
 
     fn on_tick(&mut self, now: u64) {
--- a/coordination/lease/src/config.rs
+++ b/coordination/lease/src/config.rs
@@ -18,9 +18,9 @@
 impl Default for LeaseConfig {
     fn default() -> LeaseConfig {
         LeaseConfig {
-            duration: Duration::from_millis(1500),
-            safety: Duration::from_millis(200),
-            renew_every: Duration::from_millis(400),
+            duration: Duration::from_millis(700),
+            safety: Duration::from_millis(100),
+            renew_every: Duration::from_millis(150),
         }
     }
 }
--- a/coordination/lease/src/holder.rs
+++ b/coordination/lease/src/holder.rs
@@ -30,6 +30,8 @@
     sent_at: u64,
     fencing: Fencing,
     grants: BTreeSet<VoterId>,
+    /// When the first of those that refused may grant.
+    retry_at: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -152,7 +154,7 @@
         self.highest = self.highest.max(fencing);
         let number = self.last_round;
         let request = LeaseRequest { role: self.role.clone(), round: number, fencing, held: held.is_some() };
-        let round = Round { number, sent_at: now, fencing, grants: BTreeSet::new() };
+        let round = Round { number, sent_at: now, fencing, grants: BTreeSet::new(), retry_at: None };
         self.round = Some(round);
         request
     }
@@ -173,18 +175,21 @@
 
     fn refused(&mut self, now: u64, number: u64, refusal: Refusal, highest: Fencing, retry_after: Duration) {
         self.highest = self.highest.max(highest);
-        let current = self.round.as_ref().is_some_and(|round| round.number == number);
-        if !current || self.held.is_some() {
+        let spread = self.random.u64(0..self.renew_every / 2 + 1);
+        let Some(round) = self.round.as_mut().filter(|round| round.number == number) else {
+            return;
+        };
+        if self.held.is_some() {
             return;
         }
-        let spread = self.random.u64(0..self.renew_every / 2 + 1);
         let wait = match refusal {
             Refusal::Outdated => spread,
-            Refusal::Taken | Refusal::Withheld => {
-                (retry_after.as_micros() as u64).min(self.renew_every) + spread
-            }
+            // To ask earlier would be in vain.
+            Refusal::Taken | Refusal::Withheld => retry_after.as_micros() as u64 + spread,
         };
-        self.next_request = now + wait;
+        let retry_at = round.retry_at.map_or(now + wait, |earlier| earlier.min(now + wait));
+        round.retry_at = Some(retry_at);
+        self.next_request = retry_at;
     }
 
     /// Ends a lease whose time is over, and its renewal with it: others may have held the role since.
--- a/coordination/lease/tests/lease.rs
+++ b/coordination/lease/tests/lease.rs
@@ -125,7 +125,10 @@
 
 #[test]
 fn times_that_do_not_fit_together_are_refused() {
-    let config = LeaseConfig { duration: Duration::from_millis(500), ..LeaseConfig::default() };
+    let shortest = LeaseConfig::default().safety + LeaseConfig::default().renew_every * 2;
+    let config = LeaseConfig { duration: shortest, ..LeaseConfig::default() };
+    assert_eq!(config.check(), Ok(()));
+    let config = LeaseConfig { duration: shortest - Duration::from_millis(1), ..LeaseConfig::default() };
     assert!(matches!(config.check(), Err(LeaseConfigError::TooShort { .. })));
     let config = LeaseConfig { renew_every: Duration::ZERO, ..LeaseConfig::default() };
     assert_eq!(config.check(), Err(LeaseConfigError::NoRenewalPause));
--- a/coordination/lease/tests/model.rs
+++ b/coordination/lease/tests/model.rs
@@ -176,7 +176,8 @@
             }
             Action::RestartHolder { holder } => {
                 next.restarts += 1;
-                next.holders[holder] = candidate(99);
+                // Each process draws from another seed, as a holder asks for.
+                next.holders[holder] = candidate(99 + next.restarts as u64);
             }
         }
         next
--- a/coordination/view/src/detector.rs
+++ b/coordination/view/src/detector.rs
@@ -134,6 +134,13 @@
         self.contacts.get(&peer).is_some_and(|contact| contact.is_lost(now, self.suspect_after))
     }
 
+    /// When the next of these peers becomes suspect unless it is heard.
+    pub fn next_loss(&self, now: u64, peers: impl Iterator<Item = NodeId>) -> Option<u64> {
+        let contacts = peers.filter_map(|peer| self.contacts.get(&peer));
+        let due = contacts.map(|contact| contact.last_heard.min(contact.last_heard_us) + self.suspect_after);
+        due.filter(|due| *due > now).min()
+    }
+
     /// Whether a peer said that it is about to end.
     pub fn is_leaving(&self, peer: NodeId) -> bool {
         self.contacts.get(&peer).is_some_and(|contact| contact.leaving)
