--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -15,7 +15,7 @@
 use crate::error::RoleError;
 use arc_swap::ArcSwap;
 use millrudder_chain::{CoreNode, Input, NodeId, RequestId};
-use millrudder_contact::{ConnectionId, Gate, Input as GateInput, RoundNumber};
+use millrudder_contact::{ConnectionId, CurrentList, Gate, Input as GateInput, RoundNumber};
 use millrudder_control_state::ControlState;
 use millrudder_placement::{Input as PlacementInput, PlacementManager};
 use millrudder_protocol::control::WorkerList;
@@ -56,7 +56,9 @@
         file: PathBuf,
     },
     /// This process is about to end.
-    Leaving,
+    Leaving {
+        done: oneshot::Sender<()>,
+    },
 }
 
 /// Owns the replicated state machine, the placement manager, the reader and all connections.
@@ -82,6 +84,7 @@
     others_dispatchers: BTreeMap<ConnectionId, u32>,
     told_dispatchers: u32,
     workers: WorkerList,
+    current_list: CurrentList,
     had_majority: bool,
     /// Versions that were taken note of when they came into force.
     followed_version: u64,
@@ -90,6 +93,8 @@
     seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
     client: Client,
     swept: u64,
+    /// Waits for the moment at which this process may end.
+    leaving: Option<oneshot::Sender<()>>,
 }
 
 /// A read that confirms this machine's state.
@@ -126,6 +131,7 @@
             others_dispatchers: BTreeMap::new(),
             told_dispatchers: 0,
             workers: WorkerList::default(),
+            current_list: CurrentList::default(),
             had_majority: false,
             followed_version: node.machine().configuration().version,
             followed_epoch: node.machine().placement().epoch.0,
@@ -133,6 +139,7 @@
             settings,
             client,
             swept: 0,
+            leaving: None,
             node,
         }
     }
@@ -185,8 +192,16 @@
             if tokio::time::Instant::now() >= deadline {
                 self.tick();
             }
-            self.guard(GateInput::Tick);
+            self.look_at_gate();
             self.carry_out();
+            self.tell_departure();
+        }
+    }
+
+    /// Tells once the core can do without this machine, after it was told to end.
+    fn tell_departure(&mut self) {
+        if self.leaving.is_some() && self.node.may_go(self.clock.micros()) {
+            self.leaving.take().map(|done| done.send(()));
         }
     }
 
@@ -247,7 +262,8 @@
                 }
             }
             Event::Reload { file } => self.reload(&file),
-            Event::Leaving => {
+            Event::Leaving { done } => {
+                self.leaving = Some(done);
                 self.guard(GateInput::Leaving);
                 self.node.handle(self.clock.micros(), Input::Leave);
             }
