Let a process ask for confirmation by its own clock

Cause, found by reading: a confirmation told its age at the core, so that one that waited in the sockets of a frozen dispatcher was taken for new when it woke. A process now asks with a moment of its own steady clock, every 400 ms and at each registration; a read that began after the question answers it, once. An answer that is 2 s old does not count, nor does it keep a core machine that is silent.

--- a/system/contact/src/freshness.rs
+++ b/system/contact/src/freshness.rs
@@ -19,15 +19,17 @@
 }
 
 impl Freshness {
-    /// A core machine has confirmed, `age_ms` ago, that the copy is current.
-    pub fn confirmed(&mut self, now: u64, age_ms: u64) -> Option<FreshnessChange> {
-        let moment = now.saturating_sub(age_ms);
+    /// A core machine has confirmed that the copy holds all that was committed at `moment`, of this process's clock.
+    /// A confirmation that comes late, as after a freeze of this process, does not count.
+    pub fn confirmed(&mut self, now: u64, moment: u64) -> Option<FreshnessChange> {
+        if now.saturating_sub(moment) >= OLD_AFTER_MS {
+            return None;
+        }
         let before = self.confirmed_at;
         self.confirmed_at = before.max(Some(moment));
-        if !self.old || self.age_ms(now).is_none_or(|age| age >= OLD_AFTER_MS) {
+        if !std::mem::take(&mut self.old) {
             return None;
         }
-        self.old = false;
         let was_old_for_ms = now.saturating_sub(before.unwrap_or(now));
         Some(FreshnessChange::Current { was_old_for_ms })
     }
--- a/system/contact/src/gate.rs
+++ b/system/contact/src/gate.rs
@@ -37,6 +37,11 @@
     Closed {
         connection: ConnectionId,
     },
+    /// A process asks whether what it has is current at `moment`, a time of its own clock.
+    Asked {
+        connection: ConnectionId,
+        moment: u64,
+    },
     /// This machine's state has these versions now.
     State(StateNumbers),
     /// The read sees all that was committed before its start.
@@ -67,8 +72,8 @@
     AbandonRead { round: RoundNumber },
     /// Tell a part of the state as it is now.
     Tell { connection: ConnectionId, part: Part },
-    /// Confirm that what was told on this connection was current `age_ms` ago.
-    Vouch { connection: ConnectionId, age_ms: u64 },
+    /// Confirm that what was told on this connection is all that was committed at `moment`, as the process said it.
+    Vouch { connection: ConnectionId, moment: u64 },
     /// Say that this machine cannot confirm its state.
     NoMajority { connection: ConnectionId },
     /// Send the process elsewhere: this machine ends.
@@ -89,6 +94,12 @@
     kind: Kind,
     told: StateNumbers,
     standing: Standing,
+    /// The last moment that the process has asked about ...
+    asked: Option<u64>,
+    /// ... that it had asked about before the last read began ...
+    covered: Option<u64>,
+    /// ... and that was confirmed.
+    vouched: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -173,6 +184,7 @@
             Input::Closed { connection } => {
                 self.registrants.remove(&connection);
             }
+            Input::Asked { connection, moment } => self.on_asked(now, connection, moment),
             Input::State(state) => self.on_state(state, out),
             Input::ReadReady { round } => self.on_ready(now, round, out),
             Input::Tick => {}
@@ -231,10 +243,19 @@
             out.push(Output::NoMajority { connection });
         }
         let standing = Standing::Waiting { round: self.last_round.next(), since: now, refused };
-        self.registrants.insert(connection, Registrant { kind, told: has, standing });
+        self.registrants.insert(connection, Registrant::new(kind, has, standing));
         self.next_read = now;
     }
 
+    /// The first question is answered as soon as may be: the process is not ready before.
+    fn on_asked(&mut self, now: u64, connection: ConnectionId, moment: u64) {
+        let Some(registrant) = self.registrants.get_mut(&connection) else { return };
+        registrant.asked = registrant.asked.max(Some(moment));
+        if registrant.covered.is_none() {
+            self.next_read = now;
+        }
+    }
+
     fn on_state(&mut self, state: StateNumbers, out: &mut Vec<Output>) {
         self.state = state;
         for (connection, registrant) in &mut self.registrants {
@@ -247,12 +268,11 @@
     fn on_ready(&mut self, now: u64, round: RoundNumber, out: &mut Vec<Output>) {
         let Some(read) = self.reading.take_if(|read| read.round == round) else { return };
         self.confirmed_at = Some(read.started);
-        let age_ms = now.saturating_sub(read.started);
         for (connection, registrant) in &mut self.registrants {
             if registrant.is_admitted_by(round) {
                 registrant.standing = Standing::Admitted;
                 registrant.tell_newer(*connection, &self.state, out);
-                out.push(Output::Vouch { connection: *connection, age_ms });
+                registrant.vouch(*connection, out);
             }
         }
         if self.has_fresh_waiters() {
@@ -304,18 +324,36 @@
         self.last_round = round;
         self.reading = Some(Read { round, started: now });
         self.next_read = now + CONFIRM_EVERY_MS;
+        for registrant in self.registrants.values_mut() {
+            registrant.covered = registrant.asked;
+        }
         out.push(Output::StartRead { round });
     }
 
     /// Whether somebody waits for a read that has not been started.
     fn has_fresh_waiters(&self) -> bool {
-        let last = self.last_round;
-        let mut standings = self.registrants.values().map(|registrant| registrant.standing);
-        standings.any(|standing| matches!(standing, Standing::Waiting { round, .. } if round > last))
+        self.registrants.values().any(|registrant| registrant.waits_for_more_than(self.last_round))
     }
 }
 
 impl Registrant {
+    fn new(kind: Kind, told: StateNumbers, standing: Standing) -> Registrant {
+        Registrant { kind, told, standing, asked: None, covered: None, vouched: None }
+    }
+
+    fn waits_for_more_than(&self, last: RoundNumber) -> bool {
+        let is_waiting = matches!(self.standing, Standing::Waiting { round, .. } if round > last);
+        is_waiting || (self.asked.is_some() && self.covered.is_none())
+    }
+
+    /// Confirms what was asked about before the read began, once.
+    fn vouch(&mut self, connection: ConnectionId, out: &mut Vec<Output>) {
+        if let Some(moment) = self.covered.filter(|_| self.covered > self.vouched) {
+            self.vouched = self.covered;
+            out.push(Output::Vouch { connection, moment });
+        }
+    }
+
     fn is_admitted_by(&self, confirmed: RoundNumber) -> bool {
         match self.standing {
             Standing::Admitted => true,
--- a/system/contact/src/plan.rs
+++ b/system/contact/src/plan.rs
@@ -102,10 +102,12 @@
         }
     }
 
-    /// The machine has confirmed that its state is current.
-    pub fn vouched(&mut self, now: u64, address: SocketAddr) {
-        self.set(now, address, Standing::Vouched);
-        self.rests.remove(&address);
+    /// The machine has confirmed that its state was current at `moment`, when this process asked.
+    pub fn vouched(&mut self, now: u64, address: SocketAddr, moment: u64) {
+        if now.saturating_sub(moment) < VOUCH_WITHIN_MS {
+            self.set(now, address, Standing::Vouched);
+            self.rests.remove(&address);
+        }
     }
 
     /// The machine has said that it cannot confirm its state, or that it ends.
--- a/system/node/src/control_link/mod.rs
+++ b/system/node/src/control_link/mod.rs
@@ -75,6 +75,7 @@
 impl ControlLink {
     /// Connects to up to `most` core machines; `deliver` gets what they say.
     pub fn start<F>(
+        clock: SteadyClock,
         most: usize,
         registrant: Registrant,
         seeds: Vec<SocketAddr>,
@@ -85,7 +86,7 @@
         F: Fn(FromCore) + Clone + 'static,
     {
         let shared = Shared {
-            clock: SteadyClock::start(),
+            clock,
             plan: LinkPlan::new(most, seed),
             registrant,
             held: Held::default(),
@@ -138,6 +139,15 @@
         event(&mut self.plan, self.clock.millis(), address);
     }
 
+    /// Asks every core machine that is connected whether what is held here is current.
+    fn ask(&self) {
+        let message = ToCorePort::Client { message: ToCore::Ask { moment_ms: self.clock.millis() } };
+        for dialer in self.links.values() {
+            // One that is closed is asked when it is open again.
+            let _ = dialer.outbox().send(&message);
+        }
+    }
+
     /// Whether seeds may tell of core machines that are needed.
     fn wants_seeds(&self) -> bool {
         !self.plan.is_served() || self.plan.known() < self.seeds.len()
@@ -149,6 +159,7 @@
     let _asking = AbortOnDrop(asking);
     loop {
         follow_plan(&handle, &deliver);
+        handle.shared.borrow().ask();
         // Refused or not, the plan is asked again.
         let _ = timeout(LOOK_EVERY, handle.refused.notified()).await;
     }
@@ -201,7 +212,11 @@
     /// Takes note of what a message tells of the machine that sent it.
     fn note(&self, address: SocketAddr, outbox: &Outbox, message: &FromCore) {
         match message {
-            FromCore::Heartbeat { .. } => self.shared.borrow_mut().report(address, LinkPlan::vouched),
+            FromCore::Heartbeat { moment_ms, .. } => {
+                let mut shared = self.shared.borrow_mut();
+                let now = shared.clock.millis();
+                shared.plan.vouched(now, address, *moment_ms);
+            }
             FromCore::NoMajority => {
                 log::info!("core machine {address} has no majority");
                 self.refuse(address);
@@ -228,4 +243,6 @@
     };
     // Closed at once, it is opened anew.
     let _ = outbox.send(&ToCorePort::Client { message });
+    let question = ToCore::Ask { moment_ms: shared.clock.millis() };
+    let _ = outbox.send(&ToCorePort::Client { message: question });
 }
--- a/system/node/src/core/host/inbound.rs
+++ b/system/node/src/core/host/inbound.rs
@@ -75,6 +75,7 @@
                     self.manage(PlacementInput::Heartbeat { id, health });
                 }
             }
+            ToCore::Ask { moment_ms } => self.guard(GateInput::Asked { connection, moment: moment_ms }),
             ToCore::CaughtUp { shards } => {
                 if let Some(id) = self.registrants.store(connection) {
                     self.manage(PlacementInput::CaughtUp { id, shards });
--- a/system/node/src/core/host/serving.rs
+++ b/system/node/src/core/host/serving.rs
@@ -52,7 +52,7 @@
             Output::StartRead { round } => self.start_confirming(round),
             Output::AbandonRead { round } => self.stop_confirming(round),
             Output::Tell { connection, part } => self.tell_part(connection, part),
-            Output::Vouch { connection, age_ms } => self.vouch(connection, age_ms),
+            Output::Vouch { connection, moment } => self.vouch(connection, moment),
             Output::NoMajority { connection } => self.registrants.tell(connection, &FromCore::NoMajority),
             Output::TryAnother { connection } => self.registrants.tell(connection, &FromCore::TryAnother),
         }
@@ -89,12 +89,12 @@
         self.registrants.tell(connection, &message);
     }
 
-    fn vouch(&mut self, connection: ConnectionId, age_ms: u64) {
+    fn vouch(&mut self, connection: ConnectionId, moment: u64) {
         let state = self.node.machine();
         let message = FromCore::Heartbeat {
             configuration_version: state.configuration().version,
             placement_epoch: state.placement().epoch.0,
-            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            moment_ms: moment,
         };
         self.registrants.tell(connection, &message);
         self.registrants.tell_count(connection, self.told_dispatchers);
--- a/system/node/src/edge/host.rs
+++ b/system/node/src/edge/host.rs
@@ -99,6 +99,7 @@
         events: UnboundedSender<Event>,
     ) -> Self {
         let seed = clock::seed();
+        let clock = SteadyClock::start();
         let (name, zone) = (settings.node_name.to_string(), settings.zone.to_string());
         let registrant = Registrant::Dispatcher { name: name.clone(), zone: zone.clone() };
         let to_core = events.clone();
@@ -106,12 +107,12 @@
         let configuration =
             delivery::Configuration { zone: zone.clone(), seed, ..delivery::Configuration::default() };
         EdgeHost {
-            clock: SteadyClock::start(),
+            clock,
             me: DispatcherId(seed),
             intake: Intake::new(zone.clone(), seed),
             delivery: Delivery::new(configuration),
             stores: StoreLinks::new(events.clone()),
-            control: ControlLink::start(CORE_LINKS, registrant, settings.seeds.clone(), seed, deliver),
+            control: ControlLink::start(clock, CORE_LINKS, registrant, settings.seeds.clone(), seed, deliver),
             calls: Calls::new(Client::new(ClientLimits::default()), events),
             bodies: Bodies::default(),
             held: Held::default(),
@@ -335,11 +336,11 @@
             FromCore::Dispatchers { count } => {
                 self.give_delivery(delivery::Input::Dispatchers { count });
             }
-            FromCore::Heartbeat { configuration_version, placement_epoch, age_ms } => {
+            FromCore::Heartbeat { configuration_version, placement_epoch, moment_ms } => {
                 let confirmed = Held { configuration_version, placement_epoch };
                 if self.held.covers(confirmed) {
                     let now = self.clock.millis();
-                    report_freshness(self.freshness.confirmed(now, u64::from(age_ms)));
+                    report_freshness(self.freshness.confirmed(now, moment_ms));
                 }
             }
             FromCore::Core { addresses } => {
--- a/system/node/src/storage/host.rs
+++ b/system/node/src/storage/host.rs
@@ -100,6 +100,7 @@
     ) -> Self {
         let me = opened.id;
         let seed = crate::clock::seed();
+        let clock = SteadyClock::start();
         let records = std::mem::take(&mut opened.records);
         let zone = settings.zone.to_string();
         let config = config(settings, seed);
@@ -115,13 +116,13 @@
         let to_core = events.clone();
         let deliver = move |message| drop(to_core.send(Event::Core(message)));
         StoreHost {
-            clock: SteadyClock::start(),
+            clock,
             node,
             disk: Disk::start(opened, reports),
             links: StoreLinks::new(me, events),
             inbound: BTreeMap::new(),
             outboxes: BTreeMap::new(),
-            control: ControlLink::start(usize::MAX, registrant, settings.seeds.clone(), seed, deliver),
+            control: ControlLink::start(clock, usize::MAX, registrant, settings.seeds.clone(), seed, deliver),
             held: Held::default(),
             freshness: Freshness::default(),
             me,
@@ -309,11 +310,11 @@
                 self.control.hold(self.held);
                 self.configure(&configuration.json);
             }
-            FromCore::Heartbeat { configuration_version, placement_epoch, age_ms } => {
+            FromCore::Heartbeat { configuration_version, placement_epoch, moment_ms } => {
                 let confirmed = Held { configuration_version, placement_epoch };
                 if self.held.covers(confirmed) {
                     let now = self.clock.millis();
-                    report_freshness(self.freshness.confirmed(now, u64::from(age_ms)));
+                    report_freshness(self.freshness.confirmed(now, moment_ms));
                 }
             }
             FromCore::Core { addresses } => {
--- a/system/protocol/src/control.rs
+++ b/system/protocol/src/control.rs
@@ -51,6 +51,10 @@
     CaughtUp {
         shards: Vec<FilledShard>,
     },
+    /// Asks for a confirmation that what the sender has is current at this moment of its own steady clock.
+    Ask {
+        moment_ms: u64,
+    },
 }
 
 /// State of a worker on the platform's list.
@@ -109,12 +113,11 @@
     Workers {
         list: WorkerList,
     },
-    /// A majority of the core had nothing newer than this `age_ms` milliseconds ago; everything that was newer than
-    /// what the other end has was told before.
+    /// What was told on this connection holds all that was committed when the other end asked with this moment.
     Heartbeat {
         configuration_version: u64,
         placement_epoch: u64,
-        age_ms: u32,
+        moment_ms: u64,
     },
     /// Where the core machines listen for the system's processes.
     Core {
--- a/system/simulation/src/core_machine.rs
+++ b/system/simulation/src/core_machine.rs
@@ -224,6 +224,8 @@
             ToCore::Register { registrant, configuration_version, placement_epoch } => {
                 self.on_register(scene, connection, registrant, configuration_version, placement_epoch);
             }
+            // The simulated machine vouches for nothing.
+            ToCore::Ask { .. } => {}
             ToCore::Heartbeat { health } => {
                 if let (Some(id), Some(health)) = (self.store(connection), health) {
                     self.manage(scene, PlacementInput::Heartbeat { id, health });
