--- a/coordination/chain/src/replies.rs
+++ b/coordination/chain/src/replies.rs
@@ -68,4 +68,8 @@
         }
         Ok(replies)
     }
+
+    fn minimum_bytes_needed() -> usize {
+        <Vec<Remembered> as Readable<'a, C>>::minimum_bytes_needed()
+    }
 }
--- a/coordination/chain/tests/transfer.rs
+++ b/coordination/chain/tests/transfer.rs
@@ -117,8 +117,12 @@
     }
 
     fn submit(&mut self, number: u128) {
+        self.submit_at(1, number);
+    }
+
+    fn submit_at(&mut self, place: usize, number: u128) {
         let command = format!("{number:>COMMAND_BYTES$}");
-        self.input(1, Input::Submit { request_id: RequestId(number), command });
+        self.input(place, Input::Submit { request_id: RequestId(number), command });
     }
 
     fn input(&mut self, place: usize, input: Input<String>) {
@@ -346,6 +350,29 @@
     assert!(cluster.parts.iter().all(|part| part.id == id), "one snapshot is enough");
 }
 
+#[test]
+fn a_request_that_comes_again_to_a_node_that_was_brought_up_does_not_run_again() {
+    let mut cluster = Cluster::with_state(2);
+    // The one that was brought up becomes the head once those before it are gone.
+    for (newcomer, lost) in [(3, 1), (4, 2)] {
+        cluster.start_learner(newcomer);
+        cluster.run(2 * SECOND);
+        cluster.hosts.remove(&lost);
+        cluster.run(3 * SECOND);
+    }
+    let node = cluster.node(3);
+    assert_eq!(node.view().and_then(|view| view.head()), Some(node.id()));
+    let before = node.machine().clone();
+    for number in [COMMANDS, COMMANDS / 2] {
+        cluster.submit_at(3, number);
+    }
+    cluster.run(SECOND);
+    assert_eq!(cluster.node(3).machine(), &before);
+    cluster.submit_at(3, COMMANDS + 1);
+    cluster.run(SECOND);
+    assert_ne!(cluster.node(3).machine(), &before);
+}
+
 /// A part that no honest sender sends, from the node that feeds the learner.
 fn forged(cluster: &mut Cluster, change: impl FnOnce(&mut SnapshotId, &mut SnapshotPart)) -> Letter {
     cluster.run_until_parts(5);
