--- a/system/node/src/core/host/commits.rs
+++ b/system/node/src/core/host/commits.rs
@@ -38,7 +38,7 @@
     }
 
     pub(super) fn know_view(&mut self, view: &View) {
-        for member in &view.members {
+        for member in &view.voters {
             if let Ok(address) = member.address.parse() {
                 self.addresses.insert(member.id, address);
                 self.peers.know(address);
@@ -81,7 +81,9 @@
 
     fn on_view(&mut self, view: &View) {
         let members: Vec<&str> = view.members.iter().map(|member| member.address.as_str()).collect();
+        let voters: Vec<&str> = view.voters.iter().map(|voter| voter.address.as_str()).collect();
         log::info!("view {} of the core: {}", view.epoch.0, members.join(" "));
+        log::info!("voters of view {}: {}", view.epoch.0, voters.join(" "));
         self.know_view(view);
     }
 
