Tell a store later configurations from the machine that acts only

Cause: a store is connected to every core machine and was told each version by each of them.

Change: an admitted store is told later configurations by the holder of the controller's lease, which tells what was missed when it gets the lease; at its registration it is told by each machine, as before. A store that the holder does not hear leads no shard. Dispatchers are told as before. One test now has the machine act before it expects news for a store; two are new.

--- a/system/contact/src/gate.rs
+++ b/system/contact/src/gate.rs
@@ -39,6 +39,8 @@
     },
     /// This machine's state has these versions now.
     State(StateNumbers),
+    /// This machine acts for the core, or not any more: it holds the controller's lease.
+    Acting(bool),
     /// The read sees all that was committed before its start.
     ReadReady {
         round: RoundNumber,
@@ -108,6 +110,7 @@
     /// Start of the last confirmed read.
     confirmed_at: Option<u64>,
     contact: bool,
+    acting: bool,
     leaving: bool,
     /// When something is to be done next; kept, since it takes a look at all registrants.
     due: Option<u64>,
@@ -124,6 +127,7 @@
             next_read: 0,
             confirmed_at: None,
             contact: false,
+            acting: false,
             leaving: false,
             due: Some(0),
         }
@@ -174,6 +178,7 @@
                 self.registrants.remove(&connection);
             }
             Input::State(state) => self.on_state(state, out),
+            Input::Acting(acting) => self.acting = acting,
             Input::ReadReady { round } => self.on_ready(now, round, out),
             Input::Tick => {}
             Input::PeerOpened => self.on_peer_opened(now, out),
@@ -239,7 +244,7 @@
         self.state = state;
         for (connection, registrant) in &mut self.registrants {
             if registrant.standing == Standing::Admitted {
-                registrant.tell_newer(*connection, &state, out);
+                registrant.tell_newer(*connection, &state, self.acting, out);
             }
         }
     }
@@ -250,8 +255,9 @@
         let age_ms = now.saturating_sub(read.started);
         for (connection, registrant) in &mut self.registrants {
             if registrant.is_admitted_by(round) {
+                let is_new = registrant.standing != Standing::Admitted;
                 registrant.standing = Standing::Admitted;
-                registrant.tell_newer(*connection, &self.state, out);
+                registrant.tell_newer(*connection, &self.state, self.acting || is_new, out);
                 out.push(Output::Vouch { connection: *connection, age_ms });
             }
         }
@@ -324,9 +330,19 @@
     }
 
     /// Tells what is newer than what was told last.
-    fn tell_newer(&mut self, connection: ConnectionId, state: &StateNumbers, out: &mut Vec<Output>) {
+    ///
+    /// Every store is connected to every core machine, and a configuration may be large: a store that has been admitted
+    /// is told later ones by the machine that acts (`in_full`). A store that this one does not hear leads no shard.
+    fn tell_newer(
+        &mut self,
+        connection: ConnectionId,
+        state: &StateNumbers,
+        in_full: bool,
+        out: &mut Vec<Output>,
+    ) {
         let mut tell = |part| out.push(Output::Tell { connection, part });
-        if state.configuration_version > self.told.configuration_version {
+        let wants_configuration = in_full || self.kind == Kind::Dispatcher;
+        if wants_configuration && state.configuration_version > self.told.configuration_version {
             tell(Part::Configuration);
             self.told.configuration_version = state.configuration_version;
         }
--- a/system/contact/tests/gate.rs
+++ b/system/contact/tests/gate.rs
@@ -201,11 +201,37 @@
     let out = machine.register(FIRST, Kind::Store, numbers(5, 1));
     let out = machine.confirm(&out);
     assert_eq!(told(&out, FIRST), vec![Part::Placement]);
+    machine.give(Input::Acting(true));
     let out = machine.give(Input::State(numbers(7, 2)));
     assert_eq!(told(&out, FIRST), vec![Part::Configuration]);
     assert_eq!(machine.give(Input::State(numbers(7, 2))), vec![]);
 }
 
+#[test]
+fn a_store_is_told_later_configurations_by_the_machine_that_acts() {
+    let mut machine = Machine::with(numbers(5, 2));
+    assert_eq!(told(&machine.admit(FIRST, Kind::Store), FIRST), vec![Part::Configuration, Part::Placement]);
+    let out = machine.give(Input::State(numbers(7, 3)));
+    assert_eq!(told(&out, FIRST), vec![Part::Placement], "another one tells it the configuration");
+    let out = machine.tick_after(CONFIRM_EVERY_MS);
+    assert_eq!(told(&machine.confirm(&out), FIRST), vec![]);
+    machine.give(Input::Acting(true));
+    let out = machine.tick_after(CONFIRM_EVERY_MS);
+    assert_eq!(told(&machine.confirm(&out), FIRST), vec![Part::Configuration], "it may have missed it");
+    let out = machine.give(Input::State(numbers(8, 3)));
+    assert_eq!(told(&out, FIRST), vec![Part::Configuration]);
+    machine.give(Input::Acting(false));
+    assert_eq!(machine.give(Input::State(numbers(9, 3))), vec![]);
+}
+
+#[test]
+fn a_dispatcher_is_told_the_configuration_by_each_of_its_machines() {
+    let mut machine = Machine::with(numbers(5, 2));
+    machine.admit(FIRST, Kind::Dispatcher);
+    let out = machine.give(Input::State(numbers(7, 2)));
+    assert_eq!(told(&out, FIRST), vec![Part::Configuration]);
+}
+
 #[test]
 fn workers_are_for_dispatchers() {
     let workers = ListNumber { fencing: 4, number: 1 };
