Renew a lease in time also where one voter refused it

Ruled out: voters that refuse renewals (none was sent).

Change: whoever becomes holder renews at the usual pause after that round's start. One new test, seen failing without it.

--- a/coordination/lease/src/holder.rs
+++ b/coordination/lease/src/holder.rs
@@ -162,11 +162,14 @@
     fn granted(&mut self, now: u64, from: VoterId, number: u64) -> Option<HolderEvent> {
         let round = self.round.as_mut().filter(|round| round.number == number)?;
         round.grants.insert(from);
-        let (fencing, until) = (round.fencing, round.sent_at + self.usable);
+        let (fencing, until, renewal) =
+            (round.fencing, round.sent_at + self.usable, round.sent_at + self.renew_every);
         if round.grants.len() < self.majority || now >= until {
             return None;
         }
         let is_new = self.held.is_none();
+        // One that refused has set a later time, which was meant for a candidate.
+        self.next_request = self.next_request.min(renewal.max(now));
         let until = self.held.map_or(until, |held| held.until.max(until));
         self.held = Some(Held { fencing, until });
         self.highest = self.highest.max(fencing);
--- a/coordination/lease/tests/lease.rs
+++ b/coordination/lease/tests/lease.rs
@@ -177,3 +177,25 @@
     assert!(holder.next_deadline().is_some_and(|due| due <= 10 + soon));
     assert!(holder.poll(11 + soon).request.is_some());
 }
+
+#[test]
+fn who_holds_a_lease_renews_it_in_time_also_where_one_voter_refused() {
+    let config = LeaseConfig::default();
+    let mut holder = Holder::new(&config, role(), 3);
+    holder.voters_changed(2, 0);
+    let round = holder.poll(0).request.expect("a request").round;
+    let refused = LeaseAnswer::Refused {
+        role: role(),
+        round,
+        refusal: Refusal::Taken,
+        highest: Fencing(1),
+        retry_after_micros: duration(),
+    };
+    let granted = LeaseAnswer::Granted { role: role(), round };
+    assert_eq!(holder.answer(10, VoterId(1), &granted).event, None);
+    assert_eq!(holder.answer(2_000, VoterId(3), &refused).event, None);
+    assert!(holder.answer(3_000, VoterId(2), &granted).event.is_some());
+    let renewal = config.renew_every.as_micros() as u64;
+    assert!(holder.next_deadline().is_some_and(|due| due <= renewal));
+    assert!(holder.poll(renewal).request.is_some_and(|request| request.held));
+}
