--- a/system/contact/src/gate.rs
+++ b/system/contact/src/gate.rs
@@ -277,13 +277,8 @@
             if registrant.is_admitted_by(round) {
                 let is_new = registrant.standing != Standing::Admitted;
                 registrant.standing = Standing::Admitted;
-<<<<<<< HEAD
-                registrant.tell_newer(*connection, &self.state, out);
-                registrant.vouch(*connection, out);
-=======
                 registrant.tell_newer(*connection, &self.state, self.acting || is_new, out);
-                out.push(Output::Vouch { connection: *connection, age_ms });
->>>>>>> main
+                registrant.vouch(*connection, out);
             }
         }
         if self.has_fresh_waiters() {
