Empty storage machines and let them be taken away

Change: the order is a command of the control state, decided where it is applied: unknown machines and orders that would leave fewer than 2f+1 well ones are refused, a repeat is acknowledged again. The lease holder moves the machine's places to others by the same agreed changes as repair does; the machine counts and leads until they are admitted, and gets nothing again. The core's processes on it are put out through Input::Exclude. `completed` comes from a confirmed read that finds no place of it, and a core that can do without it.

--- a/system/control-state/src/command.rs
+++ b/system/control-state/src/command.rs
@@ -1,5 +1,6 @@
 //! Changes of the control state and what they answer.
 
+use millrudder_chain::NodeId;
 use millrudder_protocol::control::ConfigurationText;
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::Epoch;
@@ -12,6 +13,21 @@
     PutConfiguration { expected_version: u64, configuration: ConfigurationText },
     /// Puts a placement into force, if it is the next after the one in force.
     SetPlacement { placement: Placement },
+    /// Empties a storage machine and takes it away.
+    Retire { order: RetireOrder },
+}
+
+/// What is known of a storage machine that is to be emptied, at the core machine that was asked.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct RetireOrder {
+    /// `nodeName` of the machine.
+    pub name: String,
+    /// It has registered, though it may hold nothing.
+    pub is_known: bool,
+    /// Identities of core processes on the machine.
+    pub core: Vec<NodeId>,
+    /// Names of the storage machines that are well.
+    pub well: Vec<String>,
 }
 
 /// What a change answers.
@@ -36,4 +52,10 @@
     PlacementConflict {
         current: Epoch,
     },
+    /// The machine is being emptied, or was.
+    Retiring,
+    /// No storage machine has this name.
+    RetireUnknown,
+    /// Fewer storage machines would remain than a shard has replicas.
+    RetireTooFew,
 }
--- a/system/control-state/src/state.rs
+++ b/system/control-state/src/state.rs
@@ -2,10 +2,12 @@
 
 use crate::accepted::Accepted;
 use crate::command::{Command, Reply};
-use millrudder_chain::{Machine, RestoreError, Sequence};
+use crate::retirement::Retirements;
+use millrudder_chain::{Machine, NodeId, RestoreError, Sequence};
 use millrudder_protocol::control::ConfigurationText;
 use millrudder_protocol::placement::Placement;
 use speedy::{Readable, Writable};
+use std::collections::BTreeSet;
 
 /// All that the core keeps for the system.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Readable, Writable)]
@@ -13,6 +15,7 @@
     configuration: ConfigurationText,
     accepted: Accepted,
     placement: Placement,
+    retirements: Retirements,
 }
 
 impl ControlState {
@@ -31,6 +34,16 @@
         self.accepted.contains(json)
     }
 
+    /// Names of the storage machines that are to be emptied, or were.
+    pub fn retiring(&self) -> BTreeSet<String> {
+        self.retirements.names()
+    }
+
+    /// The core processes on a storage machine that is to be emptied; `None` for any other.
+    pub fn retiring_core_of(&self, name: &str) -> Option<&BTreeSet<NodeId>> {
+        self.retirements.core_of(name)
+    }
+
     fn put(&mut self, expected_version: u64, configuration: &ConfigurationText) -> Reply {
         let current = self.configuration.version;
         if self.accepted.contains(&configuration.json) {
@@ -71,6 +84,7 @@
                 self.put(*expected_version, configuration)
             }
             Command::SetPlacement { placement } => self.place(placement),
+            Command::Retire { order } => self.retirements.begin(&self.placement, order),
         }
     }
 
--- a/system/node/src/core/host/commits.rs
+++ b/system/node/src/core/host/commits.rs
@@ -55,7 +55,7 @@
     }
 
     fn on_committed(&mut self, reply: Reply) {
-        if matches!(reply, Reply::ConfigurationAccepted | Reply::PlacementSet) {
+        if matches!(reply, Reply::ConfigurationAccepted | Reply::PlacementSet | Reply::Retiring) {
             self.follow_state();
         }
     }
@@ -63,6 +63,7 @@
     /// Something may have come into force.
     fn follow_state(&mut self) {
         self.tell_news();
+        self.follow_retirements();
         let state = self.node.machine();
         let version = state.configuration().version;
         if version > self.followed_version {
@@ -85,6 +86,7 @@
         log::info!("view {} of the core: {}", view.epoch.0, members.join(" "));
         log::info!("voters of view {}: {}", view.epoch.0, voters.join(" "));
         self.know_view(view);
+        self.follow_retirements();
     }
 
     fn on_lease(&mut self, role: &Role, fencing: Option<u64>) {
--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -2,6 +2,7 @@
 
 mod commits;
 mod inbound;
+mod retiring;
 mod serving;
 
 use crate::clock::SteadyClock;
@@ -22,7 +23,7 @@
 use millrudder_settings::Settings;
 use millrudder_system_http::client::Client;
 use millrudder_transport::{LinkEvent, Outbox};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -89,6 +90,8 @@
     /// Versions that were taken note of when they came into force.
     followed_version: u64,
     followed_epoch: u64,
+    followed_retiring: BTreeSet<String>,
+    followed_excluded: BTreeSet<NodeId>,
     settings: Settings,
     seeds: Arc<ArcSwap<Vec<SocketAddr>>>,
     client: Client,
@@ -136,6 +139,8 @@
             had_majority: false,
             followed_version: node.machine().configuration().version,
             followed_epoch: node.machine().placement().epoch.0,
+            followed_retiring: BTreeSet::new(),
+            followed_excluded: BTreeSet::new(),
             seeds: Arc::new(ArcSwap::from_pointee(settings.seeds.clone())),
             settings,
             client,
@@ -173,6 +178,7 @@
         reports: &mut UnboundedReceiver<Report>,
     ) -> Result<(), RoleError> {
         self.reader.read_once(self.clock.millis());
+        self.follow_retirements();
         loop {
             let deadline = self.next_deadline();
             tokio::select! {
@@ -281,6 +287,7 @@
                 self.node.handle(now, Input::Submit { request_id, command });
             }
             Step::Read { request_id } => self.node.handle(now, Input::Read { request_id }),
+            Step::Retire { request_id, name } => self.submit_retire(request_id, name),
         }
     }
 
--- a/system/node/src/core/host/serving.rs
+++ b/system/node/src/core/host/serving.rs
@@ -75,7 +75,7 @@
     pub(super) fn on_read_ready(&mut self, request_id: RequestId) {
         match self.confirming.take_if(|confirming| confirming.request_id == request_id) {
             Some(confirming) => self.guard(GateInput::ReadReady { round: confirming.round }),
-            None => self.orders.read_ready(request_id, self.node.machine()),
+            None => self.answer_read(request_id),
         }
     }
 
--- a/system/node/src/core/mod.rs
+++ b/system/node/src/core/mod.rs
@@ -8,6 +8,7 @@
 mod peers;
 mod reader;
 mod registrants;
+mod retire;
 
 pub use messages::ToCorePort;
 
--- a/system/node/src/core/operator.rs
+++ b/system/node/src/core/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's API over HTTP: `Config.Put`, `Config.Get`, `Retire.*`, and where this machine listens internally.
 
 use crate::core::host::Event;
+use crate::core::retire::{self, Progress};
 use crate::locate;
 use bytes::Bytes;
 use http::header::{HeaderName, RETRY_AFTER};
@@ -19,8 +20,19 @@
 /// What the operator asks the owner of the state.
 #[derive(Debug)]
 pub enum Order {
-    Put { expected_version: u64, body: Bytes },
+    Put {
+        expected_version: u64,
+        body: Bytes,
+    },
     Get,
+    /// Empties a storage machine.
+    Retire {
+        name: String,
+    },
+    /// How far that is.
+    Retirement {
+        name: String,
+    },
 }
 
 /// The owner's answer.
@@ -38,6 +50,14 @@
     },
     /// No configuration was ever accepted.
     Nothing,
+    /// No storage machine has this name, or none that is to be emptied.
+    UnknownMachine,
+    /// Fewer storage machines would remain than a shard has replicas.
+    TooFewRemain,
+    /// How far the emptying of a machine is.
+    Retirement {
+        progress: Progress,
+    },
     /// This machine is cut off from the core, or ends; the order was not taken.
     NotServed,
 }
@@ -59,6 +79,10 @@
             let text = serde_json::to_vec(&locate::InternalAddress { internal }).unwrap_or_default();
             Response::json(StatusCode::OK, text)
         }
+        (method, path) if retire::is_meant(path) => match retire::order(method, path) {
+            Some(order) => respond(ask(events, order).await),
+            None => Response::empty(StatusCode::METHOD_NOT_ALLOWED),
+        },
         (_, "/Config.Put" | "/Config.Get" | locate::PATH) => Response::empty(StatusCode::METHOD_NOT_ALLOWED),
         _ => Response::empty(StatusCode::NOT_FOUND),
     }
@@ -86,6 +110,9 @@
         }
         Some(Outcome::Invalid { reason }) => refuse(StatusCode::BAD_REQUEST, &reason),
         Some(Outcome::Configuration { json }) => Response::json(StatusCode::OK, json),
+        Some(Outcome::UnknownMachine) => refuse(StatusCode::NOT_FOUND, "no such machine"),
+        Some(Outcome::TooFewRemain) => refuse(StatusCode::CONFLICT, "too few storage machines would remain"),
+        Some(Outcome::Retirement { progress }) => Response::json(StatusCode::OK, progress.to_json()),
         Some(Outcome::NotServed) => come_again(
             StatusCode::SERVICE_UNAVAILABLE,
             "this machine cannot ask the core; another one may; nothing was done here",
--- a/system/node/src/core/orders.rs
+++ b/system/node/src/core/orders.rs
@@ -20,10 +20,31 @@
     Read {
         request_id: RequestId,
     },
+    /// A storage machine is to be emptied.
+    Retire {
+        request_id: RequestId,
+        name: String,
+    },
 }
 
 struct Waiting {
     reply: oneshot::Sender<Outcome>,
+    question: Question,
+}
+
+/// What a read is for.
+pub enum Question {
+    Configuration,
+    /// The emptying of a machine.
+    Retirement {
+        name: String,
+    },
+}
+
+/// A read of the state that an operator waits for.
+pub struct Asked {
+    pub reply: oneshot::Sender<Outcome>,
+    pub question: Question,
 }
 
 /// Orders by the request that they wait for.
@@ -45,14 +66,21 @@
             return Step::Done;
         }
         match order {
-            Order::Get => {
-                let request_id = self.wait(reply);
-                Step::Read { request_id }
+            Order::Get => self.read(Question::Configuration, reply),
+            Order::Retirement { name } => self.read(Question::Retirement { name }, reply),
+            Order::Retire { name } => {
+                let request_id = self.wait(reply, Question::Retirement { name: name.clone() });
+                Step::Retire { request_id, name }
             }
             Order::Put { expected_version, body } => self.put(expected_version, &body, reply),
         }
     }
 
+    fn read(&mut self, question: Question, reply: oneshot::Sender<Outcome>) -> Step {
+        let request_id = self.wait(reply, question);
+        Step::Read { request_id }
+    }
+
     fn put(&mut self, expected_version: u64, body: &Bytes, reply: oneshot::Sender<Outcome>) -> Step {
         let version = match Configuration::from_json(body) {
             Ok(configuration) => configuration.version().0,
@@ -64,13 +92,13 @@
         };
         let configuration = ConfigurationText { version, json: body.to_vec() };
         let command = Command::PutConfiguration { expected_version, configuration };
-        let request_id = self.wait(reply);
+        let request_id = self.wait(reply, Question::Configuration);
         Step::Submit { request_id, command }
     }
 
-    fn wait(&mut self, reply: oneshot::Sender<Outcome>) -> RequestId {
+    fn wait(&mut self, reply: oneshot::Sender<Outcome>, question: Question) -> RequestId {
         let request_id = RequestId(self.random.u128(1..));
-        self.waiting.insert(request_id, Waiting { reply });
+        self.waiting.insert(request_id, Waiting { reply, question });
         request_id
     }
 
@@ -82,7 +110,9 @@
     pub fn replied(&mut self, request_id: RequestId, reply: Reply) {
         let Some(waiting) = self.waiting.remove(&request_id) else { return };
         let outcome = match reply {
-            Reply::ConfigurationAccepted | Reply::ConfigurationKnown => Outcome::Accepted,
+            Reply::ConfigurationAccepted | Reply::ConfigurationKnown | Reply::Retiring => Outcome::Accepted,
+            Reply::RetireUnknown => Outcome::UnknownMachine,
+            Reply::RetireTooFew => Outcome::TooFewRemain,
             Reply::ConfigurationConflict { current } => Outcome::Conflict { current },
             Reply::VersionNotHigher { current } => {
                 let reason = format!("its version is not higher than {current}, which is current");
@@ -95,15 +125,10 @@
         answer(waiting.reply, outcome);
     }
 
-    pub fn read_ready(&mut self, request_id: RequestId, state: &ControlState) {
-        let Some(waiting) = self.waiting.remove(&request_id) else { return };
-        let configuration = state.configuration();
-        let outcome = if configuration.version == 0 {
-            Outcome::Nothing
-        } else {
-            Outcome::Configuration { json: configuration.json.clone() }
-        };
-        answer(waiting.reply, outcome);
+    /// A read sees what it must; gives what it is for.
+    pub fn read_ready(&mut self, request_id: RequestId) -> Option<Asked> {
+        let Waiting { reply, question } = self.waiting.remove(&request_id)?;
+        Some(Asked { reply, question })
     }
 
     /// Requests whose callers have gone.
@@ -117,7 +142,16 @@
     }
 }
 
-fn answer(reply: oneshot::Sender<Outcome>, outcome: Outcome) {
+/// The configuration in force, as it is told to an operator.
+pub fn configuration_outcome(state: &ControlState) -> Outcome {
+    let configuration = state.configuration();
+    if configuration.version == 0 {
+        return Outcome::Nothing;
+    }
+    Outcome::Configuration { json: configuration.json.clone() }
+}
+
+pub fn answer(reply: oneshot::Sender<Outcome>, outcome: Outcome) {
     // The caller may have gone.
     let _ = reply.send(outcome);
 }
--- a/system/node/tests/system/main.rs
+++ b/system/node/tests/system/main.rs
@@ -8,5 +8,6 @@
 mod messages;
 mod passing_on;
 mod recovery;
+mod retirement;
 mod stops;
 mod workers;
--- a/system/placement/src/manager.rs
+++ b/system/placement/src/manager.rs
@@ -8,6 +8,7 @@
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::{Address, StoreId};
 use std::collections::BTreeSet;
+use std::net::IpAddr;
 
 /// The first placement waits until no new store has come for so long (ms) ...
 const FOUNDING_CALM_MS: u64 = 1000;
@@ -135,6 +136,31 @@
         self.propose(now)
     }
 
+    /// Names of the stores that are well.
+    pub fn well(&self, now: u64) -> Vec<String> {
+        let well = self.stores.iter().filter(|seen| self.stores.is_well(now, seen.id));
+        well.map(|seen| seen.name.clone()).collect()
+    }
+
+    /// Where a machine's store was last seen.
+    pub fn address_of(&self, name: &str) -> Option<Address> {
+        let seen = self.stores.iter().find(|seen| seen.name == name).map(|seen| seen.address);
+        seen.or_else(|| {
+            self.current.stores.iter().find(|store| store.name == name).map(|store| store.address)
+        })
+    }
+
+    /// One store machine at most has this address, as in every deployment with an address for each machine.
+    pub fn is_machines_own(&self, ip: IpAddr) -> bool {
+        let names: BTreeSet<&str> = self
+            .stores
+            .iter()
+            .filter(|seen| seen.address.0.ip() == ip)
+            .map(|seen| seen.name.as_str())
+            .collect();
+        names.len() <= 1
+    }
+
     /// When the next `Tick` is due.
     pub fn next_deadline(&self, now: u64) -> Option<u64> {
         let since = self.leading_since?;
--- a/system/protocol/src/placement.rs
+++ b/system/protocol/src/placement.rs
@@ -96,6 +96,12 @@
         self.stores.iter().find(|store| store.id == id)
     }
 
+    /// Replicas that a shard should have: f+1 of them are written, so that any f may be lost and the rest tells all.
+    pub fn replicas_wanted(&self) -> usize {
+        let losses = usize::try_from(self.tolerated_losses).unwrap_or(usize::MAX);
+        losses.saturating_mul(2).saturating_add(1)
+    }
+
     pub fn shard(&self, id: ShardId) -> Option<&ShardEntry> {
         self.shards.get(usize::from(id.0))
     }
--- a/system/simulation/src/orders.rs
+++ b/system/simulation/src/orders.rs
@@ -93,6 +93,7 @@
             Reply::VersionNotHigher { .. } => Answer::NotHigher,
             Reply::ConfigurationForgotten => Answer::Unavailable,
             Reply::PlacementSet | Reply::PlacementConflict { .. } => return None,
+            Reply::Retiring | Reply::RetireUnknown | Reply::RetireTooFew => return None,
         };
         Some((waiting.call, answer))
     }
