Do not acknowledge a message as a repeat of another one

Found by reading. Cause: names are 64 random bits in a shard, and an accept under a name that the store has was taken for a repeat and acknowledged. At billions of waiting messages two may share a name: the second would be lost, and its client told of the first one's end.

An accept is compared with the message that the store has (repeats are rare, so it costs nothing otherwise); another message is refused, and the dispatcher tries another name. Ended messages whose bytes are gone cannot be compared.

Test: delivery::another_message_under_a_name_that_is_taken_is_not_acknowledged; fails without the change.

--- a/system/queue/src/accept.rs
+++ b/system/queue/src/accept.rs
@@ -28,8 +28,13 @@
             self.tell(connection, ToDispatcher::NotAccepted { request, reason });
             return;
         }
-        if self.table.get(id).is_some() {
-            self.accept_again(connection, request, id, dispatcher);
+        if let Some(entry) = self.table.get(id) {
+            let is_other = entry.message.as_deref().is_some_and(|known| *known != *message);
+            match is_other {
+                // The name was drawn twice: what is kept under it is another client's.
+                true => self.refuse(connection, request),
+                false => self.accept_again(connection, request, id, dispatcher),
+            }
             return;
         }
         if self.is_full(&message) {
--- a/system/queue/tests/delivery.rs
+++ b/system/queue/tests/delivery.rs
@@ -54,6 +54,20 @@
     assert_eq!(wired.acceptances(), 1);
 }
 
+/// Names are drawn: two messages may get the same one.
+#[test]
+fn another_message_under_a_name_that_is_taken_is_not_acknowledged() {
+    let mut wired = one_store();
+    let id = wired.accept(0, 1, message(), true);
+    let before = wired.acceptances();
+    let other = Message { request_id: "another".to_owned(), body: b"other".to_vec(), ..message() };
+    wired.accept_as(0, 1, id, other, true);
+    assert_eq!(wired.acceptances(), before);
+    let refused = |(_, told): &(ConnectionId, ToDispatcher)| matches!(told, ToDispatcher::NotAccepted { .. });
+    assert!(wired.told.iter().any(refused), "so the dispatcher tries another name");
+    assert_eq!(wired.state(0, id).unwrap().message.unwrap().request_id, message().request_id);
+}
+
 #[test]
 fn the_same_accept_again_is_acknowledged_and_runs_once() {
     let mut wired = one_store();
