--- a/system/simulation/src/store_machine.rs
+++ b/system/simulation/src/store_machine.rs
@@ -340,7 +340,8 @@
                 self.filled.tell_at = 0;
                 self.heartbeat_at = 0;
             }
-            Output::Released { .. } => {}
+            // What lay is on its way again; the rules that are checked show whether it came late.
+            Output::Stray { .. } | Output::Released { .. } => {}
         }
     }
 }
