--- a/coordination/chain/src/node/campaign.rs
+++ b/coordination/chain/src/node/campaign.rs
@@ -25,6 +25,8 @@
         }
     }
 
+    /// Renews what is held. A role is claimed anew only by a node that holds what its chain holds: a member that has
+    /// just come back would lead with old state.
     pub(super) fn poll_leases(&mut self, now: u64) {
         for index in 0..self.holders.len() {
             let step = self.holders[index].poll(now);
--- a/system/simulation/src/store_machine.rs
+++ b/system/simulation/src/store_machine.rs
@@ -340,7 +340,7 @@
                 self.filled.tell_at = 0;
                 self.heartbeat_at = 0;
             }
-            // What lay is on its way again; the rules that are checked show whether it came late.
+            // Found lying and put right: the dispatcher's own checks tell whether it was late.
             Output::Stray { .. } | Output::Released { .. } => {}
         }
     }
