--- a/system/queue/tests/cluster/stores.rs
+++ b/system/queue/tests/cluster/stores.rs
@@ -9,6 +9,8 @@
 
 /// Names of stores begin here, so that they are no indexes by chance.
 const FIRST_STORE_ID: u64 = 100;
+/// Steady clocks of processes differ by up to this, in milliseconds.
+const MOST_AHEAD_MS: u64 = 10_000_000;
 /// A store that was wiped gets its old name and this much more.
 const NEXT_DISK: u64 = 100;
 
@@ -35,6 +37,8 @@
     pub caught_up: BTreeSet<ShardId>,
     pub released: BTreeSet<MessageId>,
     ticking_at: Option<u64>,
+    /// What its process's steady clock is ahead of the simulation's: each one starts anywhere.
+    clock_ahead_ms: u64,
 }
 
 impl Store {
@@ -51,6 +55,7 @@
             caught_up: BTreeSet::new(),
             released: BTreeSet::new(),
             ticking_at: None,
+            clock_ahead_ms: 0,
         }
     }
 
@@ -59,6 +64,12 @@
     }
 }
 
+/// Drawn for each life of each process, without taking from what the simulation draws.
+fn clock_ahead_ms(seed: u64, store: StoreId, life: u32) -> u64 {
+    let seed = seed ^ (store.0 << 24) ^ (u64::from(life) << 48);
+    fastrand::Rng::with_seed(seed).u64(0..MOST_AHEAD_MS)
+}
+
 impl Cluster {
     pub fn start_store(&mut self, index: usize) {
         let (now_ms, config) = (self.now_ms, self.options.config.clone());
@@ -66,9 +77,11 @@
         if store.node.is_some() {
             return;
         }
-        let recovered = store.disk.recover(now_ms).into_iter();
-        store.node = Some(StoreNode::new(config, store.id, store.zone.clone(), now_ms, recovered));
         store.life += 1;
+        store.clock_ahead_ms = clock_ahead_ms(self.options.seed, store.id, store.life);
+        let recovered = store.disk.recover(now_ms).into_iter();
+        let steady_ms = now_ms + store.clock_ahead_ms;
+        store.node = Some(StoreNode::new(config, store.id, store.zone.clone(), steady_ms, recovered));
         store.leaving = false;
         store.ticking_at = None;
         store.sync_ms = 2;
@@ -111,8 +124,9 @@
     pub fn input(&mut self, index: usize, input: Input) {
         let now_ms = self.now_ms;
         let mut out = Vec::new();
+        let ahead_ms = self.stores[index].clock_ahead_ms;
         let Some(node) = self.stores[index].node.as_mut() else { return };
-        node.handle(now_ms, input, &mut out);
+        node.handle(now_ms + ahead_ms, input, &mut out);
         for output in out {
             self.carry_out(index, output);
         }
@@ -175,7 +189,8 @@
 
     fn arm_tick(&mut self, index: usize) {
         let store = &mut self.stores[index];
-        let Some(deadline_ms) = store.node.as_ref().and_then(StoreNode::next_deadline) else { return };
+        let Some(steady_ms) = store.node.as_ref().and_then(StoreNode::next_deadline) else { return };
+        let deadline_ms = steady_ms.saturating_sub(store.clock_ahead_ms);
         if store.ticking_at.is_some_and(|at_ms| at_ms <= deadline_ms) {
             return;
         }
