--- a/system/queue/tests/wired/mod.rs
+++ b/system/queue/tests/wired/mod.rs
@@ -38,10 +38,13 @@
 }
 
 /// One store of the harness.
+#[derive(Clone)]
 pub struct Place {
     pub node: Option<StoreNode>,
     pub records: Vec<(u64, DiskRecord)>,
     last: Ticket,
+    /// So many of the records are synced.
+    synced: usize,
     /// Its disk syncs nothing.
     pub stalled: bool,
     /// What is sent to it waits.
@@ -50,6 +53,7 @@
 }
 
 /// All stores, with everything that dispatchers were sent.
+#[derive(Clone)]
 pub struct Wired {
     pub now_ms: u64,
     pub config: Config,
@@ -70,6 +74,18 @@
     names: u64,
 }
 
+impl Place {
+    /// What waits for it, for comparisons.
+    pub fn wait_digest(&self) -> String {
+        format!("{:?} {} {} {}", self.waiting, self.stalled, self.held, self.synced)
+    }
+
+    /// What waits for it never arrives.
+    pub fn lose_waiting(&mut self) {
+        self.waiting.clear();
+    }
+}
+
 pub fn store_id(index: usize) -> StoreId {
     StoreId(10 + index as u64)
 }
@@ -131,6 +147,7 @@
             node: None,
             records: Vec::new(),
             last: Ticket::default(),
+            synced: 0,
             stalled: false,
             held: false,
             waiting: VecDeque::new(),
@@ -190,6 +207,14 @@
         }
     }
 
+    /// The machine loses its power: what was not synced is gone.
+    pub fn lose_power(&mut self, index: usize) {
+        self.kill(index);
+        let place = &mut self.places[index];
+        place.last = Ticket::default();
+        place.records.truncate(place.synced);
+    }
+
     /// Gives the shard to another store in a new epoch, and tells everybody that runs.
     pub fn move_primary(&mut self, index: usize) {
         self.placement.epoch = Epoch(self.placement.epoch.0 + 1);
@@ -231,6 +256,7 @@
             return;
         }
         self.places[index].last = Ticket::default();
+        self.places[index].synced = self.places[index].records.len();
         self.handle(index, Input::Synced { ticket });
     }
 
