--- a/system/contact/src/gate.rs
+++ b/system/contact/src/gate.rs
@@ -37,13 +37,22 @@
     Closed {
         connection: ConnectionId,
     },
+    /// A process asks whether what it has is current at `moment`, a time of its own clock.
+    Asked {
+        connection: ConnectionId,
+        moment: u64,
+    },
     /// This machine's state has these versions now.
     State(StateNumbers),
+    /// This machine acts for the core, or not any more: it holds the controller's lease.
+    Acting(bool),
     /// The read sees all that was committed before its start.
     ReadReady {
         round: RoundNumber,
     },
     Tick,
+    /// There is a connection to another core machine: a read that was asked for without one may end now.
+    PeerOpened,
     /// This machine is about to end.
     Leaving,
 }
@@ -65,8 +74,8 @@
     AbandonRead { round: RoundNumber },
     /// Tell a part of the state as it is now.
     Tell { connection: ConnectionId, part: Part },
-    /// Confirm that what was told on this connection was current `age_ms` ago.
-    Vouch { connection: ConnectionId, age_ms: u64 },
+    /// Confirm that what was told on this connection is all that was committed at `moment`, as the process said it.
+    Vouch { connection: ConnectionId, moment: u64 },
     /// Say that this machine cannot confirm its state.
     NoMajority { connection: ConnectionId },
     /// Send the process elsewhere: this machine ends.
@@ -87,6 +96,12 @@
     kind: Kind,
     told: StateNumbers,
     standing: Standing,
+    /// The last moment that the process has asked about ...
+    asked: Option<u64>,
+    /// ... that it had asked about before the last read began ...
+    covered: Option<u64>,
+    /// ... and that was confirmed.
+    vouched: Option<u64>,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -106,6 +121,7 @@
     /// Start of the last confirmed read.
     confirmed_at: Option<u64>,
     contact: bool,
+    acting: bool,
     leaving: bool,
     /// When something is to be done next; kept, since it takes a look at all registrants.
     due: Option<u64>,
@@ -122,6 +138,7 @@
             next_read: 0,
             confirmed_at: None,
             contact: false,
+            acting: false,
             leaving: false,
             due: Some(0),
         }
@@ -130,7 +147,7 @@
     /// Whether a majority has confirmed this machine's state of late, so that answers may rest on it.
     pub fn has_majority(&self, now: u64) -> bool {
         let recent = |at: u64| now.saturating_sub(at) < MOST_AGE_MS;
-        self.contact && self.confirmed_at.is_some_and(recent)
+        self.confirmed_at.is_some_and(recent)
     }
 
     /// Whether this machine takes orders: not when it is cut off, and not when it ends.
@@ -161,10 +178,7 @@
 
     /// Handles one input. `contact` tells whether this machine hears a majority of the core now, and is heard by it.
     pub fn handle(&mut self, now: u64, contact: bool, input: Input, out: &mut Vec<Output>) {
-        if contact && !self.contact {
-            self.next_read = now;
-        }
-        self.contact = contact;
+        self.note_contact(now, contact, out);
         self.expire_read(now, out);
         self.refuse_unconfirmed(now, out);
         match input {
@@ -174,19 +188,39 @@
             Input::Closed { connection } => {
                 self.registrants.remove(&connection);
             }
+            Input::Asked { connection, moment } => self.on_asked(now, connection, moment),
             Input::State(state) => self.on_state(state, out),
+            Input::Acting(acting) => self.acting = acting,
             Input::ReadReady { round } => self.on_ready(now, round, out),
             Input::Tick => {}
+            Input::PeerOpened => self.on_peer_opened(now, out),
             Input::Leaving => self.on_leaving(out),
         }
         self.start_read_if_due(now, out);
         self.due = self.find_deadline();
     }
 
+    /// Lost contact ends what was confirmed: the next confirmation must have begun later.
+    fn note_contact(&mut self, now: u64, contact: bool, out: &mut Vec<Output>) {
+        let is_lost = self.contact && !contact;
+        self.contact = contact;
+        if is_lost {
+            self.confirmed_at = None;
+            self.restart_read(now, out);
+        }
+    }
+
+    fn restart_read(&mut self, now: u64, out: &mut Vec<Output>) {
+        if let Some(read) = self.reading.take() {
+            out.push(Output::AbandonRead { round: read.round });
+        }
+        self.next_read = now;
+    }
+
     fn find_deadline(&self) -> Option<u64> {
         let read = match self.reading {
             Some(read) => Some(read.started + MOST_AGE_MS),
-            None => Some(self.next_read).filter(|_| self.may_read()),
+            None => Some(self.next_read).filter(|_| !self.leaving),
         };
         let confirmed = self.confirmed_at.map(|at| at + MOST_AGE_MS);
         let confirmed = confirmed.filter(|_| self.admitted().next().is_some());
@@ -209,36 +243,42 @@
             out.push(Output::TryAnother { connection });
             return;
         }
-        let refused = !self.contact;
+        let refused = !self.contact && !self.has_majority(now);
         if refused {
             out.push(Output::NoMajority { connection });
         }
         let standing = Standing::Waiting { round: self.last_round.next(), since: now, refused };
-        self.registrants.insert(connection, Registrant { kind, told: has, standing });
+        self.registrants.insert(connection, Registrant::new(kind, has, standing));
         self.next_read = now;
     }
 
+    /// The first question is answered as soon as may be: the process is not ready before.
+    fn on_asked(&mut self, now: u64, connection: ConnectionId, moment: u64) {
+        let Some(registrant) = self.registrants.get_mut(&connection) else { return };
+        registrant.asked = registrant.asked.max(Some(moment));
+        if registrant.covered.is_none() {
+            self.next_read = now;
+        }
+    }
+
     fn on_state(&mut self, state: StateNumbers, out: &mut Vec<Output>) {
         self.state = state;
         for (connection, registrant) in &mut self.registrants {
             if registrant.standing == Standing::Admitted {
-                registrant.tell_newer(*connection, &state, out);
+                registrant.tell_newer(*connection, &state, self.acting, out);
             }
         }
     }
 
     fn on_ready(&mut self, now: u64, round: RoundNumber, out: &mut Vec<Output>) {
         let Some(read) = self.reading.take_if(|read| read.round == round) else { return };
-        if !self.contact {
-            return;
-        }
         self.confirmed_at = Some(read.started);
-        let age_ms = now.saturating_sub(read.started);
         for (connection, registrant) in &mut self.registrants {
             if registrant.is_admitted_by(round) {
+                let is_new = registrant.standing != Standing::Admitted;
                 registrant.standing = Standing::Admitted;
-                registrant.tell_newer(*connection, &self.state, out);
-                out.push(Output::Vouch { connection: *connection, age_ms });
+                registrant.tell_newer(*connection, &self.state, self.acting || is_new, out);
+                registrant.vouch(*connection, out);
             }
         }
         if self.has_fresh_waiters() {
@@ -246,6 +286,12 @@
         }
     }
 
+    fn on_peer_opened(&mut self, now: u64, out: &mut Vec<Output>) {
+        if !self.has_majority(now) {
+            self.restart_read(now, out);
+        }
+    }
+
     fn on_leaving(&mut self, out: &mut Vec<Output>) {
         self.leaving = true;
         let connections = std::mem::take(&mut self.registrants);
@@ -254,22 +300,20 @@
 
     /// Gives up a read that has taken so long that its confirmation would not count.
     fn expire_read(&mut self, now: u64, out: &mut Vec<Output>) {
-        let is_late = |read: &mut Read| now.saturating_sub(read.started) >= MOST_AGE_MS;
-        if let Some(read) = self.reading.take_if(is_late) {
-            out.push(Output::AbandonRead { round: read.round });
-            self.next_read = now;
+        if self.reading.is_some_and(|read| now.saturating_sub(read.started) >= MOST_AGE_MS) {
+            self.restart_read(now, out);
         }
     }
 
     /// Takes back the admission of all when the state cannot be confirmed, and says so to those who wait too long.
     fn refuse_unconfirmed(&mut self, now: u64, out: &mut Vec<Output>) {
-        let (contact, has_majority) = (self.contact, self.has_majority(now));
+        let has_majority = self.has_majority(now);
         let next = self.last_round.next();
         for (connection, registrant) in &mut self.registrants {
             let is_refused = match registrant.standing {
                 Standing::Admitted => !has_majority,
                 Standing::Waiting { refused: true, .. } => false,
-                Standing::Waiting { since, .. } => !contact || now.saturating_sub(since) >= MOST_AGE_MS,
+                Standing::Waiting { since, .. } => now.saturating_sub(since) >= MOST_AGE_MS,
             };
             if is_refused {
                 registrant.standing = Standing::Waiting { round: next, since: now, refused: true };
@@ -279,30 +323,43 @@
     }
 
     fn start_read_if_due(&mut self, now: u64, out: &mut Vec<Output>) {
-        if self.reading.is_some() || now < self.next_read || !self.may_read() {
+        if self.reading.is_some() || now < self.next_read || self.leaving {
             return;
         }
         let round = self.last_round.next();
         self.last_round = round;
         self.reading = Some(Read { round, started: now });
         self.next_read = now + CONFIRM_EVERY_MS;
+        for registrant in self.registrants.values_mut() {
+            registrant.covered = registrant.asked;
+        }
         out.push(Output::StartRead { round });
     }
 
-    /// Without contact a read would not end.
-    fn may_read(&self) -> bool {
-        self.contact && !self.leaving
-    }
-
     /// Whether somebody waits for a read that has not been started.
     fn has_fresh_waiters(&self) -> bool {
-        let last = self.last_round;
-        let mut standings = self.registrants.values().map(|registrant| registrant.standing);
-        standings.any(|standing| matches!(standing, Standing::Waiting { round, .. } if round > last))
+        self.registrants.values().any(|registrant| registrant.waits_for_more_than(self.last_round))
     }
 }
 
 impl Registrant {
+    fn new(kind: Kind, told: StateNumbers, standing: Standing) -> Registrant {
+        Registrant { kind, told, standing, asked: None, covered: None, vouched: None }
+    }
+
+    fn waits_for_more_than(&self, last: RoundNumber) -> bool {
+        let is_waiting = matches!(self.standing, Standing::Waiting { round, .. } if round > last);
+        is_waiting || (self.asked.is_some() && self.covered.is_none())
+    }
+
+    /// Confirms what was asked about before the read began, once.
+    fn vouch(&mut self, connection: ConnectionId, out: &mut Vec<Output>) {
+        if let Some(moment) = self.covered.filter(|_| self.covered > self.vouched) {
+            self.vouched = self.covered;
+            out.push(Output::Vouch { connection, moment });
+        }
+    }
+
     fn is_admitted_by(&self, confirmed: RoundNumber) -> bool {
         match self.standing {
             Standing::Admitted => true,
@@ -311,9 +368,19 @@
     }
 
     /// Tells what is newer than what was told last.
-    fn tell_newer(&mut self, connection: ConnectionId, state: &StateNumbers, out: &mut Vec<Output>) {
+    ///
+    /// Every store is connected to every core machine, and a configuration may be large: a store that has been admitted
+    /// is told later ones by the machine that acts (`in_full`). A store that this one does not hear leads no shard.
+    fn tell_newer(
+        &mut self,
+        connection: ConnectionId,
+        state: &StateNumbers,
+        in_full: bool,
+        out: &mut Vec<Output>,
+    ) {
         let mut tell = |part| out.push(Output::Tell { connection, part });
-        if state.configuration_version > self.told.configuration_version {
+        let wants_configuration = in_full || self.kind == Kind::Dispatcher;
+        if wants_configuration && state.configuration_version > self.told.configuration_version {
             tell(Part::Configuration);
             self.told.configuration_version = state.configuration_version;
         }
--- a/system/queue/tests/cluster/stores.rs
+++ b/system/queue/tests/cluster/stores.rs
@@ -3,7 +3,8 @@
 use super::disks::Disk;
 use super::links::{End, LinkId};
 use super::{Cluster, Event, Options, Payload};
-use millrudder_protocol::{MessageId, ShardId, StoreId};
+use millrudder_protocol::control::FilledShard;
+use millrudder_protocol::{MessageId, StoreId};
 use millrudder_queue::{Input, Output, StoreNode, StrayCause};
 use std::collections::BTreeSet;
 
@@ -34,7 +35,7 @@
     pub sync_ms: u64,
     pub leaving: bool,
     /// Shards of which it said that it has caught up.
-    pub caught_up: BTreeSet<ShardId>,
+    pub caught_up: BTreeSet<FilledShard>,
     pub released: BTreeSet<MessageId>,
     ticking_at: Option<u64>,
     /// What its process's steady clock is ahead of the simulation's: each one starts anywhere.
@@ -160,8 +161,8 @@
                     }
                 }
             }
-            Output::CaughtUp { shard } => {
-                self.stores[index].caught_up.insert(shard);
+            Output::CaughtUp { filled } => {
+                self.stores[index].caught_up.insert(filled);
             }
             Output::Stray { id, cause } => self.strays.push(Stray { at_ms: self.now_ms, id, cause }),
             Output::Released { id } => {
