Keep a voter that is to be taken out until another has its vote

Change: voters are only replaced, never taken out, and a machine that is to go for good is needed while it votes.

--- a/coordination/chain/src/node/departure.rs
+++ b/coordination/chain/src/node/departure.rs
@@ -9,13 +9,15 @@
 
 impl<M: Machine> CoreNode<M> {
     /// Whether the core, as this node knows it, can do without the disk of `id`: it keeps no state that is needed, and
-    /// its vote has gone to another or nobody is there to take it.
+    /// its vote has gone to another. One that ends and comes back is not waited for where nobody is there to take its
+    /// vote; one that is to be taken out for good is, as others may be lost as soon as it has gone.
     pub fn can_do_without(&self, now: u64, id: NodeId) -> bool {
         let Some(view) = self.agreement.view() else {
             return true;
         };
         let holds_state = view.contains(id) || !self.are_members_well(now, view);
-        let vote_waits = view.is_voter(id) && self.is_there_a_successor(now, view);
+        let may_wait = self.excluded.contains(&id) || self.is_there_a_successor(now, view);
+        let vote_waits = view.is_voter(id) && may_wait;
         !holds_state && !vote_waits
     }
 
--- a/coordination/chain/src/node/wanted.rs
+++ b/coordination/chain/src/node/wanted.rs
@@ -1,7 +1,8 @@
 //! What the next view should be: who votes, and who keeps the state.
 //!
 //! Voters change one at a time, and only by one in the place of another that is lost or about to go, or by one more
-//! until the wanted number is reached: the loss of a machine alone takes nobody's vote. Members are the voters that
+//! until the wanted number is reached: the loss of a machine alone takes nobody's vote, nor does the wish to take one
+//! out, since the next loss would then end the core. Members are the voters that
 //! are there. One that is about to go stays a member until enough others hold the state.
 
 use millrudder_view::{Member, NodeId, View, Wanted};
@@ -24,8 +25,7 @@
         if let Some(newcomer) = self.newcomer(now, view, &members) {
             return self.with_newcomer(now, view, members, newcomer);
         }
-        let voters = self.voters_without_excluded(now, view, &members);
-        Wanted { voters, members }
+        Wanted { voters: view.voters.clone(), members }
     }
 
     /// Whether a node is silent or does not hear this one.
@@ -116,23 +116,6 @@
         replaceable.cloned().collect()
     }
 
-    /// The voters, less one that is to be taken out and that nobody replaces, if enough are left.
-    fn voters_without_excluded(&self, now: u64, view: &View, members: &[Member]) -> Vec<Member> {
-        let outside = |voter: &Member| !members.contains(voter);
-        let excluded = |voter: &Member| self.excluded.contains(&voter.id);
-        let Some(gone) = view.voters.iter().find(|voter| outside(voter) && excluded(voter)) else {
-            return view.voters.clone();
-        };
-        let left: Vec<Member> = view.voters.iter().filter(|voter| *voter != gone).cloned().collect();
-        let there = left.iter().filter(|voter| !self.is_lost(now, voter.id)).count();
-        let enough = left.len() >= self.config.minimum_members && there > left.len() / 2;
-        if enough {
-            left
-        } else {
-            view.voters.clone()
-        }
-    }
-
     fn is_admissible(&self, now: u64, learner: NodeId, members: &[Member]) -> bool {
         let close = self.replica.lag_of(learner).is_some_and(|lag| lag <= ADMISSIBLE_LAG);
         let stays = self.detector.is_steady(now, learner) && !self.is_departing(learner);
