Let first tries to connect wait shorter, so that machines find each other

Cause: after a loss of all power machines start within 0.4 s of one another. A dial to one that has no power yet hung for 600 ms, so the core's machines heard each other only 320 to 400 ms after their start, one was suspected, and since a state must be confirmed by a majority, dispatchers got it 1.1 to 1.35 s after power was back. Change: the first try waits 150 ms, doubled after each that was in vain up to 600 as before.

--- a/system/transport/src/dialer.rs
+++ b/system/transport/src/dialer.rs
@@ -2,6 +2,7 @@
 
 use crate::connection::{run, LinkEvent};
 use crate::outbox::Outbox;
+use crate::tries::Tries;
 use speedy::{LittleEndian, Readable};
 use std::cell::RefCell;
 use std::io;
@@ -12,14 +13,6 @@
 use tokio::task::JoinHandle;
 use tokio::time::{sleep, timeout, Instant};
 
-/// A peer that does not answer within this is not there.
-const CONNECT: Duration = Duration::from_millis(600);
-/// Pause before another try, doubled after each failure up to the longest.
-const SHORTEST_PAUSE: Duration = Duration::from_millis(40);
-const LONGEST_PAUSE: Duration = Duration::from_millis(640);
-/// A connection that lasted so long starts the pauses afresh.
-const STEADY: Duration = Duration::from_secs(1);
-
 /// A connection that is opened anew whenever it ends; dropped, it ends for good.
 pub struct Dialer {
     current: Rc<RefCell<Outbox>>,
@@ -36,15 +29,11 @@
         let current = Rc::new(RefCell::new(Outbox::default()));
         let slot = Rc::clone(&current);
         let task = tokio::task::spawn_local(async move {
-            let mut pause = SHORTEST_PAUSE;
+            let mut tries = Tries::default();
             loop {
                 let began = Instant::now();
-                once(address, &slot, &mut report).await;
-                if began.elapsed() > STEADY {
-                    pause = SHORTEST_PAUSE;
-                }
-                sleep(pause).await;
-                pause = (pause * 2).min(LONGEST_PAUSE);
+                let connected = once(address, tries.patience(), &slot, &mut report).await;
+                sleep(tries.ended(connected, began.elapsed())).await;
             }
         });
         Dialer { current, task }
@@ -63,16 +52,22 @@
     }
 }
 
-async fn once<M, F>(address: SocketAddr, slot: &Rc<RefCell<Outbox>>, report: &mut F)
+/// One connection, from its opening to its end; false if there was none.
+async fn once<M, F>(
+    address: SocketAddr,
+    patience: Duration,
+    slot: &Rc<RefCell<Outbox>>,
+    report: &mut F,
+) -> bool
 where
     M: for<'a> Readable<'a, LittleEndian>,
     F: FnMut(&Outbox, LinkEvent<M>),
 {
-    let stream = match connect(address).await {
+    let stream = match connect(address, patience).await {
         Ok(stream) => stream,
         Err(error) => {
             log::debug!("cannot connect to {address}: {error}");
-            return;
+            return false;
         }
     };
     let outbox = Outbox::default();
@@ -81,10 +76,11 @@
     let reason = run(stream, &outbox, |message| report(&outbox, LinkEvent::Message(message))).await;
     log::debug!("connection to {address} ended: {reason}");
     report(&outbox, LinkEvent::Closed(reason));
+    true
 }
 
-async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
-    match timeout(CONNECT, TcpStream::connect(address)).await {
+async fn connect(address: SocketAddr, patience: Duration) -> io::Result<TcpStream> {
+    match timeout(patience, TcpStream::connect(address)).await {
         Ok(result) => result,
         Err(_) => Err(io::ErrorKind::TimedOut.into()),
     }
--- a/system/transport/src/lib.rs
+++ b/system/transport/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod listener;
 mod outbox;
 mod socket;
+pub mod tries;
 
 pub use connection::{CloseReason, LinkEvent};
 pub use outbox::{Outbox, SendError};
