Check voters and members with stateright; tests for three mutants

view/tests/voters_model.rs: one machine lost or replaced while another is lost, every order of messages; the voter set that shrinks to what is left never goes on there.

Mutants that survived the tests so far: no fence, grants not withheld after a change of voters, a leaving member dropped before its successor is synced.

--- a/coordination/chain/tests/node.rs
+++ b/coordination/chain/tests/node.rs
@@ -3,9 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use millrudder_chain::{
-    ConfigError, CoreConfig, CoreMessage, CoreNode, DurableState, Input, Machine, NodeId, Output, Record,
-    RequestId, RestoreError, Sequence, StartError,
+    ConfigError, CoreConfig, CoreMessage, CoreNode, DurableState, Epoch, Fencing, Input, Machine, NodeId,
+    Output, Record, RequestId, RestoreError, Role, Sequence, StartError, View,
 };
+use millrudder_lease::{LeaseAnswer, LeaseRequest, Refusal};
+use millrudder_view::{Ballot, ViewMessage};
 
 /// Time goes on in steps of this many microseconds.
 const STEP_MICROS: u64 = 20_000;
@@ -50,6 +52,8 @@
     hosts: BTreeMap<String, Host>,
     in_flight: Vec<(NodeId, NodeId, CoreMessage)>,
     installs: usize,
+    /// No commands reach these machines.
+    unfed: BTreeSet<NodeId>,
 }
 
 fn address(place: usize) -> String {
@@ -131,7 +135,8 @@
             for (from, to, message) in std::mem::take(&mut self.in_flight) {
                 let name =
                     self.hosts.iter().find(|(_, host)| host.node.id() == to).map(|(name, _)| name.clone());
-                if let Some(name) = name {
+                let fed = !(matches!(message, CoreMessage::Append(_)) && self.unfed.contains(&to));
+                if let Some(name) = name.filter(|_| fed) {
                     self.input(&name, Input::Message { from, message });
                 }
             }
@@ -391,6 +396,104 @@
     assert_eq!(cluster.host(4).node.machine().0, "ab");
 }
 
+#[test]
+fn a_leaving_member_stays_until_its_successor_has_caught_up() {
+    let mut cluster = Cluster::founded(3);
+    cluster.hosts.remove(&address(3));
+    let mut replacement = config(4, 3);
+    replacement.founders.clear();
+    cluster.start(replacement, None);
+    let new_id = cluster.host(4).node.id();
+    cluster.unfed.insert(new_id);
+    cluster.run(4 * SECOND);
+    assert!(cluster.host(4).node.is_member() && !cluster.host(4).node.is_in_step());
+    cluster.input(&address(2), Input::Leave);
+    cluster.run(2 * SECOND);
+    assert!(cluster.host(2).node.is_member() && !cluster.host(2).node.may_go(cluster.now));
+    cluster.unfed.clear();
+    cluster.run(2 * SECOND);
+    assert!(!cluster.host(2).node.is_member() && cluster.host(2).node.may_go(cluster.now));
+}
+
+/// What a machine sends in answer to one message.
+fn answers(cluster: &mut Cluster, place: usize, message: CoreMessage) -> Vec<CoreMessage> {
+    let from = NodeId(1 << 40);
+    let id = cluster.host(place).node.id();
+    cluster.in_flight.clear();
+    cluster.input(&address(place), Input::Message { from, message });
+    let sent = std::mem::take(&mut cluster.in_flight);
+    sent.into_iter()
+        .filter(|(sender, to, _)| *sender == id && *to == from)
+        .map(|(.., message)| message)
+        .collect()
+}
+
+fn lease_request(epoch: Epoch, fencing: Fencing) -> CoreMessage {
+    let request = LeaseRequest { role: Role("any".to_owned()), round: 1, fencing, held: false };
+    CoreMessage::LeaseRequest { epoch, request }
+}
+
+#[test]
+fn a_voter_that_has_accepted_a_next_view_vouches_for_nothing() {
+    let mut cluster = Cluster::founded(3);
+    let view = cluster.host(2).node.view().expect("a view").clone();
+    let epoch = view.epoch;
+    let confirm = CoreMessage::ConfirmEpoch { epoch, round: 7 };
+    let confirmed = CoreMessage::EpochConfirmed { epoch, round: 7 };
+    assert_eq!(answers(&mut cluster, 2, confirm.clone()), vec![confirmed]);
+    let next = View { epoch: epoch.next(), ..view };
+    let ballot = Ballot { round: 9, node: NodeId(1 << 40) };
+    let accept = ViewMessage::Accept { instance: epoch.next(), ballot, view: next };
+    let accepted = ViewMessage::Accepted { instance: epoch.next(), ballot };
+    let accepted = vec![CoreMessage::View(accepted)];
+    assert_eq!(answers(&mut cluster, 2, CoreMessage::View(accept)), accepted);
+    assert_eq!(answers(&mut cluster, 2, confirm), Vec::new());
+    let request = lease_request(epoch, Fencing::floor(epoch.0).next());
+    assert_eq!(answers(&mut cluster, 2, request), Vec::new());
+    cluster.now += SECOND / 10;
+    cluster.input(&address(2), Input::Tick);
+    let vouches = |message: &CoreMessage| matches!(message, CoreMessage::Heartbeat(beat) if beat.vouches);
+    let id = cluster.host(2).node.id();
+    assert!(!cluster.in_flight.iter().any(|(from, _, message)| *from == id && vouches(message)));
+}
+
+#[test]
+fn grants_are_withheld_only_where_the_voters_have_changed() {
+    let refused = |answers: &[CoreMessage]| {
+        let refused = |message: &CoreMessage| {
+            let CoreMessage::LeaseAnswer { answer, .. } = message else {
+                return false;
+            };
+            matches!(answer, LeaseAnswer::Refused { refusal: Refusal::Withheld, .. })
+        };
+        assert_eq!(answers.len(), 1);
+        refused(&answers[0])
+    };
+    let mut cluster = Cluster::founded(3);
+    let ask = |cluster: &mut Cluster| {
+        let epoch = cluster.host(1).node.epoch();
+        answers(cluster, 1, lease_request(epoch, Fencing::floor(epoch.0 + 1)))
+    };
+    // A loss changes members only.
+    cluster.hosts.remove(&address(3));
+    while cluster.host(1).node.epoch() == Epoch::FOUNDING {
+        cluster.run(STEP_MICROS);
+    }
+    assert!(!refused(&ask(&mut cluster)));
+    // Another takes over the vote.
+    let mut replacement = config(4, 3);
+    replacement.founders.clear();
+    cluster.start(replacement, None);
+    let new_id = cluster.host(4).node.id();
+    cluster.run(SECOND);
+    while !cluster.host(1).node.view().is_some_and(|view| view.is_voter(new_id)) {
+        cluster.run(STEP_MICROS);
+    }
+    assert!(refused(&ask(&mut cluster)));
+    cluster.run(SECOND);
+    assert!(!refused(&ask(&mut cluster)));
+}
+
 #[test]
 fn all_that_leave_together_wait_for_nobody() {
     let mut cluster = Cluster::founded(3);
--- /dev/null
+++ b/coordination/view/tests/voters_model.rs
@@ -0,0 +1,359 @@
+//! Voters and members with one lost and another replaced or back: every order of events, checked with `stateright`.
+//!
+//! What must hold, in one sentence each:
+//!
+//! - At most one view is decided in an epoch.
+//! - The first member of a view has kept the state in the view before and holds every committed command.
+//! - A node that is not a voter of a view is never counted in the decision of the next.
+//! - After one loss, with another machine back or in its place, the loss of a second leaves a core that can go on.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use millrudder_view::{
+    Envelope, Epoch, Member, NodeId, Step, View, ViewAgreement, ViewMessage, ViewState, Wanted,
+};
+use stateright::{Checker, Model, Property};
+
+/// No view has fewer members.
+const MINIMUM_MEMBERS: usize = 2;
+/// More views than this are not explored.
+const LAST_EPOCH: Epoch = Epoch(4);
+/// An ordinary run ends after this many states, repeated ones counted; `VOTERS_MODEL_STATES` sets another bound.
+const ORDINARY_STATES: usize = 60_000;
+/// Attempts to change the view, unless `VOTERS_MODEL_PROPOSALS` sets another number.
+const ORDINARY_PROPOSALS: usize = 2;
+/// Restarts of the first machine, unless `VOTERS_MODEL_RESTARTS` sets another number.
+const ORDINARY_RESTARTS: usize = 0;
+/// The two that are there when the third is lost, and that one.
+const FIRST: NodeId = NodeId(1);
+const SECOND: NodeId = NodeId(2);
+const THIRD: NodeId = NodeId(3);
+/// A machine with an empty disk.
+const NEWCOMER: NodeId = NodeId(4);
+
+/// What becomes of the machine that is lost first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Lost {
+    /// It comes back with its disk.
+    Returns,
+    /// Its disk is gone; an empty one takes over its vote.
+    IsReplaced,
+}
+
+/// A change of the rules that must show.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Rules {
+    AsBuilt,
+    /// The members that are left are the only voters.
+    VotersShrink,
+}
+
+struct Scenario {
+    lost: Lost,
+    rules: Rules,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct InFlight {
+    from: NodeId,
+    to: NodeId,
+    /// The message as text first, which gives it an order.
+    text: String,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    nodes: BTreeMap<NodeId, ViewAgreement>,
+    disks: BTreeMap<NodeId, ViewState>,
+    in_flight: BTreeMap<InFlight, ViewMessage>,
+    down: BTreeSet<NodeId>,
+    /// Nodes that hold every committed command.
+    complete: BTreeSet<NodeId>,
+    decided: BTreeMap<Epoch, View>,
+    proposals_left: usize,
+    restarts_left: usize,
+    broken: Option<&'static str>,
+}
+
+impl State {
+    fn print(&self) -> String {
+        let messages: Vec<&InFlight> = self.in_flight.keys().collect();
+        let State { nodes, disks, down, complete, decided, proposals_left, restarts_left, broken, .. } = self;
+        format!(
+            "{nodes:?}{disks:?}{messages:?}{down:?}{complete:?}{decided:?}{proposals_left}{restarts_left}{broken:?}"
+        )
+    }
+}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        let mut hasher = DefaultHasher::new();
+        self.print().hash(&mut hasher);
+        state.write_u64(hasher.finish());
+    }
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &State) -> bool {
+        self.print() == other.print()
+    }
+}
+
+impl Eq for State {}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Action {
+    Propose(NodeId),
+    Deliver(InFlight),
+    Restart(NodeId),
+    /// The second machine is lost for good, once the core has gone on without the third.
+    LoseSecond,
+    /// The third comes back with its disk.
+    ThirdReturns,
+    /// A member takes over the state from the first one.
+    Fill(NodeId),
+}
+
+fn number(variable: &str, ordinary: usize) -> usize {
+    std::env::var(variable).ok().and_then(|text| text.parse().ok()).unwrap_or(ordinary)
+}
+
+fn member(id: NodeId) -> Member {
+    Member { id, address: format!("10.0.0.{}:9000", id.0) }
+}
+
+impl Scenario {
+    /// The core has gone on without the third machine.
+    fn start(&self) -> State {
+        let all = [FIRST, SECOND, THIRD];
+        let first = View::of_members(Epoch::FOUNDING, all.into_iter().map(member).collect());
+        let members = vec![member(FIRST), member(SECOND)];
+        let voters = if self.rules == Rules::AsBuilt { first.voters.clone() } else { members.clone() };
+        let second = View { epoch: first.epoch.next(), voters, members };
+        let disks = BTreeMap::from([
+            (FIRST, ViewState::of(second.clone())),
+            (SECOND, ViewState::of(second.clone())),
+            (THIRD, ViewState::of(first.clone())),
+            (NEWCOMER, ViewState::default()),
+        ]);
+        let node =
+            |(id, disk): (&NodeId, &ViewState)| (*id, ViewAgreement::new(*id, disk.clone(), MINIMUM_MEMBERS));
+        State {
+            nodes: disks.iter().map(node).collect(),
+            in_flight: BTreeMap::new(),
+            down: BTreeSet::from([THIRD]),
+            complete: BTreeSet::from([FIRST, SECOND]),
+            decided: BTreeMap::from([(first.epoch, first), (second.epoch, second)]),
+            proposals_left: number("VOTERS_MODEL_PROPOSALS", ORDINARY_PROPOSALS),
+            restarts_left: number("VOTERS_MODEL_RESTARTS", ORDINARY_RESTARTS),
+            broken: None,
+            disks,
+        }
+    }
+
+    /// What a member would have: those that are there, filled up, and the newcomer in the place of one that is lost.
+    fn wanted(&self, state: &State, view: &View) -> Wanted {
+        let up = |member: &&Member| !state.down.contains(&member.id);
+        let mut members: Vec<Member> = view.members.iter().filter(up).cloned().collect();
+        let outside = view.voters.iter().filter(|voter| !view.contains(voter.id));
+        for voter in outside.filter(up) {
+            if members.len() < MINIMUM_MEMBERS {
+                members.push(voter.clone());
+            }
+        }
+        let mut voters = view.voters.clone();
+        let gone = voters.iter().position(|voter| state.down.contains(&voter.id));
+        let takes_over = self.lost == Lost::IsReplaced && !view.is_voter(NEWCOMER);
+        if let Some(place) = gone.filter(|_| takes_over) {
+            voters[place] = member(NEWCOMER);
+            members.push(member(NEWCOMER));
+        }
+        match self.rules {
+            Rules::AsBuilt => Wanted { voters, members },
+            Rules::VotersShrink => Wanted { voters: members.clone(), members },
+        }
+    }
+}
+
+impl State {
+    fn carry_out(&mut self, node: NodeId, step: Step) {
+        if let Some(record) = step.record {
+            self.disks.entry(node).or_default().apply(&record);
+        }
+        let (own, others): (Vec<Envelope>, Vec<Envelope>) =
+            step.messages.into_iter().partition(|envelope| envelope.to == node);
+        for envelope in others.into_iter().filter(|envelope| !self.down.contains(&envelope.to)) {
+            let text = format!("{:?}", envelope.message);
+            let message = InFlight { from: node, to: envelope.to, text };
+            self.in_flight.insert(message, envelope.message);
+        }
+        if let Some(view) = self.nodes[&node].view().cloned() {
+            self.note_view(node, view);
+        }
+        // What a node says to itself waits for its own disk only, which is written at once here.
+        own.into_iter().for_each(|envelope| self.take(node, node, envelope.message));
+    }
+
+    fn take(&mut self, from: NodeId, to: NodeId, message: ViewMessage) {
+        let complete = self.complete.contains(&to);
+        if let Some(node) = self.nodes.get_mut(&to) {
+            let step = node.handle(from, message, complete);
+            self.carry_out(to, step);
+        }
+    }
+
+    fn note_view(&mut self, node: NodeId, view: View) {
+        if !view.contains(node) {
+            self.complete.remove(&node);
+        }
+        match self.decided.get(&view.epoch) {
+            Some(first) if *first != view => self.broken = Some("two views in one epoch"),
+            Some(_) => {}
+            None => self.check_decided(view),
+        }
+    }
+
+    fn check_decided(&mut self, view: View) {
+        let before = self.decided.get(&Epoch(view.epoch.0 - 1)).cloned().unwrap_or_default();
+        let head = view.head().unwrap_or_default();
+        if !before.contains(head) || !self.complete.contains(&head) {
+            self.broken = Some("a head that may lack commands");
+        }
+        let accepted = |id: &NodeId| {
+            let disk = format!("{:?}", self.disks[id]);
+            let knows = self.nodes[id].epoch() >= view.epoch;
+            knows || disk.contains(&format!("view: {view:?}"))
+        };
+        if before.voter_ids().filter(accepted).count() < before.majority() {
+            self.broken = Some("decided without a majority of the voters");
+        }
+        self.decided.insert(view.epoch, view);
+    }
+
+    fn newest(&self) -> &View {
+        self.decided.values().next_back().expect("the first view is there")
+    }
+}
+
+impl Model for Scenario {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        vec![self.start()]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        if state.broken.is_some() {
+            return;
+        }
+        let up = |id: &NodeId| !state.down.contains(id);
+        let reachable = state.in_flight.keys().filter(|message| up(&message.to));
+        actions.extend(reachable.cloned().map(Action::Deliver));
+        for (id, node) in state.nodes.iter().filter(|(id, _)| up(id)) {
+            let may = node.is_member() && !node.is_proposing() && node.epoch() < LAST_EPOCH;
+            let changes =
+                node.view().is_some_and(|view| node.is_fenced() || !self.wanted(state, view).is(view));
+            if may && changes && state.proposals_left > 0 {
+                actions.push(Action::Propose(*id));
+            }
+        }
+        if state.restarts_left > 0 {
+            actions.push(Action::Restart(FIRST));
+        }
+        let (returned, replaced) = (up(&THIRD), state.newest().is_voter(NEWCOMER));
+        let ready = if self.lost == Lost::Returns { returned } else { replaced };
+        if ready && up(&SECOND) {
+            actions.push(Action::LoseSecond);
+        }
+        if !returned {
+            actions.push(Action::ThirdReturns);
+        }
+        let newest = state.newest();
+        let head_knows = newest.head().is_some_and(|head| state.nodes[&head].epoch() == newest.epoch);
+        let lagging = newest.ids().filter(|id| !state.complete.contains(id) && up(id));
+        let lagging = lagging.filter(|id| head_knows && state.nodes[id].epoch() == newest.epoch);
+        actions.extend(lagging.map(Action::Fill));
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        match action {
+            Action::Propose(node) => {
+                state.proposals_left -= 1;
+                let view = state.nodes[&node].view()?.clone();
+                let wanted = self.wanted(&state, &view);
+                let step = state.nodes.get_mut(&node)?.propose(wanted);
+                state.carry_out(node, step);
+            }
+            Action::Deliver(envelope) => {
+                let message = state.in_flight.remove(&envelope)?;
+                state.take(envelope.from, envelope.to, message);
+            }
+            Action::Restart(node) => {
+                state.restarts_left -= 1;
+                let disk = state.disks[&node].clone();
+                state.nodes.insert(node, ViewAgreement::new(node, disk, MINIMUM_MEMBERS));
+            }
+            Action::LoseSecond => {
+                state.down.insert(SECOND);
+            }
+            Action::ThirdReturns => {
+                state.down.remove(&THIRD);
+                // It is told what it has missed, as its first heartbeat has it told.
+                let step = state.nodes[&FIRST].on_query(THIRD, Epoch::FOUNDING);
+                state.carry_out(FIRST, step);
+            }
+            Action::Fill(node) => {
+                state.complete.insert(node);
+            }
+        }
+        Some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Scenario>> {
+        vec![
+            Property::always("what must hold holds", |_, state: &State| state.broken.is_none()),
+            Property::sometimes("the core goes on after the second loss", |_, state: &State| {
+                let newest = state.newest();
+                state.down.contains(&SECOND) && !newest.contains(SECOND) && newest.contains(FIRST)
+            }),
+        ]
+    }
+}
+
+fn check(lost: Lost, rules: Rules) -> impl Checker<Scenario> {
+    let bound = number("VOTERS_MODEL_STATES", ORDINARY_STATES);
+    let started = std::time::Instant::now();
+    let checker = Scenario { lost, rules }.checker().target_state_count(bound).threads(2).spawn_bfs().join();
+    println!(
+        "{lost:?}, {rules:?}: {} states, {} of them distinct, depth {}, {:?}",
+        checker.state_count(),
+        checker.unique_state_count(),
+        checker.max_depth(),
+        started.elapsed()
+    );
+    checker
+}
+
+#[test]
+fn one_comes_back_and_another_is_lost() {
+    let checker = check(Lost::Returns, Rules::AsBuilt);
+    checker.assert_no_discovery("what must hold holds");
+    checker.assert_any_discovery("the core goes on after the second loss");
+}
+
+#[test]
+fn one_is_replaced_and_another_is_lost() {
+    let checker = check(Lost::IsReplaced, Rules::AsBuilt);
+    checker.assert_no_discovery("what must hold holds");
+    checker.assert_any_discovery("the core goes on after the second loss");
+}
+
+#[test]
+fn voters_that_shrink_to_what_is_left_end_the_core() {
+    let checker = check(Lost::Returns, Rules::VotersShrink);
+    checker.assert_no_discovery("what must hold holds");
+    checker.assert_no_discovery("the core goes on after the second loss");
+}
