--- a/system/queue/src/api.rs
+++ b/system/queue/src/api.rs
@@ -1,5 +1,6 @@
 //! What goes into the state machine and what comes out of it.
 
+use millrudder_protocol::control::FilledShard;
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::store::{BetweenStores, FromDispatcher, Record, ServiceRate, ToDispatcher};
 use millrudder_protocol::{Epoch, MessageId, ShardId, StoreId};
@@ -67,6 +68,23 @@
     Tick,
 }
 
+/// Why a message lay though nothing held it back. Each is a mistake of this or another process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StrayCause {
+    /// A dispatcher had room for it, and its service was not looked at.
+    NotGranted,
+    /// It was in no queue.
+    NotScheduled,
+    /// Its wait was over.
+    NotWoken,
+    /// Its lease was held by no dispatcher that is known.
+    LeaseForgotten,
+    /// Its call-back was in no queue.
+    CallbackNotOwed,
+    /// A dispatcher did not say how its call-back ended.
+    CallbackForgotten,
+}
+
 /// An action for the shell. Actions are to be carried out in order.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Output {
@@ -88,7 +106,12 @@
     },
     /// This store has all that the shard's replicas have: the core may count it as a replica.
     CaughtUp {
-        shard: ShardId,
+        filled: FilledShard,
+    },
+    /// The message lay though nothing held it back, and is on its way again: to be counted and logged.
+    Stray {
+        id: MessageId,
+        cause: StrayCause,
     },
     /// Nothing on the disk about this message is needed any more.
     Released {
--- a/system/queue/src/lib.rs
+++ b/system/queue/src/lib.rs
@@ -12,7 +12,7 @@
 //!
 //! let me = StoreId(1);
 //! let mut node = StoreNode::new(Config::default(), me, "zone".to_owned(), 0, std::iter::empty());
-//! let shard = ShardEntry { primary: me, replicas: vec![me], learners: vec![], since: Epoch(1) };
+//! let shard = ShardEntry { primary: me, replicas: vec![me], change: None, since: Epoch(1) };
 //! let placement = Placement { epoch: Epoch(1), tolerated_losses: 0, stores: vec![], shards: vec![shard] };
 //!
 //! let mut outputs = Vec::new();
@@ -33,6 +33,7 @@
 //! - `callbacks`, `callback_flow`: what its end owes.
 //! - `dispatchers`, `connections`: who is connected and holds what.
 //! - `expiry`, `timers`: retention and forgetting.
+//! - `watch`: a look for what lies though nothing holds it back.
 //!
 //! # What dispatchers must keep to
 //!
@@ -71,7 +72,8 @@
 mod takeover;
 mod time;
 mod timers;
+mod watch;
 
-pub use api::{ConnectionId, DiskRecord, Input, Output, Recovered, Ticket};
+pub use api::{ConnectionId, DiskRecord, Input, Output, Recovered, StrayCause, Ticket};
 pub use config::Config;
 pub use node::StoreNode;
--- a/system/queue/tests/wired/mod.rs
+++ b/system/queue/tests/wired/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+use millrudder_protocol::control::FilledShard;
 use millrudder_protocol::message::{Message, MessageState};
 use millrudder_protocol::placement::{Placement, ShardEntry, StoreEntry};
 use millrudder_protocol::store::{
@@ -11,7 +12,9 @@
 use millrudder_protocol::{
     Address, DispatcherId, Epoch, LeaseToken, MessageId, RequestNumber, ShardId, StoreId,
 };
-use millrudder_queue::{Config, ConnectionId, DiskRecord, Input, Output, Recovered, StoreNode, Ticket};
+use millrudder_queue::{
+    Config, ConnectionId, DiskRecord, Input, Output, Recovered, StoreNode, StrayCause, Ticket,
+};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -28,11 +31,21 @@
     pub at_ms: u64,
 }
 
+/// A message that a store found lying.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Stray {
+    pub id: MessageId,
+    pub cause: StrayCause,
+}
+
 /// One store of the harness.
+#[derive(Clone)]
 pub struct Place {
     pub node: Option<StoreNode>,
     pub records: Vec<(u64, DiskRecord)>,
     last: Ticket,
+    /// So many of the records are synced.
+    synced: usize,
     /// Its disk syncs nothing.
     pub stalled: bool,
     /// What is sent to it waits.
@@ -41,6 +54,7 @@
 }
 
 /// All stores, with everything that dispatchers were sent.
+#[derive(Clone)]
 pub struct Wired {
     pub now_ms: u64,
     pub config: Config,
@@ -51,7 +65,8 @@
     pub grants: Vec<Granted>,
     pub closed: Vec<ConnectionId>,
     pub released: BTreeSet<MessageId>,
-    pub caught_up: Vec<(usize, ShardId)>,
+    pub caught_up: Vec<(usize, FilledShard)>,
+    pub strays: Vec<Stray>,
     /// Messages between stores so far.
     pub writes: u64,
     links_down: BTreeSet<(usize, usize)>,
@@ -60,6 +75,18 @@
     names: u64,
 }
 
+impl Place {
+    /// What waits for it, for comparisons.
+    pub fn wait_digest(&self) -> String {
+        format!("{:?} {} {} {}", self.waiting, self.stalled, self.held, self.synced)
+    }
+
+    /// What waits for it never arrives.
+    pub fn lose_waiting(&mut self) {
+        self.waiting.clear();
+    }
+}
+
 pub fn store_id(index: usize) -> StoreId {
     StoreId(10 + index as u64)
 }
@@ -83,7 +110,7 @@
             alive: true,
         };
         let replicas: Vec<StoreId> = (0..stores).map(store_id).collect();
-        let shard = ShardEntry { primary: replicas[0], replicas, learners: Vec::new(), since: Epoch(1) };
+        let shard = ShardEntry { primary: replicas[0], replicas, change: None, since: Epoch(1) };
         let placement = Placement {
             epoch: Epoch(1),
             tolerated_losses,
@@ -100,6 +127,7 @@
             closed: Vec::new(),
             released: BTreeSet::new(),
             caught_up: Vec::new(),
+            strays: Vec::new(),
             writes: 0,
             links_down: BTreeSet::new(),
             queue: VecDeque::new(),
@@ -120,6 +148,7 @@
             node: None,
             records: Vec::new(),
             last: Ticket::default(),
+            synced: 0,
             stalled: false,
             held: false,
             waiting: VecDeque::new(),
@@ -179,6 +208,14 @@
         }
     }
 
+    /// The machine loses its power: what was not synced is gone.
+    pub fn lose_power(&mut self, index: usize) {
+        self.kill(index);
+        let place = &mut self.places[index];
+        place.last = Ticket::default();
+        place.records.truncate(place.synced);
+    }
+
     /// Gives the shard to another store in a new epoch, and tells everybody that runs.
     pub fn move_primary(&mut self, index: usize) {
         self.placement.epoch = Epoch(self.placement.epoch.0 + 1);
@@ -220,6 +257,7 @@
             return;
         }
         self.places[index].last = Ticket::default();
+        self.places[index].synced = self.places[index].records.len();
         self.handle(index, Input::Synced { ticket });
     }
 
@@ -238,7 +276,8 @@
                 }
             }
             Output::CloseDispatcher { connection } => self.closed.push(connection),
-            Output::CaughtUp { shard } => self.caught_up.push((index, shard)),
+            Output::CaughtUp { filled } => self.caught_up.push((index, filled)),
+            Output::Stray { id, cause } => self.strays.push(Stray { id, cause }),
             Output::Released { id } => {
                 self.released.insert(id);
             }
