--- a/system/simulation/src/explore.rs
+++ b/system/simulation/src/explore.rs
@@ -27,11 +27,20 @@
     pub failure: Option<Failure>,
 }
 
+/// When the steps begin after which faults are placed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Begins {
+    AtOnce,
+    /// As soon as no machine lacks what a lost disk held: the system takes the loss for made up.
+    OnceMadeUp,
+}
+
 /// How a run is explored.
 #[derive(Clone, Debug)]
 pub struct Exploration {
     /// Faults placed one at a time after each step.
     pub faults: Vec<Fault>,
+    pub begins: Begins,
     /// Steps are counted within this time after the beginning (microseconds).
     pub window: u64,
     /// Only every so many steps, beginning with a drawn one.
@@ -60,6 +69,9 @@
 
     /// The world after each step of the window.
     fn forks<M: ControlMachine>(&self, base: &mut World<M>) -> Result<Vec<World<M>>, Violation> {
+        if self.begins == Begins::OnceMadeUp {
+            base.run_until_made_up()?;
+        }
         let until = base.now + self.window;
         let mut forks = Vec::new();
         let mut steps = base.steps;
--- a/system/simulation/src/linearizability.rs
+++ b/system/simulation/src/linearizability.rs
@@ -50,22 +50,40 @@
     }
 }
 
-/// Which operations have been given their moment.
-type Done = Vec<u64>;
+/// Which operations have been given their moment, one bit each.
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Done(Vec<u64>);
 
+/// Operations of one word of [`Done`].
+const WORD: usize = u64::BITS as usize;
+
+impl Done {
+    fn none_of(count: usize) -> Done {
+        Done(vec![0; count.div_ceil(WORD)])
+    }
+
+    fn has(&self, index: usize) -> bool {
+        self.0[index / WORD] >> (index % WORD) & 1 == 1
+    }
+
+    fn and(&self, index: usize) -> Done {
+        let mut more = self.clone();
+        more.0[index / WORD] |= 1 << (index % WORD);
+        more
+    }
+}
+
+/// Bits are kept of answered operations alone: one without an answer is worked only where it changes the register,
+/// which then shows that it was.
 struct Search<'a> {
     operations: &'a [Operation],
     visited: HashSet<(Done, Register)>,
 }
 
 impl Search<'_> {
-    fn is_done(done: &Done, index: usize) -> bool {
-        done[index / 64] >> (index % 64) & 1 == 1
-    }
-
     /// The first answer among the operations that are left: whatever is next must have been called before it.
     fn horizon(&self, done: &Done) -> Option<u64> {
-        let left = self.operations.iter().enumerate().filter(|(index, _)| !Self::is_done(done, *index));
+        let left = self.operations.iter().enumerate().filter(|(index, _)| !done.has(*index));
         left.filter_map(|(_, operation)| operation.answered.map(|(at, _)| at)).min()
     }
 
@@ -74,14 +92,16 @@
         if !self.visited.insert((done.clone(), register.clone())) {
             return false;
         }
-        for index in 0..self.operations.len() {
-            let operation = &self.operations[index];
-            if Self::is_done(done, index) || operation.called > horizon {
+        let operations = self.operations;
+        for (index, operation) in operations.iter().enumerate() {
+            if operation.called > horizon {
+                break;
+            }
+            if done.has(index) {
                 continue;
             }
             let Some(after) = after(operation, register) else { continue };
-            let mut next = done.clone();
-            next[index / 64] |= 1 << (index % 64);
+            let next = if operation.answered.is_some() { done.and(index) } else { done.clone() };
             if self.explore(&next, &after) {
                 return true;
             }
@@ -102,11 +122,10 @@
     }
 }
 
-/// Whether the history can have come from one register.
+/// Whether the history can have come from one register. Operations are in the order of their calls.
 pub fn is_linearizable(operations: &[Operation]) -> bool {
     let mut search = Search { operations, visited: HashSet::new() };
-    let done = vec![0; operations.len().div_ceil(64)];
-    search.explore(&done, &Register::default())
+    search.explore(&Done::none_of(operations.len()), &Register::default())
 }
 
 /// A short part of a history that is still not linearizable.
--- a/system/simulation/src/mechanism.rs
+++ b/system/simulation/src/mechanism.rs
@@ -17,6 +17,8 @@
     SyncBeforePersisted,
     /// A core machine that starts replays its records over its last checkpoint.
     RecordsReplayed,
+    /// A snapshot holds which configurations were accepted (left out by a machine of the tests' own).
+    DigestsInSnapshot,
     /// A core machine whose disk was lost takes another identity.
     NewIdentityAfterWipe,
     /// A store appends what it hears from other replicas before it counts it as held.
--- a/system/simulation/src/operator.rs
+++ b/system/simulation/src/operator.rs
@@ -30,25 +30,14 @@
     pub under_way: Option<UnderWay>,
     /// Longest pause between two orders (microseconds).
     pub pace: u64,
-    /// The next orders are repeats of the last one that was accepted, now and then.
-    last_accepted: Option<Order>,
+    /// Orders that were accepted; one of them is repeated now and then.
+    accepted: Vec<Order>,
     bodies: u64,
-    /// Orders that were accepted.
-    pub accepted: usize,
 }
 
 impl Operator {
     pub fn new(index: usize, pace: u64) -> Self {
-        Operator {
-            index,
-            current: 0,
-            order: None,
-            under_way: None,
-            pace,
-            last_accepted: None,
-            bodies: 0,
-            accepted: 0,
-        }
+        Operator { index, current: 0, order: None, under_way: None, pace, accepted: Vec::new(), bodies: 0 }
     }
 
     /// What to ask next: the order that has no clear answer yet, or a new one.
@@ -59,9 +48,9 @@
     }
 
     fn draw(&mut self, random: &mut fastrand::Rng) -> Order {
-        match (random.u8(0..10), self.last_accepted) {
-            (0 | 1, _) => Order::Get,
-            (2, Some(repeat)) => repeat,
+        match random.u8(0..10) {
+            0 | 1 => Order::Get,
+            2 if !self.accepted.is_empty() => self.accepted[random.usize(0..self.accepted.len())],
             _ => {
                 self.bodies += 1;
                 let body = Body((self.index as u64 + 1) << 32 | self.bodies);
@@ -78,9 +67,10 @@
         match (order, answer) {
             (_, Answer::Unavailable) => return random.u64(AGAIN),
             (Order::Put { configuration, .. }, Answer::Accepted) => {
-                self.accepted += 1;
                 self.current = self.current.max(configuration.version);
-                self.last_accepted = Some(order);
+                if !self.accepted.contains(&order) {
+                    self.accepted.push(order);
+                }
             }
             (Order::Put { .. }, _) => {
                 // Somebody else was faster: look first what is current.
@@ -102,6 +92,11 @@
         random.u64(AGAIN)
     }
 
+    /// Orders that were accepted so far.
+    pub fn accepted(&self) -> usize {
+        self.accepted.len()
+    }
+
     fn pause(&self, random: &mut fastrand::Rng) -> u64 {
         random.u64(MILLISECOND..=self.pace.max(2 * MILLISECOND))
     }
--- a/system/simulation/src/world.rs
+++ b/system/simulation/src/world.rs
@@ -314,6 +314,29 @@
         Ok(())
     }
 
+    /// Plays until a disk was lost and is made up for, event by event.
+    ///
+    /// # Errors
+    /// A promise was broken, or it takes longer than a recovery may.
+    pub fn run_until_made_up(&mut self) -> Result<(), Violation> {
+        let until = self.now + self.plan.recovery;
+        let mut lost = false;
+        while self.step_before(until)? {
+            self.note_made_up_disks();
+            let lacks = self.machines.values().any(|machine| machine.disk_lost);
+            if lost && !lacks {
+                return Ok(());
+            }
+            lost |= lacks;
+        }
+        Err(Violation::Stuck { what: "a lost disk is not made up for", at: self.now })
+    }
+
+    /// Changes of the configuration that operators had acknowledged.
+    pub fn orders_accepted(&self) -> usize {
+        self.operators.iter().map(Operator::accepted).sum()
+    }
+
     /// Plays one event, if there is one up to a time; false if there is none.
     ///
     /// # Errors
--- /dev/null
+++ b/system/simulation/tests/control/random.rs
@@ -0,0 +1,23 @@
+//! Drawn runs of every kind of fault.
+
+use crate::support::{expect_kept, play, play_seeds, seeds, some_founded};
+use millrudder_simulation::plan::Plan;
+
+/// Seeds of the ordinary test run.
+const ORDINARY: std::ops::Range<u64> = 0..400;
+
+#[test]
+fn drawn_runs_keep_every_promise() {
+    let worlds = some_founded();
+    let plan_of = |seed: u64| Plan::drawn(seed, worlds[seed as usize % worlds.len()].now);
+    expect_kept(play_seeds(&worlds, seeds(ORDINARY), plan_of));
+}
+
+#[test]
+fn a_run_is_repeated_by_its_seed() {
+    let worlds = some_founded();
+    let plan = Plan::drawn(7, worlds[7].now);
+    let first = play(&worlds, &plan).map_err(|violation| violation.to_string());
+    let second = play(&worlds, &plan).map_err(|violation| violation.to_string());
+    assert_eq!(first, second);
+}
--- a/system/simulation/tests/control/support.rs
+++ b/system/simulation/tests/control/support.rs
@@ -1,7 +1,8 @@
 //! Worlds to begin from, explorations and drawn runs, and how a failure is told.
 
 use millrudder_control_state::ControlState;
-use millrudder_simulation::explore::{Exploration, Failure};
+use millrudder_simulation::control_machine::ControlMachine;
+use millrudder_simulation::explore::{Begins, Exploration, Failure};
 use millrudder_simulation::fault::{Fault, When};
 use millrudder_simulation::mechanism::{Mechanism, Mutant};
 use millrudder_simulation::plan::Plan;
@@ -44,8 +45,35 @@
 
 /// Explores from a founded world.
 pub fn explore(plan: &Plan, faults: Vec<Fault>, window: u64, ordinary_stride: usize) -> Result<(), Failure> {
-    let exploration = Exploration { faults, window, stride: stride(ordinary_stride), threads: THREADS };
-    let explored = exploration.explore(&founded(plan.seed), plan);
+    explore_from(&founded(plan.seed), plan, Begins::AtOnce, faults, window, ordinary_stride)
+}
+
+/// Explores once the first disk that the plan takes is made up for.
+pub fn explore_after_repair(
+    plan: &Plan,
+    faults: Vec<Fault>,
+    window: u64,
+    ordinary_stride: usize,
+) -> Result<(), Failure> {
+    explore_from(&founded(plan.seed), plan, Begins::OnceMadeUp, faults, window, ordinary_stride)
+}
+
+/// Explores from a world.
+pub fn explore_from<M>(
+    world: &World<M>,
+    plan: &Plan,
+    begins: Begins,
+    faults: Vec<Fault>,
+    window: u64,
+    ordinary_stride: usize,
+) -> Result<(), Failure>
+where
+    M: ControlMachine + Send + Sync,
+    World<M>: Send + Sync,
+{
+    let stride = stride(ordinary_stride);
+    let exploration = Exploration { faults, begins, window, stride, threads: THREADS };
+    let explored = exploration.explore(world, plan);
     println!("{} runs after {} steps", explored.runs, explored.steps);
     explored.failure.map_or(Ok(()), Err)
 }
