--- a/coordination/chain/src/config.rs
+++ b/coordination/chain/src/config.rs
@@ -6,7 +6,7 @@
 use millrudder_view::{DetectorConfig, DetectorConfigError};
 use thiserror::Error;
 
-/// Configuration of a core node. Times, `minimum_members` and `maximum_members` must be the same at all nodes.
+/// Configuration of a core node. Times, `minimum_members` and `voters` must be the same at all nodes.
 #[derive(Clone, Debug)]
 pub struct CoreConfig {
     /// Address of this node, as others find it.
@@ -15,14 +15,19 @@
     pub founders: Vec<String>,
     /// No view is ever smaller: the number of machines that may be lost, plus one.
     pub minimum_members: usize,
-    /// No learner is admitted to a view of this size.
-    pub maximum_members: usize,
+    /// How many nodes vote, as far as there are so many: twice the number of machines that may be lost, plus one.
+    pub voters: usize,
     /// Failure detection.
     pub detector: DetectorConfig,
     /// Leases.
     pub lease: LeaseConfig,
     /// Roles for which this node campaigns.
     pub roles: Vec<Role>,
+    /// Contact with a majority that is proven no later than this long ago counts. Not longer than the silence after
+    /// which a peer is suspected, so that a node that is cut off knows that before others replace it.
+    pub contact_within: Duration,
+    /// The same for the proof that the state is not older. It bridges the replacement of the tail.
+    pub state_within: Duration,
     /// Pause before an unanswered message is sent again.
     pub retry_after: Duration,
     /// A checkpoint is asked for after records of this many bytes.
@@ -42,10 +47,12 @@
             address: address.into(),
             founders: Vec::new(),
             minimum_members: 2,
-            maximum_members: 7,
+            voters: 3,
             detector: DetectorConfig::default(),
             lease: LeaseConfig::default(),
             roles: Vec::new(),
+            contact_within: DetectorConfig::default().suspect_after,
+            state_within: Duration::from_millis(1500),
             retry_after: Duration::from_millis(200),
             checkpoint_bytes: 1 << 20,
             kept_entries: 1024,
@@ -61,9 +68,13 @@
         if self.address.is_empty() {
             return Err(ConfigError::NoAddress);
         }
-        if self.minimum_members == 0 || self.minimum_members > self.maximum_members {
-            let (minimum, maximum) = (self.minimum_members, self.maximum_members);
-            return Err(ConfigError::SizesOfView { minimum, maximum });
+        if self.minimum_members == 0 || self.minimum_members > self.voters {
+            let (minimum, voters) = (self.minimum_members, self.voters);
+            return Err(ConfigError::SizesOfView { minimum, voters });
+        }
+        if self.contact_within > self.detector.suspect_after {
+            let (contact, suspect) = (self.contact_within, self.detector.suspect_after);
+            return Err(ConfigError::ContactTooLong { contact, suspect });
         }
         let founders = self.founders.len();
         if founders > 0 && founders < self.minimum_members {
@@ -80,11 +91,14 @@
     #[error("the node has no address")]
     NoAddress,
     /// The bounds on the size of a view contradict each other.
-    #[error("a view cannot have at least {minimum} and at most {maximum} members")]
-    SizesOfView { minimum: usize, maximum: usize },
+    #[error("a view cannot have at least {minimum} members of {voters} voters")]
+    SizesOfView { minimum: usize, voters: usize },
     /// The founding view would be smaller than allowed.
     #[error("{founders} founders are fewer than the {minimum} members of the smallest view")]
     TooFewFounders { founders: usize, minimum: usize },
+    /// A node that is cut off would take itself for connected while it is being replaced.
+    #[error("contact would count for {contact:?}, longer than the silence of {suspect:?} after which a peer is suspected")]
+    ContactTooLong { contact: Duration, suspect: Duration },
     /// The times of the failure detector do not fit together.
     #[error(transparent)]
     Detector(#[from] DetectorConfigError),
--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -1,13 +1,16 @@
 //! The whole core node as one state machine.
 
 mod campaign;
+mod contact;
+mod departure;
 mod messages;
 mod outbox;
 mod peers;
 mod reconfigure;
 mod requests;
+mod wanted;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use millrudder_lease::{Fencing, Holder, Role, Voter};
 use millrudder_view::{Detector, Foundation, Member, NodeId, Step, View, ViewAgreement};
@@ -16,6 +19,7 @@
 use self::outbox::{Effect, Outbox};
 use self::peers::PeerStatus;
 use self::requests::{PendingRead, PendingSubmit};
+use crate::contact::MajorityContact;
 use crate::reads::Confirmations;
 use crate::replica::{Replica, ReplicaLimits, ReplicaOutput};
 use crate::store::{KeptLog, Store};
@@ -43,8 +47,12 @@
     Abandon { request_id: RequestId },
     /// Everything issued up to `token` is durable.
     Persisted { token: PersistToken },
-    /// This process is about to end: the others replace this node at once instead of waiting for its silence.
+    /// This process is about to end: the others replace this node at once instead of waiting for its silence. It goes
+    /// on as a member meanwhile; [`CoreNode::may_go`] tells when it may end.
     Leave,
+    /// These nodes, and no others, are to be taken out for good; to be given again after a start. Those that have the
+    /// state are replaced by others first; see [`CoreNode::can_do_without`].
+    Exclude { ids: BTreeSet<NodeId> },
     /// A node answers at an address.
     PeerSeen { id: NodeId, address: String },
 }
@@ -72,6 +80,10 @@
     LeaseGranted { role: Role, fencing: Fencing },
     /// This node must not exercise a role any more.
     LeaseLost { role: Role, fencing: Fencing },
+    /// [`CoreNode::has_majority_contact`] has become true.
+    ContactGained,
+    /// [`CoreNode::has_majority_contact`] has become false.
+    ContactLost,
 }
 
 /// Why a node cannot start.
@@ -99,6 +111,9 @@
     voter: Voter,
     holders: Vec<Holder>,
     confirmations: Confirmations,
+    contact: MajorityContact,
+    /// When the contact that was reported expires unless it is renewed.
+    contact_until: Option<u64>,
     submits: BTreeMap<RequestId, PendingSubmit>,
     reads: BTreeMap<RequestId, PendingRead>,
     peers: BTreeMap<NodeId, PeerStatus>,
@@ -107,6 +122,11 @@
     next_heartbeat: u64,
     proposal_due: Option<u64>,
     leaving: bool,
+    /// Since when the others can do without this node, which is about to end.
+    dispensable_since: Option<u64>,
+    excluded: BTreeSet<NodeId>,
+    /// The view whose voters are counted.
+    entered: Option<View>,
 }
 
 impl<M: Machine> CoreNode<M> {
@@ -150,12 +170,14 @@
         Ok(CoreNode {
             id,
             agreement: ViewAgreement::new(id, state.view, config.minimum_members),
-            foundation: Foundation::new(me, config.founders.clone()),
+            foundation: Foundation::new(me, config.founders.clone(), config.voters),
             replica: Replica::new(id, limits, store, state.complete),
             detector: Detector::new(&config.detector, now),
             voter: Voter::new(&config.lease, state.lease, now),
             holders: holders.collect(),
             confirmations: Confirmations::new(random.u64(..)),
+            contact: MajorityContact::new(random.u64(1..)),
+            contact_until: None,
             submits: BTreeMap::new(),
             reads: BTreeMap::new(),
             peers: BTreeMap::new(),
@@ -164,6 +186,9 @@
             next_heartbeat: now,
             proposal_due: None,
             leaving: false,
+            dispensable_since: None,
+            excluded: BTreeSet::new(),
+            entered: None,
             config,
         })
     }
@@ -178,6 +203,11 @@
         self.agreement.view()
     }
 
+    /// Whether this node votes in the newest decided view.
+    pub fn is_voter(&self) -> bool {
+        self.agreement.is_voter()
+    }
+
     /// Whether this node is a member of the newest decided view.
     pub fn is_member(&self) -> bool {
         self.agreement.is_member()
@@ -212,7 +242,7 @@
     /// When [`Input::Tick`] is due.
     pub fn next_deadline(&self) -> u64 {
         let holders = self.holders.iter().filter_map(Holder::next_deadline);
-        let others = holders.chain(self.proposal_due).min();
+        let others = holders.chain(self.proposal_due).chain(self.contact_until).min();
         others.map_or(self.next_heartbeat, |due| due.min(self.next_heartbeat))
     }
 
@@ -224,6 +254,7 @@
     /// Handles one input; take the outputs with [`next_output`](CoreNode::next_output).
     pub fn handle(&mut self, now: u64, input: Input<M::Command>) {
         self.detector.poll(now);
+        self.check_contact(now);
         match input {
             Input::Message { from, message } => self.on_message(now, from, message),
             Input::Tick => self.on_tick(now),
@@ -232,9 +263,11 @@
             Input::Abandon { request_id } => self.on_abandon(request_id),
             Input::Persisted { token } => self.outbox.durable(token),
             Input::Leave => self.on_leave(now),
+            Input::Exclude { ids } => self.on_exclude(now, ids),
             Input::PeerSeen { id, address } => self.on_peer_seen(now, id, address),
         }
         self.settle(now);
+        self.renew_contact(now);
     }
 
     fn on_tick(&mut self, now: u64) {
@@ -248,6 +281,7 @@
             self.forget_peers(now);
         }
         self.consider_view(now);
+        self.note_departure(now);
         self.poll_leases(now);
     }
 
--- a/coordination/chain/tests/cores/simulator/world.rs
+++ b/coordination/chain/tests/cores/simulator/world.rs
@@ -34,6 +34,7 @@
     PeerSeen { machine: usize, process: u64, id: NodeId, address: String },
     Tick { machine: usize, process: u64, at: u64 },
     DiskDone { machine: usize, process: u64, token: PersistToken },
+    Stopping { machine: usize, process: u64, until: u64, down_micros: u64 },
     Fault(Fault),
     ArmFault(Fault),
     Heal,
@@ -48,6 +49,7 @@
             EventKind::Deliver { machine, .. }
             | EventKind::PeerSeen { machine, .. }
             | EventKind::Tick { machine, .. }
+            | EventKind::Stopping { machine, .. }
             | EventKind::DiskDone { machine, .. } => Some(*machine),
             _ => None,
         }
@@ -123,7 +125,7 @@
 
     /// Plays the plan to its end, and checks that the core has recovered.
     pub fn run(&mut self) -> Result<(), Violation> {
-        let calm_at = self.plan.faults.iter().map(|planned| planned.at + planned.fault.micros()).max();
+        let calm_at = self.plan.faults.iter().map(|planned| planned.at + planned.fault.ends_within()).max();
         let end = calm_at.unwrap_or_default().max(self.plan.calm_after) + CALM_MICROS;
         self.run_until(end)?;
         self.check_recovery()
@@ -192,6 +194,9 @@
                     self.input(machine, Input::Persisted { token });
                 }
             }
+            EventKind::Stopping { machine, process, until, down_micros } => {
+                self.stopping(machine, process, until, down_micros);
+            }
             EventKind::Fault(fault) => self.strike(fault),
             EventKind::ArmFault(fault) => self.armed = Some(fault),
             EventKind::Heal => self.network.heal(),
@@ -210,6 +215,7 @@
         }
         let mut config = CoreConfig::new(World::address(machine));
         config.minimum_members = self.plan.minimum_members;
+        config.voters = self.plan.machines;
         config.roles = vec![Role("reader".to_owned())];
         config.checkpoint_bytes = 4 << 10;
         config.kept_entries = 20;
@@ -239,9 +245,28 @@
         for output in outputs {
             self.output(machine, output);
         }
+        self.check_claim(machine);
         self.arm(machine);
     }
 
+    /// What a machine says of the age of its state is true.
+    fn check_claim(&mut self, machine: usize) {
+        let host = &self.hosts[machine];
+        let Some(node) = &host.node else {
+            return;
+        };
+        let clock = host.clock(self.now);
+        let Some(age) = node.state_age(clock).filter(|_| node.has_majority_contact(clock)) else {
+            return;
+        };
+        // A clock that runs fast shows more than true time, so that the age is at least the true one.
+        let as_of = self.now.saturating_sub(age.as_micros() as u64);
+        let seen = node.machine().last_sequence();
+        if let Err(violation) = self.checker.claimed(machine, as_of, seen) {
+            self.violation.get_or_insert(violation);
+        }
+    }
+
     fn arm(&mut self, machine: usize) {
         let lateness = self.random.u64(TIMER_LATENESS_MICROS);
         let host = &mut self.hosts[machine];
--- a/system/intake/tests/intake.rs
+++ b/system/intake/tests/intake.rs
@@ -9,6 +9,7 @@
 const HERE: StoreId = StoreId(1);
 const THERE: StoreId = StoreId(2);
 const FAR: StoreId = StoreId(3);
+const NEW: StoreId = StoreId(4);
 const CALL: CallNumber = CallNumber(7);
 
 fn placement(epoch: u64, primaries: [StoreId; 3]) -> Placement {
@@ -197,6 +198,82 @@
     assert!(matches!(answer, Some(AcceptAnswer::Refused { .. })), "{answer:?}");
 }
 
+/// The store that leads the shard of this key.
+fn primary_of(key: &str) -> StoreId {
+    let placement = placement(1, [HERE, THERE, FAR]);
+    placement.shard(placement.shard_of(key).unwrap()).unwrap().primary
+}
+
+/// The same shards, with `next` in the place of `lost`.
+fn without(lost: StoreId, next: StoreId) -> Placement {
+    placement(2, [HERE, THERE, FAR].map(|primary| if primary == lost { next } else { primary }))
+}
+
+#[test]
+fn a_message_with_a_given_shard_waits_for_the_next_primary_of_a_lost_one() {
+    let mut rig = Rig::new();
+    let lost = primary_of("key-1");
+    let next = if lost == HERE { THERE } else { HERE };
+    rig.give(0, Input::StoreClosed { store: lost });
+    let out = submit_as(&mut rig, 200, 7, Place::Named("key-1".into()));
+    assert_eq!((accept_in(&out), answer_in(&out)), (None, None));
+    assert_eq!(rig.run(600), vec![]);
+    let (store, request, id) = accept_in(&rig.give(610, Input::Placement(without(lost, next)))).unwrap();
+    assert_eq!(store, next);
+    let out = rig.store_says(615, next, ToDispatcher::Accepted { request, token: None });
+    assert_eq!(answer_in(&out), Some(AcceptAnswer::Kept { id }));
+}
+
+#[test]
+fn a_message_that_waits_in_vain_for_a_primary_is_refused_in_time() {
+    let mut rig = Rig::new();
+    rig.give(0, Input::StoreClosed { store: primary_of("key-1") });
+    submit_as(&mut rig, 200, 7, Place::Named("key-1".into()));
+    assert_eq!(answer_in(&rig.run(699)), None);
+    let answer = answer_in(&rig.run(700));
+    assert!(matches!(answer, Some(AcceptAnswer::Refused { .. })), "{answer:?}");
+    submit_as(&mut rig, 701, 8, Place::Named("key-1".into()));
+    let answer = answer_in(&rig.run(900));
+    assert!(matches!(answer, Some(AcceptAnswer::Refused { .. })), "{answer:?}");
+}
+
+#[test]
+fn a_client_that_leaves_before_a_primary_can_be_replaced_is_told_at_once() {
+    let mut rig = Rig::new();
+    rig.give(0, Input::StoreClosed { store: primary_of("key-1") });
+    let out = submit_as(&mut rig, 10, 8, Place::Named("key-1".into()));
+    assert!(matches!(answer_in(&out), Some(AcceptAnswer::Refused { .. })), "{out:?}");
+}
+
+#[test]
+fn a_primary_that_returns_is_waited_for_as_well() {
+    let mut rig = Rig::new();
+    let lost = primary_of("key-1");
+    rig.give(0, Input::StoreClosed { store: lost });
+    submit_as(&mut rig, 200, 7, Place::Named("key-1".into()));
+    assert_eq!(accept_in(&rig.give(400, Input::StoreConnected { store: lost })).unwrap().0, lost);
+}
+
+#[test]
+fn a_primary_that_is_long_lost_is_not_waited_for() {
+    let mut rig = Rig::new();
+    rig.give(0, Input::StoreClosed { store: primary_of("key-1") });
+    let out = submit_as(&mut rig, 5000, 8, Place::Named("key-1".into()));
+    assert!(matches!(answer_in(&out), Some(AcceptAnswer::Refused { .. })), "{out:?}");
+}
+
+#[test]
+fn where_too_few_replicas_are_left_nothing_is_waited_for() {
+    let mut rig = Rig::new();
+    let lost = primary_of("key-1");
+    let other = if lost == HERE { THERE } else { HERE };
+    for store in [lost, other] {
+        rig.give(0, Input::StoreClosed { store });
+    }
+    let answer = answer_in(&submit_as(&mut rig, 200, 7, Place::Named("key-1".into())));
+    assert!(matches!(answer, Some(AcceptAnswer::Refused { .. })), "{answer:?}");
+}
+
 #[test]
 fn full_stores_refuse_with_their_advice() {
     let mut rig = Rig::new();
@@ -269,6 +346,48 @@
     assert_eq!(result_in(&out), Some(QueryResult::Unknown));
 }
 
+#[test]
+fn a_store_that_is_no_replica_proves_nothing() {
+    let mut rig = Rig::new();
+    let mut asked = queries_in(&rig.give(0, Input::Query { call: CALL, id: ASKED, body: false }));
+    let answers = [QueryAnswer::Unknown, QueryAnswer::NotReplica, QueryAnswer::Unknown];
+    let mut result = None;
+    for answer in answers {
+        let (store, request) = asked[0];
+        let out = rig.store_says(5, store, ToDispatcher::State { request, answer });
+        result = result_in(&out);
+        asked = queries_in(&out);
+    }
+    assert_eq!(result, Some(QueryResult::Unavailable));
+}
+
+#[test]
+fn what_former_replicas_did_not_know_says_nothing_of_the_present_ones() {
+    let mut rig = Rig::new();
+    let mut asked = queries_in(&rig.give(0, Input::Query { call: CALL, id: ASKED, body: false }));
+    let (store, request) = asked[0];
+    assert_eq!(store, THERE);
+    asked =
+        queries_in(&rig.store_says(5, store, ToDispatcher::State { request, answer: QueryAnswer::Unknown }));
+    let late = asked[0];
+    let mut next = placement(2, [HERE, NEW, FAR]);
+    next.shards[1].replicas = vec![HERE, NEW, FAR];
+    let out = rig.give(6, Input::Placement(next));
+    assert_eq!(queries_in(&out).len(), 1, "the replicas in force are asked from the first one on");
+    let out =
+        rig.store_says(7, late.0, ToDispatcher::State { request: late.1, answer: QueryAnswer::Unknown });
+    assert_eq!(result_in(&out), None, "an answer to a former question counts for nothing");
+    let all = rig.run(3_000);
+    assert!(!all.iter().any(|output| matches!(output, Output::Known { result: QueryResult::Unknown, .. })));
+}
+
+#[test]
+fn an_answer_comes_well_before_callers_leave() {
+    let mut rig = Rig::new();
+    rig.give(0, Input::Query { call: CALL, id: ASKED, body: false });
+    assert_eq!(result_in(&rig.run(1_600)), Some(QueryResult::Unavailable));
+}
+
 #[test]
 fn silence_ends_as_unavailable_in_time() {
     let mut rig = Rig::new();
@@ -312,3 +431,78 @@
     rig.run(70);
     assert_eq!(accept_in(&submit_as(&mut rig, 75, 8, Place::Any)).unwrap().0, HERE);
 }
+
+fn reconnect(rig: &mut Rig, now: u64, store: StoreId) {
+    rig.give(now, Input::StoreClosed { store });
+    rig.give(now, Input::StoreConnected { store });
+}
+
+/// One request to a store, sent on its connection before.
+#[derive(Clone, Copy)]
+struct Asked {
+    call: CallNumber,
+    request: RequestNumber,
+    id: MessageId,
+}
+
+/// Has the store of a key asked to keep some messages, the first of which it keeps; then it is connected anew.
+fn submit_and_reconnect(rig: &mut Rig) -> Vec<Asked> {
+    let mut asked = Vec::new();
+    for call in 0..4 {
+        let out = submit_as(rig, 0, call, Place::Named("key".into()));
+        let (store, request, id) = accept_in(&out).unwrap();
+        assert_eq!(store, THERE);
+        asked.push(Asked { call: CallNumber(call), request, id });
+    }
+    let first = asked.remove(0);
+    rig.store_says(0, THERE, ToDispatcher::Accepted { request: first.request, token: None });
+    reconnect(rig, 1, THERE);
+    asked
+}
+
+/// A late reply of the connection before carries a number that no later request has.
+#[test]
+fn a_late_reply_to_a_request_before_a_reconnect_answers_that_request_and_no_other() {
+    let mut rig = Rig::new();
+    for Asked { call, request, id } in submit_and_reconnect(&mut rig) {
+        let out = rig.store_says(3, THERE, ToDispatcher::Accepted { request, token: None });
+        let answered: Vec<&Output> =
+            out.iter().filter(|output| matches!(output, Output::Answered { .. })).collect();
+        assert_eq!(answered, [&Output::Answered { call, answer: AcceptAnswer::Kept { id } }]);
+    }
+}
+
+#[test]
+fn a_late_refusal_from_before_a_reconnect_refuses_no_other_request() {
+    let mut rig = Rig::new();
+    let before = submit_and_reconnect(&mut rig);
+    rig.run(600);
+    for call in 4..8 {
+        submit_as(&mut rig, 600, call, Place::Any);
+    }
+    for Asked { request, .. } in before {
+        let reason = NotAccepted::Full { retry_after_ms: 1 };
+        let out = rig.store_says(601, THERE, ToDispatcher::NotAccepted { request, reason });
+        assert_eq!(out, []);
+    }
+}
+
+#[test]
+fn a_late_reply_to_a_question_before_a_reconnect_answers_that_question_and_no_other() {
+    let mut rig = Rig::new();
+    let mut before = Vec::new();
+    for call in 0..4 {
+        let id = MessageId { unique: 5 + call, ..ASKED };
+        let asked = queries_in(&rig.give(0, Input::Query { call: CallNumber(call), id, body: false }));
+        before.push(Asked { call: CallNumber(call), request: asked[0].1, id });
+    }
+    let state =
+        |request| ToDispatcher::State { request, answer: QueryAnswer::Ended { end: End::DeadLetter } };
+    let first = before.remove(0);
+    rig.store_says(0, THERE, state(first.request));
+    reconnect(&mut rig, 1, THERE);
+    for Asked { call, request, .. } in before {
+        let out = rig.store_says(2, THERE, state(request));
+        assert_eq!(out, [Output::Known { call, result: QueryResult::DeadLetter }]);
+    }
+}
--- a/system/node/tests/system/main.rs
+++ b/system/node/tests/system/main.rs
@@ -3,8 +3,10 @@
 mod cluster;
 mod command_line;
 mod configuration;
+mod contact;
 mod hostile;
 mod messages;
+mod passing_on;
 mod recovery;
 mod stops;
 mod workers;
