--- a/system/simulation/src/linearizability.rs
+++ b/system/simulation/src/linearizability.rs
@@ -18,8 +18,8 @@
         self.current.map_or(0, |current| current.version)
     }
 
-    /// Works an order; gives what it answers.
-    pub fn work(&mut self, order: Order) -> Answer {
+    /// What an order is answered now.
+    fn answer(&self, order: Order) -> Answer {
         let Order::Put { expected, configuration } = order else {
             return Answer::Current(self.current);
         };
@@ -32,21 +32,41 @@
         if configuration.version <= self.version() {
             return Answer::NotHigher;
         }
-        self.accepted.insert(configuration.body);
-        self.current = Some(configuration);
         Answer::Accepted
     }
 
+    /// The configuration that an order puts into force now, if it does.
+    fn effect(&self, order: Order) -> Option<Configuration> {
+        let Order::Put { configuration, .. } = order else { return None };
+        let fresh = !self.accepted.contains(&configuration.body);
+        (fresh && self.answer(order) == Answer::Accepted).then_some(configuration)
+    }
+
+    /// Works an order; gives what it answers.
+    pub fn work(&mut self, order: Order) -> Answer {
+        let answer = self.answer(order);
+        if let Some(configuration) = self.effect(order) {
+            self.accepted.insert(configuration.body);
+            self.current = Some(configuration);
+        }
+        answer
+    }
+
     /// Whether the answer is one that the order may get here: where two refusals apply, either is right.
-    fn allows(&self, order: Order, answer: Answer) -> Option<Register> {
-        let mut after = self.clone();
-        let worked = after.work(order);
-        let Order::Put { configuration, .. } = order else {
-            return (worked == answer).then_some(after);
-        };
+    fn allows(&self, order: Order, answer: Answer) -> bool {
+        let worked = self.answer(order);
+        let Order::Put { configuration, .. } = order else { return worked == answer };
         let not_higher = configuration.version <= self.version();
         let either = worked == Answer::Conflict && answer == Answer::NotHigher && not_higher;
-        (worked == answer || either).then_some(after)
+        worked == answer || either
+    }
+
+    /// Whether the operation may be next. One without an answer that would change nothing need not be.
+    fn takes(&self, operation: &Operation) -> bool {
+        match operation.answered {
+            Some((_, answer)) => self.allows(operation.order, answer),
+            None => self.effect(operation.order).is_some(),
+        }
     }
 }
 
@@ -97,10 +117,11 @@
             if operation.called > horizon {
                 break;
             }
-            if done.has(index) {
+            if done.has(index) || !register.takes(operation) {
                 continue;
             }
-            let Some(after) = after(operation, register) else { continue };
+            let mut after = register.clone();
+            after.work(operation.order);
             let next = if operation.answered.is_some() { done.and(index) } else { done.clone() };
             if self.explore(&next, &after) {
                 return true;
@@ -110,18 +131,6 @@
     }
 }
 
-/// The register after the operation, if that may be next. An unanswered one that would change nothing need not be.
-fn after(operation: &Operation, register: &Register) -> Option<Register> {
-    match operation.answered {
-        Some((_, answer)) => register.allows(operation.order, answer),
-        None => {
-            let mut after = register.clone();
-            after.work(operation.order);
-            (after != *register).then_some(after)
-        }
-    }
-}
-
 /// Whether the history can have come from one register. Operations are in the order of their calls.
 pub fn is_linearizable(operations: &[Operation]) -> bool {
     let mut search = Search { operations, visited: HashSet::new() };
