--- a/system/simulation/src/core_machine.rs
+++ b/system/simulation/src/core_machine.rs
@@ -9,7 +9,11 @@
 use crate::orders::{Orders, Step};
 use crate::{MILLISECOND, SECOND};
 use millrudder_chain::{CoreConfig, CoreNode, Fencing, Input, NodeId, Output, RequestId, Role};
-use millrudder_control_state::{Command, Reply};
+use millrudder_contact::{
+    ConnectionId, CurrentList, Gate, Input as GateInput, Kind, ListNumber, Output as GateOutput, Part,
+    RoundNumber, StateNumbers,
+};
+use millrudder_control_state::{Command, ControlState, Reply};
 use millrudder_placement::{Input as PlacementInput, PlacementManager};
 use millrudder_protocol::control::{FromCore, Registrant, ToCore, WorkerList};
 use millrudder_protocol::{Address, StoreId};
@@ -19,10 +23,6 @@
 
 /// One role for all that one core machine does for all of them.
 const CONTROLLER: &str = "controller";
-/// Pause between two confirmed reads by which a machine shows itself that it is in touch with a majority.
-const CONTACT_EVERY: u64 = 150 * MILLISECOND;
-/// A confirmed read allows serving for so long after it was asked for.
-const CONTACT_LASTS: u64 = 700 * MILLISECOND;
 /// Pause between two readings of the platform's list.
 const READ_LIST_EVERY: u64 = 400 * MILLISECOND;
 /// Orders that have waited too long are looked for this often.
@@ -62,15 +62,21 @@
     addresses: BTreeMap<NodeId, SocketAddr>,
     registrants: BTreeMap<Connection, Registered>,
     workers: WorkerList,
-    told_version: u64,
-    told_epoch: u64,
+    current_list: CurrentList,
+    gate: Gate,
+    confirming: Option<Confirming>,
+    followed_epoch: u64,
     fencing: Option<Fencing>,
     read_list_at: u64,
-    contact_asked: BTreeMap<RequestId, u64>,
-    contact_until: u64,
-    ask_contact_at: u64,
     sweep_at: u64,
-    was_in_contact: bool,
+    leaving: bool,
+}
+
+/// The read under way that confirms the state here.
+#[derive(Clone, Copy, Debug)]
+struct Confirming {
+    request_id: RequestId,
+    round: RoundNumber,
 }
 
 /// Gives the process its happenings together with what it works on.
@@ -109,15 +115,14 @@
             addresses: BTreeMap::new(),
             registrants: BTreeMap::new(),
             workers: WorkerList::default(),
-            told_version: held.configuration().version,
-            told_epoch: held.placement().epoch.0,
+            current_list: CurrentList::default(),
+            gate: Gate::new(numbers(held, &WorkerList::default())),
+            confirming: None,
+            followed_epoch: held.placement().epoch.0,
             fencing: None,
             read_list_at: u64::MAX,
-            contact_asked: BTreeMap::new(),
-            contact_until: 0,
-            ask_contact_at: now,
             sweep_at: now,
-            was_in_contact: false,
+            leaving: false,
             settings,
             mutant,
             node,
@@ -140,8 +145,9 @@
     /// When a tick is due, by the machine's steady clock (microseconds).
     pub fn next_deadline(&self, now: u64) -> u64 {
         let manager = self.manager.next_deadline(now / MILLISECOND).map(|due| due * MILLISECOND);
-        let own = self.read_list_at.min(self.ask_contact_at).min(self.sweep_at);
-        self.node.next_deadline().min(own).min(manager.unwrap_or(u64::MAX))
+        let gate = self.gate.next_deadline().map(|due| due * MILLISECOND);
+        let shell = manager.into_iter().chain(gate).chain([self.read_list_at, self.sweep_at]).min();
+        self.node.next_deadline().min(shell.unwrap_or(u64::MAX))
     }
 
     /// Takes one happening and does what follows.
@@ -149,30 +155,106 @@
         match happening {
             Happening::Dialed { connection, target } => self.on_dialed(scene, connection, target.address),
             Happening::Accepted { .. } => {}
-            Happening::Closed { connection } => self.on_closed(connection),
+            Happening::Closed { connection } => self.on_closed(scene, connection),
             Happening::Arrived { connection, payload } => self.on_payload(scene, connection, payload),
             Happening::Synced => {}
             Happening::Tick => self.on_tick(scene),
             Happening::Leaving => {
-                self.tell_all(scene, &FromCore::TryAnother);
+                self.leaving = true;
+                self.guard(scene, GateInput::Leaving);
                 self.node.handle(scene.now, Input::Leave);
             }
             Happening::Called { call, order } => self.on_order(scene, call, order),
         }
-        self.carry_out(scene);
-        self.heed_contact(scene);
+        self.finish(scene);
     }
 
     /// Everything up to this write is durable.
     pub fn persisted(&mut self, scene: &mut CoreScene<'_>, token: millrudder_chain::PersistToken) {
         self.node.handle(scene.now, Input::Persisted { token });
+        self.finish(scene);
+    }
+
+    fn finish(&mut self, scene: &mut CoreScene<'_>) {
+        let contact = self.has_contact(scene.now);
+        if self.gate.is_due(scene.now / MILLISECOND, contact) {
+            self.guard(scene, GateInput::Tick);
+        }
         self.carry_out(scene);
-        self.heed_contact(scene);
     }
 
-    /// Whether the machine may serve what it holds.
-    pub fn may_serve(&self, now: u64) -> bool {
-        !self.mutant.has(Mechanism::MajorityContact) || now < self.contact_until
+    fn has_contact(&self, now: u64) -> bool {
+        !self.mutant.has(Mechanism::MajorityContact) || self.node.has_majority_contact(now)
+    }
+
+    /// Whether the core can do without this process, which was told to end.
+    pub fn may_go(&self, now: u64) -> bool {
+        self.leaving && self.node.may_go(now)
+    }
+
+    /// Gives the gate an input and does what it asks for.
+    fn guard(&mut self, scene: &mut CoreScene<'_>, input: GateInput) {
+        let mut output = Vec::new();
+        let contact = self.has_contact(scene.now);
+        self.gate.handle(scene.now / MILLISECOND, contact, input, &mut output);
+        for output in output {
+            self.follow(scene, output);
+        }
+    }
+
+    fn follow(&mut self, scene: &mut CoreScene<'_>, output: GateOutput) {
+        match output {
+            GateOutput::StartRead { round } => self.start_confirming(scene, round),
+            GateOutput::AbandonRead { round } => {
+                if let Some(confirming) = self.confirming.take_if(|confirming| confirming.round == round) {
+                    let request_id = confirming.request_id;
+                    self.node.handle(scene.now, Input::Abandon { request_id });
+                }
+            }
+            GateOutput::Tell { connection, part } => self.tell_part(scene, connection, part),
+            GateOutput::Vouch { connection, age_ms } => self.vouch(scene, connection, age_ms),
+            GateOutput::NoMajority { connection } => {
+                tell(scene, Connection(connection.0), &FromCore::NoMajority);
+            }
+            GateOutput::TryAnother { connection } => {
+                tell(scene, Connection(connection.0), &FromCore::TryAnother);
+            }
+        }
+    }
+
+    fn start_confirming(&mut self, scene: &mut CoreScene<'_>, round: RoundNumber) {
+        if !self.mutant.has(Mechanism::MajorityContact) {
+            // Confirmed by nobody.
+            return self.guard(scene, GateInput::ReadReady { round });
+        }
+        let request_id = self.orders.own_request(&self.mutant);
+        self.confirming = Some(Confirming { request_id, round });
+        self.node.handle(scene.now, Input::Read { request_id });
+    }
+
+    fn tell_part(&self, scene: &mut CoreScene<'_>, connection: ConnectionId, part: Part) {
+        let (connection, state) = (Connection(connection.0), self.node.machine().state());
+        match part {
+            Part::Configuration => tell_configuration(scene, connection, state.configuration().clone()),
+            Part::Placement => {
+                let placement = state.placement().clone();
+                tell(scene, connection, &FromCore::Placement { placement });
+            }
+            Part::Workers => {
+                let list = self.workers.clone();
+                tell(scene, connection, &FromCore::Workers { list });
+            }
+        }
+    }
+
+    fn vouch(&self, scene: &mut CoreScene<'_>, connection: ConnectionId, age_ms: u64) {
+        let state = self.node.machine().state();
+        let message = FromCore::Heartbeat {
+            configuration_version: state.configuration().version,
+            placement_epoch: state.placement().epoch.0,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        };
+        tell(scene, Connection(connection.0), &message);
     }
 
     /// Whether this process acts as holder of the lease.
@@ -188,10 +270,11 @@
         scene.effects.push(Effect::Send { connection, payload });
     }
 
-    fn on_closed(&mut self, connection: Connection) {
+    fn on_closed(&mut self, scene: &mut CoreScene<'_>, connection: Connection) {
         self.dialed.retain(|_, dialed| *dialed != connection);
         self.peers.remove(&connection);
         self.registrants.remove(&connection);
+        self.guard(scene, GateInput::Closed { connection: ConnectionId(connection.0) });
     }
 
     fn on_payload(&mut self, scene: &mut CoreScene<'_>, connection: Connection, payload: Payload) {
@@ -203,7 +286,12 @@
                     self.node.handle(scene.now, Input::Message { from, message });
                 }
             }
-            Payload::Workers { list } => self.adopt_workers(scene, list, false),
+            Payload::Workers { list } => {
+                if self.current_list.take_told(number(&list)) {
+                    self.workers = list;
+                    self.tell_news(scene);
+                }
+            }
             Payload::ToCore(message) => self.on_client(scene, connection, message),
             _ => {}
         }
@@ -256,65 +344,23 @@
             let (name, zone) = (name.clone(), zone.clone());
             self.manage(scene, PlacementInput::Registered { id: *id, name, zone, address: *address });
         }
-        let is_dispatcher = matches!(registrant, Registrant::Dispatcher { .. });
+        let kind = match registrant {
+            Registrant::Dispatcher { .. } => Kind::Dispatcher,
+            Registrant::Store { .. } => Kind::Store,
+        };
         self.registrants.insert(connection, Registered { registrant });
         let addresses = self.core_addresses();
         tell(scene, connection, &addresses);
-        if !self.may_serve(scene.now) {
-            return self.send_elsewhere(scene, connection, is_dispatcher);
-        }
-        let state = self.node.machine().state();
-        if state.configuration().version > version {
-            let configuration = state.configuration().clone();
-            tell_configuration(scene, connection, configuration);
-        }
-        if state.placement().epoch.0 > epoch {
-            let placement = state.placement().clone();
-            tell(scene, connection, &FromCore::Placement { placement });
-        }
-        if is_dispatcher {
-            let list = self.workers.clone();
-            tell(scene, connection, &FromCore::Workers { list });
-        }
-    }
-
-    /// A store stays, since its heartbeats may be wanted at once; a dispatcher has no use for this machine.
-    fn send_elsewhere(&mut self, scene: &mut CoreScene<'_>, connection: Connection, is_dispatcher: bool) {
-        if is_dispatcher {
-            tell(scene, connection, &FromCore::TryAnother);
-        }
-    }
-
-    /// When contact with a majority ends, dispatchers are sent away; when it begins, all are told what is in force.
-    fn heed_contact(&mut self, scene: &mut CoreScene<'_>) {
-        let in_contact = self.may_serve(scene.now);
-        if in_contact == self.was_in_contact {
-            return;
-        }
-        self.was_in_contact = in_contact;
-        if in_contact {
-            self.tell_everything(scene);
-            return;
-        }
-        let is_dispatcher = |one: &Registered| matches!(one.registrant, Registrant::Dispatcher { .. });
-        let dispatchers = self.registrants.iter().filter(|(_, one)| is_dispatcher(one));
-        for connection in dispatchers.map(|(connection, _)| *connection).collect::<Vec<_>>() {
-            tell(scene, connection, &FromCore::TryAnother);
-        }
-    }
-
-    fn tell_everything(&mut self, scene: &mut CoreScene<'_>) {
-        self.told_version = 0;
-        self.told_epoch = 0;
-        self.tell_state(scene);
+        let workers = ListNumber::default();
+        let has = StateNumbers { configuration_version: version, placement_epoch: epoch, workers };
+        let connection = ConnectionId(connection.0);
+        self.guard(scene, GateInput::Registered { connection, kind, has });
     }
 
     fn on_tick(&mut self, scene: &mut CoreScene<'_>) {
         self.node.handle(scene.now, Input::Tick);
-        self.carry_out(scene);
         self.manage(scene, PlacementInput::Tick);
         self.read_list(scene);
-        self.ask_contact(scene);
         self.sweep(scene);
     }
 
@@ -329,21 +375,6 @@
         }
     }
 
-    fn ask_contact(&mut self, scene: &mut CoreScene<'_>) {
-        if scene.now < self.ask_contact_at {
-            return;
-        }
-        self.ask_contact_at = scene.now + CONTACT_EVERY;
-        let old = self.contact_asked.iter().filter(|(_, asked)| scene.now - **asked >= CONTACT_LASTS);
-        for request_id in old.map(|(request_id, _)| *request_id).collect::<Vec<_>>() {
-            self.contact_asked.remove(&request_id);
-            self.node.handle(scene.now, Input::Abandon { request_id });
-        }
-        let request_id = self.orders.own_request(&self.mutant);
-        self.contact_asked.insert(request_id, scene.now);
-        self.node.handle(scene.now, Input::Read { request_id });
-    }
-
     fn read_list(&mut self, scene: &mut CoreScene<'_>) {
         let fencing = match self.mutant.has(Mechanism::LeaseChecked) {
             true => self.holds(scene.now),
@@ -355,30 +386,34 @@
         let same = self.workers.fencing == fencing.0;
         let number = if same { self.workers.number + 1 } else { 1 };
         let list = WorkerList { fencing: fencing.0, number, workers: Vec::new() };
-        self.adopt_workers(scene, list, true);
+        self.adopt_own_list(scene, list);
     }
 
-    /// Takes over a newer list; one that this machine read itself goes to the other core machines too.
-    fn adopt_workers(&mut self, scene: &mut CoreScene<'_>, list: WorkerList, own: bool) {
-        if !list.is_newer_than(&self.workers) {
+    /// Takes a list that this machine has read, and tells it to the other core machines too.
+    fn adopt_own_list(&mut self, scene: &mut CoreScene<'_>, list: WorkerList) {
+        let lease = self.holds(scene.now).map(|fencing| fencing.0);
+        let lease = lease.or(Some(list.fencing).filter(|_| !self.mutant.has(Mechanism::LeaseChecked)));
+        if !self.current_list.take_own(number(&list), lease) {
             return;
         }
-        if own {
-            for connection in self.dialed.values() {
-                let payload = Payload::Workers { list: list.clone() };
-                scene.effects.push(Effect::Send { connection: *connection, payload });
-            }
-        }
-        for (connection, one) in &self.registrants {
-            if matches!(one.registrant, Registrant::Dispatcher { .. }) {
-                tell(scene, *connection, &FromCore::Workers { list: list.clone() });
-            }
+        for connection in self.dialed.values() {
+            let payload = Payload::Workers { list: list.clone() };
+            scene.effects.push(Effect::Send { connection: *connection, payload });
         }
         self.workers = list;
+        self.tell_news(scene);
+    }
+
+    /// Reports this machine's present state to the gate, which has it told to whom it may concern.
+    fn tell_news(&mut self, scene: &mut CoreScene<'_>) {
+        let numbers = numbers(self.node.machine().state(), &self.workers);
+        self.guard(scene, GateInput::State(numbers));
     }
 
     fn on_order(&mut self, scene: &mut CoreScene<'_>, call: Call, order: Order) {
-        let step = self.orders.take(scene.now, call, order, self.node.machine().state(), &self.mutant);
+        let open = self.gate.takes_orders(scene.now / MILLISECOND);
+        let state = self.node.machine().state();
+        let step = self.orders.take(scene.now, call, order, open, state, &self.mutant);
         match step {
             Step::Answer(answer) => scene.effects.push(Effect::Answer { call, answer }),
             Step::Submit { request_id, command } => {
@@ -423,7 +458,7 @@
                     scene.effects.push(Effect::Seen(seen));
                     self.on_committed(scene, reply);
                 }
-                Output::Replaced { .. } => self.tell_state(scene),
+                Output::Replaced { .. } => self.follow_state(scene),
                 Output::Reply { request_id, reply } => {
                     if let Some((call, answer)) = self.orders.replied(request_id, reply, &self.mutant) {
                         scene.effects.push(Effect::Answer { call, answer });
@@ -435,12 +470,12 @@
                     self.know_view();
                 }
                 // Contact is asked for where it counts.
-                Output::ContactGained | Output::ContactLost => {}
                 Output::LeaseGranted { fencing, .. } => {
                     scene.effects.push(Effect::Seen(Observation::LeaseGranted { fencing }));
                     self.on_lease(scene, Some(fencing));
                 }
                 Output::LeaseLost { .. } => self.on_lease(scene, None),
+                Output::ContactGained | Output::ContactLost => self.guard(scene, GateInput::Tick),
             }
         }
     }
@@ -453,9 +488,9 @@
     }
 
     fn on_read_ready(&mut self, scene: &mut CoreScene<'_>, request_id: RequestId) {
-        if let Some(asked) = self.contact_asked.remove(&request_id) {
-            self.contact_until = self.contact_until.max(asked + CONTACT_LASTS);
-            return;
+        let confirming = self.confirming.take_if(|confirming| confirming.request_id == request_id);
+        if let Some(confirming) = confirming {
+            return self.guard(scene, GateInput::ReadReady { round: confirming.round });
         }
         if let Some((call, answer)) = self.orders.read_ready(request_id, self.node.machine().state()) {
             scene.effects.push(Effect::Answer { call, answer });
@@ -464,27 +499,18 @@
 
     fn on_committed(&mut self, scene: &mut CoreScene<'_>, reply: Reply) {
         if matches!(reply, Reply::ConfigurationAccepted | Reply::PlacementSet) {
-            self.tell_state(scene);
+            self.follow_state(scene);
         }
     }
 
-    /// Tells everybody what has come into force.
-    fn tell_state(&mut self, scene: &mut CoreScene<'_>) {
-        let placement = self.node.machine().state().placement().clone();
-        self.manage(scene, PlacementInput::Committed(placement.clone()));
-        if !self.may_serve(scene.now) {
-            return;
-        }
-        let configuration = self.node.machine().state().configuration().clone();
-        if configuration.version > self.told_version {
-            self.told_version = configuration.version;
-            for connection in self.registrants.keys() {
-                tell_configuration(scene, *connection, configuration.clone());
-            }
-        }
-        if placement.epoch.0 > self.told_epoch {
-            self.told_epoch = placement.epoch.0;
-            self.tell_all(scene, &FromCore::Placement { placement });
+    /// Something may have come into force.
+    fn follow_state(&mut self, scene: &mut CoreScene<'_>) {
+        self.tell_news(scene);
+        let placement = self.node.machine().state().placement();
+        if placement.epoch.0 > self.followed_epoch {
+            let placement = placement.clone();
+            self.followed_epoch = placement.epoch.0;
+            self.manage(scene, PlacementInput::Committed(placement));
         }
     }
 
@@ -511,7 +537,7 @@
 
     fn know_view(&mut self) {
         let Some(view) = self.node.view().cloned() else { return };
-        for member in &view.members {
+        for member in &view.voters {
             if let Ok(address) = member.address.parse() {
                 self.addresses.insert(member.id, address);
                 self.know(address);
@@ -530,6 +556,19 @@
     }
 }
 
+/// The versions of a machine's state.
+fn numbers(state: &ControlState, list: &WorkerList) -> StateNumbers {
+    StateNumbers {
+        configuration_version: state.configuration().version,
+        placement_epoch: state.placement().epoch.0,
+        workers: number(list),
+    }
+}
+
+fn number(list: &WorkerList) -> ListNumber {
+    ListNumber { fencing: list.fencing, number: list.number }
+}
+
 fn tell(scene: &mut CoreScene<'_>, connection: Connection, message: &FromCore) {
     scene.effects.push(Effect::Send { connection, payload: Payload::FromCore(message.clone()) });
 }
--- a/system/simulation/src/dispatcher.rs
+++ b/system/simulation/src/dispatcher.rs
@@ -3,6 +3,7 @@
 use crate::event::{Connection, Effect, Happening, Observation, Payload, Target};
 use crate::mechanism::{Mechanism, Mutant};
 use crate::MILLISECOND;
+use millrudder_contact::{LinkPlan, LinkStep};
 use millrudder_protocol::control::{FromCore, Registrant, ToCore, WorkerList};
 use millrudder_protocol::message::Message;
 use millrudder_protocol::placement::Placement;
@@ -13,8 +14,6 @@
 
 /// Core machines to which a dispatcher keeps connections.
 const CORE_LINKS: usize = 2;
-/// A connection that is not open for so long is replaced, where another machine is known (microseconds).
-const REPLACE_AFTER: u64 = 1_200 * MILLISECOND;
 /// Pause between two looks at what needs sending again.
 const LOOK: u64 = 50 * MILLISECOND;
 /// What has no answer is sent again after so long.
@@ -35,12 +34,6 @@
     pub message_every: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct CoreLink {
-    connection: Option<Connection>,
-    since: u64,
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Pending {
     first: u64,
@@ -60,9 +53,9 @@
     settings: DispatcherSettings,
     mutant: Mutant,
     random: fastrand::Rng,
-    known: Vec<SocketAddr>,
-    cores: BTreeMap<SocketAddr, CoreLink>,
-    next_core: usize,
+    plan: LinkPlan,
+    /// Core machines to be connected to, with the open connections.
+    cores: BTreeMap<SocketAddr, Option<Connection>>,
     configuration: u64,
     placement: Placement,
     workers: WorkerList,
@@ -91,10 +84,13 @@
 impl Dispatcher {
     /// Starts with nothing.
     pub fn start(settings: DispatcherSettings, mutant: Mutant, seed: u64, now: u64) -> Self {
+        let mut plan = LinkPlan::new(CORE_LINKS, seed);
+        for address in &settings.seeds {
+            plan.know(*address);
+        }
         Dispatcher {
-            known: settings.seeds.clone(),
+            plan,
             cores: BTreeMap::new(),
-            next_core: seed as usize % 64,
             configuration: 0,
             placement: Placement::default(),
             workers: WorkerList::default(),
@@ -132,7 +128,7 @@
 
     /// Addresses to which a connection is wanted.
     pub fn wanted(&self) -> Vec<Target> {
-        let cores = self.cores.iter().filter(|(_, link)| link.connection.is_none());
+        let cores = self.cores.iter().filter(|(_, open)| open.is_none());
         let stores = self.placement.stores.iter().filter(|store| !self.stores.contains_key(&store.id));
         let cores = cores.map(|(address, _)| Target::core(*address));
         cores.chain(stores.map(|store| Target::store(store.address.0, store.id))).collect()
@@ -160,7 +156,7 @@
 
     fn look(&mut self, scene: &mut DispatcherScene<'_>) {
         self.look_at = scene.now + LOOK;
-        self.keep_core_links(scene.now);
+        self.follow_plan(scene);
         self.drop_clients(scene.now);
         if self.sending && scene.now >= self.message_at {
             self.message_at = scene.now + self.settings.message_every;
@@ -184,15 +180,19 @@
         }
     }
 
-    /// Drops what has been closed for long and dials others, as the program's link to the core does.
-    fn keep_core_links(&mut self, now: u64) {
-        if self.known.len() > self.cores.len() {
-            self.cores.retain(|_, link| link.connection.is_some() || now - link.since < REPLACE_AFTER);
-        }
-        while self.cores.len() < CORE_LINKS.min(self.known.len()) {
-            self.next_core = self.next_core.wrapping_add(1);
-            let address = self.known[self.next_core % self.known.len()];
-            self.cores.entry(address).or_insert(CoreLink { connection: None, since: now });
+    /// Leaves core machines that do not vouch for their state for others.
+    fn follow_plan(&mut self, scene: &mut DispatcherScene<'_>) {
+        for step in self.plan.poll(scene.now / MILLISECOND) {
+            match step {
+                LinkStep::Open(address) => {
+                    self.cores.insert(address, None);
+                }
+                LinkStep::Close(address) => {
+                    if let Some(connection) = self.cores.remove(&address).flatten() {
+                        scene.effects.push(Effect::Close { connection });
+                    }
+                }
+            }
         }
     }
 
@@ -207,8 +207,9 @@
     }
 
     fn register(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection, address: SocketAddr) {
-        if let Some(link) = self.cores.get_mut(&address) {
-            *link = CoreLink { connection: Some(connection), since: scene.now };
+        if let Some(open) = self.cores.get_mut(&address) {
+            *open = Some(connection);
+            self.plan.opened(scene.now / MILLISECOND, address);
             let DispatcherSettings { name, zone, .. } = self.settings.clone();
             let message = ToCore::Register {
                 registrant: Registrant::Dispatcher { name, zone },
@@ -220,8 +221,9 @@
     }
 
     fn on_closed(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection) {
-        for link in self.cores.values_mut().filter(|link| link.connection == Some(connection)) {
-            *link = CoreLink { connection: None, since: scene.now };
+        if let Some(address) = self.core_of(connection) {
+            self.cores.insert(address, None);
+            self.plan.closed(scene.now / MILLISECOND, address);
         }
         self.stores.retain(|_, open| *open != connection);
         if self.mutant.has(Mechanism::AnswerOfSameConnection) {
@@ -229,10 +231,15 @@
         }
     }
 
+    /// The core machine to which a connection is open.
+    fn core_of(&self, connection: Connection) -> Option<SocketAddr> {
+        let open = self.cores.iter().find(|(_, open)| **open == Some(connection));
+        open.map(|(address, _)| *address)
+    }
+
     fn on_core(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection, message: FromCore) {
-        if !self.cores.values().any(|link| link.connection == Some(connection)) {
-            return;
-        }
+        let Some(core) = self.core_of(connection) else { return };
+        let now_ms = scene.now / MILLISECOND;
         let any = !self.mutant.has(Mechanism::OnlyNewerAdopted);
         match message {
             FromCore::Configuration { configuration }
@@ -251,12 +258,15 @@
             }
             FromCore::Core { addresses } => {
                 for Address(address) in addresses {
-                    if !self.known.contains(&address) {
-                        self.known.push(address);
-                    }
+                    self.plan.know(address);
                 }
             }
-            FromCore::TryAnother => scene.effects.push(Effect::Close { connection }),
+            FromCore::Heartbeat { .. } => self.plan.vouched(now_ms, core),
+            FromCore::NoMajority => self.plan.refused(now_ms, core),
+            FromCore::TryAnother => {
+                self.plan.refused(now_ms, core);
+                scene.effects.push(Effect::Close { connection });
+            }
             _ => {}
         }
     }
--- a/system/simulation/src/orders.rs
+++ b/system/simulation/src/orders.rs
@@ -9,7 +9,7 @@
 use std::collections::BTreeMap;
 
 /// How long an order waits for the chain (microseconds).
-const PATIENCE: u64 = 2_500_000;
+const PATIENCE: u64 = 850_000;
 
 /// What an order needs before it can be answered.
 #[derive(Clone, Debug)]
@@ -38,24 +38,23 @@
         Orders { random: fastrand::Rng::with_seed(seed), counted: 0, waiting: BTreeMap::new() }
     }
 
-    /// Takes an order; what is known to be accepted already is answered at once.
+    /// Takes an order. Every answer rests on the state, so that a machine that is not `open` gives none.
     pub fn take(
         &mut self,
         now: u64,
         call: Call,
         order: Order,
+        open: bool,
         state: &ControlState,
         mutant: &Mutant,
     ) -> Step {
         match order {
             Order::Get if !mutant.has(Mechanism::ConfirmedRead) => Step::Answer(current(state)),
+            _ if !open => Step::Answer(Answer::Unavailable),
             Order::Get => Step::Read { request_id: self.wait(now, call, mutant) },
             Order::Put { expected, configuration } => {
-                let json = configuration.bytes();
-                if state.has_accepted(&json) {
-                    return Step::Answer(Answer::Accepted);
-                }
                 let request_id = self.wait(now, call, mutant);
+                let json = configuration.bytes();
                 let configuration = ConfigurationText { version: configuration.version, json };
                 let command = Command::PutConfiguration { expected_version: expected, configuration };
                 Step::Submit { request_id, command }
--- a/system/simulation/src/store_machine.rs
+++ b/system/simulation/src/store_machine.rs
@@ -134,6 +134,11 @@
         self.node.health(now / MILLISECOND).serving as usize == led
     }
 
+    /// Whether others have taken all its shards.
+    pub fn may_go(&self, now: u64) -> bool {
+        self.node.health(now / MILLISECOND).serving == 0
+    }
+
     /// Takes one happening and does what follows.
     pub fn handle(&mut self, scene: &mut StoreScene<'_>, happening: Happening) {
         match happening {
--- a/system/simulation/src/strikes.rs
+++ b/system/simulation/src/strikes.rs
@@ -7,12 +7,12 @@
 use crate::mechanism::Mechanism;
 use crate::place::Place;
 use crate::world::World;
-use crate::MILLISECOND;
+use crate::{MILLISECOND, SECOND};
 
-/// A core machine that is told to stop serves on for so long (microseconds).
-const CORE_LINGER: u64 = 250 * MILLISECOND;
-/// A store that is told to stop serves on for so long, in which its shards go to others.
-const STORE_LINGER: u64 = 1_500 * MILLISECOND;
+/// A process that was told to stop serves on for so long after the others can do without it (microseconds).
+const LINGER: u64 = 250 * MILLISECOND;
+/// The platform waits for so long before it ends a process that was told to stop.
+const GRACE: u64 = 6 * SECOND;
 /// A machine without power may come back so much later than planned.
 const LATER: u64 = 50 * MILLISECOND;
 
@@ -148,16 +148,14 @@
     }
 
     fn stop(&mut self, place: Place, down: u64) {
-        let lingers = self.plan.mutant.has(Mechanism::LeaverLingers);
-        let linger = match place {
-            Place::Core(_) => CORE_LINGER,
-            Place::Store(_) => STORE_LINGER,
+        let grace = match place {
+            Place::Core(_) | Place::Store(_) if self.plan.mutant.has(Mechanism::LeaverLingers) => GRACE,
             _ => 0,
         };
-        let linger = if lingers { linger } else { 0 };
         self.give(place, Happening::Leaving);
-        self.faults_end = self.faults_end.max(self.now + linger + down + LATER);
-        self.schedule_end(place, self.now + linger, down);
+        self.faults_end = self.faults_end.max(self.now + grace + down + LATER);
+        let linger = LINGER.min(grace);
+        self.schedule_end(place, self.now + linger, down, self.now + grace);
     }
 
     fn freeze(&mut self, place: Place, micros: u64) {
--- a/system/simulation/src/violation.rs
+++ b/system/simulation/src/violation.rs
@@ -1,9 +1,10 @@
 //! Promises that were broken.
 
-use crate::history::Operation;
+use crate::history::{Body, Operation, Order};
 use crate::place::Place;
 use millrudder_chain::View;
 use millrudder_protocol::MessageId;
+use std::collections::BTreeSet;
 use thiserror::Error;
 
 /// A broken promise; times are microseconds of true time.
@@ -41,6 +42,21 @@
     Stuck { what: &'static str, at: u64 },
 }
 
+/// Most operations that are printed: those that were answered or share their bytes with one that was, the last first.
+const PRINTED: usize = 40;
+
 fn lines(history: &[Operation]) -> String {
-    history.iter().map(|operation| format!("  {operation}\n")).collect()
+    let body = |operation: &Operation| match operation.order {
+        Order::Put { configuration, .. } => Some(configuration.body),
+        Order::Get => None,
+    };
+    let named: BTreeSet<Body> =
+        history.iter().filter(|one| one.answered.is_some()).filter_map(body).collect();
+    let tells =
+        |one: &&Operation| one.answered.is_some() || body(one).is_some_and(|body| named.contains(&body));
+    let telling: Vec<&Operation> = history.iter().filter(tells).collect();
+    let last = &telling[telling.len().saturating_sub(PRINTED)..];
+    let left_out = history.len() - last.len();
+    let lines: String = last.iter().map(|operation| format!("  {operation}\n")).collect();
+    format!("{lines}  and {left_out} more without a clear answer, or before")
 }
--- a/system/simulation/src/world.rs
+++ b/system/simulation/src/world.rs
@@ -26,6 +26,8 @@
 
 /// Pause between two rounds in which connections are dialed.
 const DIAL_EVERY: u64 = 40 * MILLISECOND;
+/// Pause between two looks whether a process that was told to stop may go.
+const LOOK_EVERY: u64 = 20 * MILLISECOND;
 /// Pause between two looks at what must hold of the whole.
 const WATCH_EVERY: u64 = 100 * MILLISECOND;
 /// A connection on which nothing comes for so long is taken for lost.
@@ -61,19 +63,49 @@
 
 #[derive(Clone, Debug)]
 enum Event {
-    Arrive { connection: Connection, to: Place, payload: Payload },
-    Closed { connection: Connection, at: Place },
-    Synced { process: Process, token: Option<PersistToken> },
-    Tick { process: Process, at: u64 },
-    Start { place: Place },
-    End { process: Process, down: u64 },
+    /// What `straggles` arrives only on a connection that has ended.
+    Arrive { connection: Connection, to: Place, payload: Payload, straggles: bool },
+    Closed {
+        connection: Connection,
+        at: Place,
+    },
+    Synced {
+        process: Process,
+        token: Option<PersistToken>,
+    },
+    Tick {
+        process: Process,
+        at: u64,
+    },
+    Start {
+        place: Place,
+    },
+    /// The process ends once the others can do without it, and at a time at the latest.
+    End {
+        process: Process,
+        down: u64,
+        latest: u64,
+    },
     Strike(usize),
     Dial,
     Watch,
-    OperatorTurn { operator: usize },
-    CallArrives { call: Call, at: Place, order: Order },
-    AnswerArrives { call: Call, operator: usize, answer: Answer },
-    CallSilent { call: Call, operator: usize },
+    OperatorTurn {
+        operator: usize,
+    },
+    CallArrives {
+        call: Call,
+        at: Place,
+        order: Order,
+    },
+    AnswerArrives {
+        call: Call,
+        operator: usize,
+        answer: Answer,
+    },
+    CallSilent {
+        call: Call,
+        operator: usize,
+    },
 }
 
 impl Event {
@@ -371,9 +403,30 @@
         self.schedule(at, Event::Start { place });
     }
 
-    pub(crate) fn schedule_end(&mut self, place: Place, at: u64, down: u64) {
+    pub(crate) fn schedule_end(&mut self, place: Place, at: u64, down: u64, latest: u64) {
         let process = self.process_of(place);
-        self.schedule(at, Event::End { process, down });
+        self.schedule(at, Event::End { process, down, latest });
+    }
+
+    /// A process that was told to stop ends.
+    fn end(&mut self, process: Process, down: u64, latest: u64) {
+        let place = process.place;
+        if self.process_of(place) != process || !self.is_up(place) {
+            return;
+        }
+        if self.now < latest && !self.may_go(place) {
+            return self.schedule(self.now + LOOK_EVERY, Event::End { process, down, latest });
+        }
+        self.strike(&Fault::Kill { place, down });
+    }
+
+    fn may_go(&self, place: Place) -> bool {
+        let now = self.clock(place).local(self.now);
+        match place {
+            Place::Core(index) => self.cores[index].process.as_ref().is_some_and(|one| one.may_go(now)),
+            Place::Store(index) => self.stores[index].process.as_ref().is_some_and(|one| one.may_go(now)),
+            _ => true,
+        }
     }
 
     fn schedule(&mut self, at: u64, event: Event) {
@@ -414,16 +467,14 @@
 
     fn happen(&mut self, order: u64, event: Event) {
         match event {
-            Event::Arrive { connection, to, payload } => self.arrive(order, connection, to, payload),
+            Event::Arrive { connection, to, payload, straggles } => {
+                self.arrive(order, connection, to, payload, straggles);
+            }
             Event::Closed { connection, at } => self.closed(connection, at),
             Event::Synced { process, token } => self.synced(process, token),
             Event::Tick { process, at } => self.tick(process, at),
             Event::Start { place } => self.start(place),
-            Event::End { process, down } => {
-                if self.process_of(process.place) == process {
-                    self.strike(&Fault::Kill { place: process.place, down });
-                }
-            }
+            Event::End { process, down, latest } => self.end(process, down, latest),
             Event::Strike(index) => self.strike_planned(index),
             Event::Dial => {
                 self.dial();
@@ -724,7 +775,12 @@
         if let Payload::Core { .. } = payload {
             return self.send_between_cores(at, connection, to, payload);
         }
-        self.schedule(at, Event::Arrive { connection, to, payload });
+        if matches!(to, Place::Dispatcher(_)) && self.random.f64() < self.plan.noise.after_close {
+            let late = at + self.random.u64(LATE);
+            let payload = payload.clone();
+            self.schedule(late, Event::Arrive { connection, to, payload, straggles: true });
+        }
+        self.schedule(at, Event::Arrive { connection, to, payload, straggles: false });
     }
 
     /// What core machines say to each other may come late or twice.
@@ -733,20 +789,21 @@
         let at = if late { at + self.random.u64(LATE) } else { at };
         if self.random.f64() < self.plan.noise.doubled {
             let again = at + self.random.u64(LATE);
-            self.schedule(again, Event::Arrive { connection, to, payload: payload.clone() });
+            let payload = payload.clone();
+            self.schedule(again, Event::Arrive { connection, to, payload, straggles: false });
         }
-        self.schedule(at, Event::Arrive { connection, to, payload });
+        self.schedule(at, Event::Arrive { connection, to, payload, straggles: false });
     }
 
-    fn arrive(&mut self, order: u64, connection: Connection, to: Place, payload: Payload) {
+    fn arrive(&mut self, order: u64, connection: Connection, to: Place, payload: Payload, straggles: bool) {
         let Some(link) = self.network.link(connection).copied() else { return };
         let passes_at = self.network.passes_at(link.other(to), to, self.now);
         if passes_at > self.now {
-            self.events.insert((passes_at, order), Event::Arrive { connection, to, payload });
+            let event = Event::Arrive { connection, to, payload, straggles };
+            self.events.insert((passes_at, order), event);
             return;
         }
-        let straggles = matches!(to, Place::Dispatcher(_)) && self.random.f64() < self.plan.noise.after_close;
-        if !link.is_open_at(to) && !straggles || !self.is_up(to) {
+        if link.is_open_at(to) == straggles || !self.is_up(to) {
             return;
         }
         self.steps += 1;
--- a/system/simulation/tests/control/point_2.rs
+++ b/system/simulation/tests/control/point_2.rs
@@ -54,3 +54,12 @@
     let violation = expect_killed(at_every_step(&mutant, 2), Mechanism::LoserRefused);
     assert!(matches!(violation, Violation::NotLinearizable { .. }), "{violation}");
 }
+
+#[test]
+fn point_2_fails_where_syncs_are_not_awaited() {
+    let mutant = without(&plan(), Mechanism::SyncBeforePersisted);
+    let power = vec![Fault::PowerLossOfAll { down: 300 * MILLISECOND }];
+    let failed = explore(&mutant, power, 250 * MILLISECOND, 1);
+    let violation = expect_killed(failed, Mechanism::SyncBeforePersisted);
+    assert!(!matches!(violation, Violation::Stuck { .. }), "{violation}");
+}
--- a/system/simulation/tests/control/point_4.rs
+++ b/system/simulation/tests/control/point_4.rs
@@ -84,9 +84,3 @@
     let mutant = without(&plan(), Mechanism::RecordsReplayed);
     expect_killed(at_every_step(founded(4), &mutant, 4), Mechanism::RecordsReplayed);
 }
-
-#[test]
-fn point_4_fails_where_syncs_are_not_awaited() {
-    let mutant = without(&plan(), Mechanism::SyncBeforePersisted);
-    expect_killed(at_every_step(founded(4), &mutant, 4), Mechanism::SyncBeforePersisted);
-}
