--- a/system/simulation/src/dispatcher.rs
+++ b/system/simulation/src/dispatcher.rs
@@ -354,6 +354,11 @@
     }
 
     fn on_store(&mut self, scene: &mut DispatcherScene<'_>, connection: Connection, message: ToDispatcher) {
+        let answers = matches!(message, ToDispatcher::Accepted { .. } | ToDispatcher::NotAccepted { .. });
+        let any = answers && !self.mutant.has(Mechanism::AnswerOfSameConnection);
+        if !any && !self.stores.values().any(|open| *open == connection) {
+            return;
+        }
         match message {
             ToDispatcher::Accepted { request, .. } => {
                 let asked = self.asked_on(connection).and_then(|link| link.requests.remove(&request));
--- a/system/simulation/src/world.rs
+++ b/system/simulation/src/world.rs
@@ -64,7 +64,12 @@
 #[derive(Clone, Debug)]
 enum Event {
     /// What `straggles` arrives only on a connection that has ended.
-    Arrive { connection: Connection, to: Place, payload: Payload, straggles: bool },
+    Arrive {
+        connection: Connection,
+        to: Place,
+        payload: Payload,
+        straggles: bool,
+    },
     Closed {
         connection: Connection,
         at: Place,
