--- a/system/simulation/src/core_machine.rs
+++ b/system/simulation/src/core_machine.rs
@@ -212,7 +212,7 @@
                 }
             }
             GateOutput::Tell { connection, part } => self.tell_part(scene, connection, part),
-            GateOutput::Vouch { connection, age_ms } => self.vouch(scene, connection, age_ms),
+            GateOutput::Vouch { connection, moment } => self.vouch(scene, connection, moment),
             GateOutput::NoMajority { connection } => {
                 tell(scene, Connection(connection.0), &FromCore::NoMajority);
             }
@@ -247,12 +247,12 @@
         }
     }
 
-    fn vouch(&self, scene: &mut CoreScene<'_>, connection: ConnectionId, age_ms: u64) {
+    fn vouch(&self, scene: &mut CoreScene<'_>, connection: ConnectionId, moment_ms: u64) {
         let state = self.node.machine().state();
         let message = FromCore::Heartbeat {
             configuration_version: state.configuration().version,
             placement_epoch: state.placement().epoch.0,
-            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+            moment_ms,
         };
         tell(scene, Connection(connection.0), &message);
     }
@@ -268,6 +268,7 @@
         scene.effects.push(Effect::Send { connection, payload });
         let payload = Payload::Workers { list: self.workers.clone() };
         scene.effects.push(Effect::Send { connection, payload });
+        self.guard(scene, GateInput::PeerOpened);
     }
 
     fn on_closed(&mut self, scene: &mut CoreScene<'_>, connection: Connection) {
@@ -286,11 +287,9 @@
                     self.node.handle(scene.now, Input::Message { from, message });
                 }
             }
-            Payload::Workers { list } => {
-                if self.current_list.take_told(number(&list)) {
-                    self.workers = list;
-                    self.tell_news(scene);
-                }
+            Payload::Workers { list } if self.current_list.take_told(number(&list)) => {
+                self.workers = list;
+                self.tell_news(scene);
             }
             Payload::ToCore(message) => self.on_client(scene, connection, message),
             _ => {}
@@ -313,7 +312,10 @@
                 self.on_register(scene, connection, registrant, configuration_version, placement_epoch);
             }
             // The simulated machine vouches for nothing.
-            ToCore::Ask { .. } => {}
+            ToCore::Ask { moment_ms } => {
+                let connection = ConnectionId(connection.0);
+                self.guard(scene, GateInput::Asked { connection, moment: moment_ms });
+            }
             ToCore::Heartbeat { health } => {
                 if let (Some(id), Some(health)) = (self.store(connection), health) {
                     self.manage(scene, PlacementInput::Heartbeat { id, health });
@@ -519,6 +521,7 @@
     fn on_lease(&mut self, scene: &mut CoreScene<'_>, fencing: Option<Fencing>) {
         self.fencing = fencing;
         self.read_list_at = fencing.map_or(u64::MAX, |_| scene.now);
+        self.guard(scene, GateInput::Acting(fencing.is_some()));
         self.manage(scene, PlacementInput::Leading(fencing.is_some()));
     }
 
--- a/system/simulation/src/dispatcher.rs
+++ b/system/simulation/src/dispatcher.rs
@@ -16,6 +16,8 @@
 const CORE_LINKS: usize = 2;
 /// Pause between two looks at what needs sending again.
 const LOOK: u64 = 50 * MILLISECOND;
+/// Pause between two questions whether what is held is current.
+const ASK: u64 = 400 * MILLISECOND;
 /// What has no answer is sent again after so long.
 const REPEAT: u64 = 250 * MILLISECOND;
 /// A client is given up after so long.
@@ -70,6 +72,7 @@
     look_at: u64,
     message_at: u64,
     ping_at: u64,
+    ask_at: u64,
     /// Its clients send.
     pub sending: bool,
 }
@@ -104,6 +107,7 @@
             look_at: now,
             message_at: now,
             ping_at: now,
+            ask_at: now,
             sending: true,
             random: fastrand::Rng::with_seed(seed),
             settings,
@@ -157,6 +161,12 @@
     fn look(&mut self, scene: &mut DispatcherScene<'_>) {
         self.look_at = scene.now + LOOK;
         self.follow_plan(scene);
+        if scene.now >= self.ask_at {
+            self.ask_at = scene.now + ASK;
+            for connection in self.cores.values().flatten() {
+                ask(scene, *connection);
+            }
+        }
         self.drop_clients(scene.now);
         if self.sending && scene.now >= self.message_at {
             self.message_at = scene.now + self.settings.message_every;
@@ -217,6 +227,7 @@
                 placement_epoch: self.placement.epoch.0,
             };
             scene.effects.push(Effect::Send { connection, payload: Payload::ToCore(message) });
+            ask(scene, connection);
         }
     }
 
@@ -261,7 +272,7 @@
                     self.plan.know(address);
                 }
             }
-            FromCore::Heartbeat { .. } => self.plan.vouched(now_ms, core),
+            FromCore::Heartbeat { moment_ms, .. } => self.plan.vouched(now_ms, core, moment_ms),
             FromCore::NoMajority => self.plan.refused(now_ms, core),
             FromCore::TryAnother => {
                 self.plan.refused(now_ms, core);
@@ -402,6 +413,12 @@
     }
 }
 
+/// Asks a core machine whether what is held here is current.
+fn ask(scene: &mut DispatcherScene<'_>, connection: Connection) {
+    let message = ToCore::Ask { moment_ms: scene.now / MILLISECOND };
+    scene.effects.push(Effect::Send { connection, payload: Payload::ToCore(message) });
+}
+
 fn send(scene: &mut DispatcherScene<'_>, connection: Connection, message: FromDispatcher) {
     scene.effects.push(Effect::Send { connection, payload: Payload::FromDispatcher(message) });
 }
