--- a/system/simulation/tests/control/point_5.rs
+++ b/system/simulation/tests/control/point_5.rs
@@ -6,7 +6,6 @@
 use millrudder_simulation::mechanism::Mechanism;
 use millrudder_simulation::place::Place;
 use millrudder_simulation::plan::{Load, Noise, Plan};
-use millrudder_simulation::violation::Violation;
 use millrudder_simulation::MILLISECOND;
 
 /// Messages and orders without rest, on connections whose last messages straggle in after their end.
