Let votes that a candidate collects one after the other count together

Change: a voter that is bound to a candidate confirms a later round for the rest of that time and no longer; a lease that rests on such a vote ends with it and is renewed at once.

--- a/coordination/lease/src/holder.rs
+++ b/coordination/lease/src/holder.rs
@@ -30,6 +30,8 @@
     sent_at: u64,
     fencing: Fencing,
     grants: BTreeSet<VoterId>,
+    /// For how long all of them bind their voters, counted from the request.
+    binding: u64,
     /// When the first of those that refused may grant.
     retry_at: Option<u64>,
 }
@@ -44,7 +46,8 @@
 #[derive(Clone, Debug)]
 pub struct Holder {
     role: Role,
-    usable: u64,
+    duration: u64,
+    safety: u64,
     renew_every: u64,
     random: fastrand::Rng,
     majority: usize,
@@ -63,7 +66,8 @@
         let last_round = random.u64(..);
         Holder {
             role,
-            usable: (config.duration.saturating_sub(config.safety)).as_micros() as u64,
+            duration: config.duration.as_micros() as u64,
+            safety: config.safety.as_micros() as u64,
             renew_every: config.renew_every.as_micros() as u64,
             random,
             majority: 0,
@@ -138,7 +142,10 @@
             return HolderStep { request: None, event };
         }
         let event = match answer {
-            LeaseAnswer::Granted { round, .. } => self.granted(now, from, *round),
+            LeaseAnswer::Granted { round, .. } => self.granted(now, from, *round, self.duration),
+            LeaseAnswer::StillGranted { round, remaining_micros, .. } => {
+                self.granted(now, from, *round, *remaining_micros)
+            }
             LeaseAnswer::Refused { round, refusal, highest, retry_after_micros, .. } => {
                 self.refused(now, *round, *refusal, *highest, Duration::from_micros(*retry_after_micros));
                 None
@@ -154,16 +161,25 @@
         self.highest = self.highest.max(fencing);
         let number = self.last_round;
         let request = LeaseRequest { role: self.role.clone(), round: number, fencing, held: held.is_some() };
-        let round = Round { number, sent_at: now, fencing, grants: BTreeSet::new(), retry_at: None };
-        self.round = Some(round);
+        self.round = Some(Round {
+            number,
+            sent_at: now,
+            fencing,
+            grants: BTreeSet::new(),
+            binding: self.duration,
+            retry_at: None,
+        });
         request
     }
 
-    fn granted(&mut self, now: u64, from: VoterId, number: u64) -> Option<HolderEvent> {
+    fn granted(&mut self, now: u64, from: VoterId, number: u64, binding: u64) -> Option<HolderEvent> {
         let round = self.round.as_mut().filter(|round| round.number == number)?;
         round.grants.insert(from);
-        let (fencing, until, renewal) =
-            (round.fencing, round.sent_at + self.usable, round.sent_at + self.renew_every);
+        round.binding = round.binding.min(binding);
+        let (fencing, until) = (round.fencing, round.sent_at + round.binding.saturating_sub(self.safety));
+        // A lease that some voter grants for a shorter time is renewed at once.
+        let is_whole = round.binding == self.duration;
+        let renewal = if is_whole { round.sent_at + self.renew_every } else { now };
         if round.grants.len() < self.majority || now >= until {
             return None;
         }
--- a/coordination/lease/src/message.rs
+++ b/coordination/lease/src/message.rs
@@ -74,6 +74,8 @@
 pub enum LeaseAnswer {
     /// The voter has bound itself.
     Granted { role: Role, round: u64 },
+    /// The voter is bound to this candidate by an earlier round that did not win, for the rest of that time only.
+    StillGranted { role: Role, round: u64, remaining_micros: u64 },
     /// It has not, and will not before `retry_after_micros` have passed.
     Refused { role: Role, round: u64, refusal: Refusal, highest: Fencing, retry_after_micros: u64 },
 }
@@ -82,7 +84,9 @@
     /// The role that this answer is about.
     pub fn role(&self) -> &Role {
         match self {
-            LeaseAnswer::Granted { role, .. } | LeaseAnswer::Refused { role, .. } => role,
+            LeaseAnswer::Granted { role, .. }
+            | LeaseAnswer::StillGranted { role, .. }
+            | LeaseAnswer::Refused { role, .. } => role,
         }
     }
 }
--- a/coordination/lease/src/voter.rs
+++ b/coordination/lease/src/voter.rs
@@ -83,10 +83,29 @@
     pub fn request(&mut self, now: u64, from: HolderId, request: &LeaseRequest) -> Vote {
         match self.objection(now, from, request) {
             Some((refusal, retry_at)) => self.refuse(now, request, refusal, retry_at),
-            None => self.grant(now, from, request),
+            None => self.bind(now, from, request),
         }
     }
 
+    /// Binds this voter, or confirms to a candidate that asks again that it is bound already.
+    ///
+    /// A candidate that asks again has not got its majority. If its grant grew with each request, candidates that each
+    /// hold their own vote would keep it for ever; if the grant did not count for its later rounds, one that collects
+    /// votes one after the other would never have a majority at one time.
+    fn bind(&mut self, now: u64, from: HolderId, request: &LeaseRequest) -> Vote {
+        let bound = self.granted.get(&request.role).filter(|granted| now < granted.until);
+        let Some(until) = bound.filter(|_| !request.held).map(|granted| granted.until) else {
+            return self.grant(now, from, request);
+        };
+        let mut vote = self.grant(now, from, request);
+        if let Some(granted) = self.granted.get_mut(&request.role) {
+            granted.until = until;
+        }
+        let (role, remaining_micros) = (request.role.clone(), until - now);
+        vote.answer = LeaseAnswer::StillGranted { role, round: request.round, remaining_micros };
+        vote
+    }
+
     /// A holder gives its lease back: this voter is not bound by it any more.
     ///
     /// A release of an earlier lease, which comes late, changes nothing.
@@ -102,9 +121,7 @@
             return Some((Refusal::Withheld, self.withhold_all_until));
         }
         let bound = self.granted.get(&request.role).filter(|granted| now < granted.until);
-        // A candidate that asks again has not got its majority. If its grant grew with each request, candidates that
-        // each hold their own vote would keep it for ever.
-        if let Some(taken) = bound.filter(|granted| granted.holder != from || !request.held) {
+        if let Some(taken) = bound.filter(|granted| granted.holder != from) {
             return Some((Refusal::Taken, taken.until));
         }
         if now < self.withhold_new_until && !request.held {
--- a/coordination/lease/tests/lease.rs
+++ b/coordination/lease/tests/lease.rs
@@ -30,7 +30,7 @@
 
 fn refusal(answer: &LeaseAnswer) -> Option<Refusal> {
     match answer {
-        LeaseAnswer::Granted { .. } => None,
+        LeaseAnswer::Granted { .. } | LeaseAnswer::StillGranted { .. } => None,
         LeaseAnswer::Refused { refusal, .. } => Some(*refusal),
     }
 }
