Draw what may happen to stores and check every placement that follows

Three mutants fail it: a report for another change counts, emptied machines stay candidates, a change is begun over another.

--- /dev/null
+++ b/system/placement/tests/model.rs
@@ -0,0 +1,272 @@
+//! Drawn losses, returns, replacements, additions, stops, emptied machines and lost leases: what holds at each step.
+
+mod rig;
+
+use fastrand::Rng;
+use millrudder_placement::{Input, PlacementManager};
+use millrudder_protocol::control::FilledShard;
+use millrudder_protocol::placement::{Placement, ShardEntry};
+use millrudder_protocol::{ShardId, StoreId};
+use rig::{Rig, STEP_MS};
+use std::collections::{BTreeMap, BTreeSet};
+
+const RUNS: u64 = 8;
+const STEPS: usize = 60;
+/// In calm, everything is whole again within this (ms).
+const WHOLE_WITHIN_MS: u64 = 40_000;
+
+struct Model {
+    rig: Rig,
+    random: Rng,
+    tolerated: u32,
+    next: u64,
+    /// Disks that are down and may come back, with the names of their machines.
+    down: BTreeMap<u64, String>,
+    names: BTreeMap<u64, String>,
+    retiring: BTreeSet<String>,
+    /// Everything that learners have ever reported.
+    reported: BTreeSet<(StoreId, FilledShard)>,
+    seen: Placement,
+}
+
+impl Model {
+    fn new(seed: u64) -> Self {
+        let mut random = Rng::with_seed(seed);
+        let tolerated = random.u32(1..=2);
+        let stores = u64::from(2 * tolerated + 1) + random.u64(0..4);
+        let mut rig = Rig::new(stores, tolerated);
+        rig.run(2000);
+        let names = (1..=stores).map(|id| (id, format!("store-{id}"))).collect();
+        let seen = rig.placement.clone();
+        let (down, retiring, reported) = (BTreeMap::new(), BTreeSet::new(), BTreeSet::new());
+        Model { rig, random, tolerated, next: stores + 1, down, names, retiring, reported, seen }
+    }
+
+    fn wanted(&self) -> usize {
+        2 * self.tolerated as usize + 1
+    }
+
+    fn up(&self) -> Vec<u64> {
+        self.rig.beating.keys().copied().collect()
+    }
+
+    fn pick(&mut self, ids: &[u64]) -> Option<u64> {
+        (!ids.is_empty()).then(|| ids[self.random.usize(0..ids.len())])
+    }
+
+    fn step(&mut self) {
+        let up = self.up();
+        match self.random.u8(0..10) {
+            0 | 1 => self.lose(&up),
+            2 | 3 => self.come_back(),
+            4 => self.wipe(),
+            5 => self.add(),
+            6 => self.stop(&up),
+            7 => self.retire(&up),
+            8 => self.lose_lease(),
+            _ => {}
+        }
+        for _ in 0..self.random.u64(1..30) {
+            self.run_step();
+        }
+    }
+
+    fn lose(&mut self, up: &[u64]) {
+        if let Some(id) = self.pick(up).filter(|_| self.down.len() <= self.tolerated as usize) {
+            self.rig.beating.remove(&id);
+            self.down.insert(id, self.names[&id].clone());
+        }
+    }
+
+    fn come_back(&mut self) {
+        let ids: Vec<u64> = self.down.keys().copied().collect();
+        if let Some(id) = self.pick(&ids) {
+            let name = self.down.remove(&id).unwrap();
+            self.register(id, &name);
+        }
+    }
+
+    fn wipe(&mut self) {
+        let ids: Vec<u64> = self.down.keys().copied().collect();
+        if let Some(id) = self.pick(&ids) {
+            let name = self.down.remove(&id).unwrap();
+            let fresh = self.fresh();
+            self.register(fresh, &name);
+        }
+    }
+
+    fn add(&mut self) {
+        let fresh = self.fresh();
+        self.register(fresh, &format!("store-{fresh}"));
+    }
+
+    fn fresh(&mut self) -> u64 {
+        self.next += 1;
+        self.next - 1
+    }
+
+    fn register(&mut self, id: u64, name: &str) {
+        self.names.insert(id, name.to_owned());
+        self.rig.register(id, name);
+        self.check();
+    }
+
+    fn stop(&mut self, up: &[u64]) {
+        if let Some(id) = self.pick(up).filter(|_| self.down.len() <= self.tolerated as usize) {
+            self.rig.beating.get_mut(&id).unwrap().leaving = true;
+            for _ in 0..self.random.u64(1..10) {
+                self.run_step();
+            }
+            self.rig.beating.remove(&id);
+            self.down.insert(id, self.names[&id].clone());
+        }
+    }
+
+    fn retire(&mut self, up: &[u64]) {
+        let Some(id) = self.pick(up) else { return };
+        let name = self.names[&id].clone();
+        let stays = |id: &&u64| self.names[*id] != name && !self.retiring.contains(&self.names[*id]);
+        if up.iter().filter(stays).count() >= self.wanted() {
+            self.retiring.insert(name);
+            let names = self.retiring.clone();
+            self.rig.give(Input::Retiring(names));
+            self.check();
+        }
+    }
+
+    /// Another core machine leads, which may have watched for a while or not at all.
+    fn lose_lease(&mut self) {
+        self.rig.manager = PlacementManager::new(self.tolerated);
+        let (placement, names) = (self.rig.placement.clone(), self.retiring.clone());
+        self.rig.give(Input::Committed(placement));
+        self.rig.give(Input::Retiring(names));
+        for id in self.up() {
+            let health = self.rig.beating[&id];
+            let name = self.names[&id].clone();
+            self.rig.register(id, &name);
+            self.rig.beating.insert(id, health);
+        }
+        if self.random.bool() {
+            self.run_step();
+        }
+        self.rig.give(Input::Leading(true));
+        self.check();
+    }
+
+    fn run_step(&mut self) {
+        self.rig.run(STEP_MS);
+        self.check();
+        for id in self.up() {
+            if self.random.u8(0..4) == 0 {
+                self.report(id);
+            }
+        }
+    }
+
+    /// A learner reports what it has by now, or what it had in an earlier change.
+    fn report(&mut self, id: u64) {
+        let all = self.rig.reports_of(id);
+        let now: Vec<FilledShard> = all.into_iter().filter(|_| self.random.u8(0..3) > 0).collect();
+        self.reported.extend(now.iter().map(|filled| (StoreId(id), *filled)));
+        let known = self.reported.iter().filter(|(store, _)| store.0 == id).map(|(_, filled)| *filled);
+        let shards = known.collect();
+        self.rig.give(Input::CaughtUp { id: StoreId(id), shards });
+        self.check();
+    }
+
+    fn check(&mut self) {
+        let (old, new) = (self.seen.clone(), self.rig.placement.clone());
+        for (number, (before, after)) in old.shards.iter().zip(&new.shards).enumerate() {
+            self.check_shard(ShardId(number as u16), &old, before, after);
+        }
+        for shard in &new.shards {
+            self.check_entry(&new, shard);
+        }
+        self.seen = new;
+    }
+
+    fn check_entry(&self, placement: &Placement, shard: &ShardEntry) {
+        let distinct: BTreeSet<&StoreId> = shard.replicas.iter().collect();
+        assert_eq!(distinct.len(), shard.replicas.len(), "a store is one replica of a shard");
+        assert_eq!(shard.replicas.len(), self.wanted(), "replicas are never fewer nor more than wanted");
+        assert!(shard.replicas.contains(&shard.primary), "the primary is a replica");
+        let members = shard.replicas.iter().copied().chain(shard.learner());
+        for id in members {
+            assert!(placement.store(id).is_some(), "whoever has a place is listed with an address");
+        }
+        let Some(change) = shard.change else { return };
+        assert!(!shard.replicas.contains(&change.joins), "a learner is no replica");
+        assert!(change.leaves.is_some_and(|id| shard.replicas.contains(&id)), "a replica gives its place");
+        assert!(change.since <= placement.epoch, "a change began in a placement that was agreed");
+    }
+
+    fn check_shard(&self, number: ShardId, old: &Placement, before: &ShardEntry, after: &ShardEntry) {
+        let same_primary = before.primary == after.primary;
+        assert_eq!(same_primary, before.since == after.since, "a reign is one primary's");
+        if let Some(change) = after.change.filter(|_| before.change != after.change) {
+            assert!(change.since > old.epoch, "a change that begins has a name of its own");
+            assert!(!self.retiring.contains(&self.names[&change.joins.0]), "an emptied machine gets nothing");
+        }
+        if before.replicas == after.replicas {
+            return;
+        }
+        let change = before.change.expect("replicas change only by a change that was agreed before");
+        assert_eq!(after.replicas, before.replicas_after(&change), "and only as it says");
+        let report = (change.joins, FilledShard { shard: number, change: change.since });
+        assert!(
+            self.reported.contains(&report),
+            "a learner is counted only after its report for this change"
+        );
+        assert!(after.change.is_none_or(|next| next.since > change.since), "two changes do not overlap");
+        self.check_quorums(before, after);
+    }
+
+    /// Every write quorum while the change was under way meets every read quorum after it.
+    fn check_quorums(&self, before: &ShardEntry, after: &ShardEntry) {
+        let during = before.memberships(self.tolerated);
+        let next = after.memberships(self.tolerated);
+        let shared = |one: &[StoreId], two: &[StoreId]| one.iter().filter(|id| two.contains(id)).count();
+        let meets = during.iter().any(|written| {
+            let (all, read) = (written.replicas.len(), next[0].read_quorum);
+            let common = shared(&written.replicas, &next[0].replicas);
+            common == all && written.write_quorum + read > all
+        });
+        assert!(meets, "no membership under which was written is that under which is read");
+    }
+
+    /// Once all is calm and enough machines are there, all is whole.
+    fn ends_whole(&mut self) {
+        for id in self.up() {
+            self.rig.beating.get_mut(&id).unwrap().leaving = false;
+        }
+        while self.up().iter().filter(|id| !self.retiring.contains(&self.names[*id])).count() < self.wanted()
+        {
+            self.add();
+        }
+        let end = self.rig.now + WHOLE_WITHIN_MS;
+        while self.rig.now < end {
+            self.run_step();
+            for id in self.up() {
+                self.report(id);
+            }
+        }
+        let up: BTreeSet<u64> = self.up().into_iter().collect();
+        for shard in &self.rig.placement.shards {
+            for id in &shard.replicas {
+                assert!(up.contains(&id.0), "a lost store keeps a place for ever");
+                assert!(!self.retiring.contains(&self.names[&id.0]), "a machine is not emptied");
+            }
+        }
+    }
+}
+
+#[test]
+fn whatever_happens_to_stores_places_move_safely() {
+    for seed in 0..RUNS {
+        let mut model = Model::new(seed);
+        for _ in 0..STEPS {
+            model.step();
+        }
+        model.ends_whole();
+    }
+}
