Split the tests of single core nodes by concern, share their machine

The harness, the tests of voters and departures, and those of serving are files of their own; the machine is written once.

--- a/coordination/chain/tests/decoders.rs
+++ b/coordination/chain/tests/decoders.rs
@@ -1,15 +1,17 @@
 //! Bytes that no node has written: states, records and messages with damage are refused, or taken without harm.
 
+mod text;
+
 use std::collections::VecDeque;
 use std::sync::OnceLock;
 
 use millrudder_chain::{
-    CoreConfig, CoreMessage, CoreNode, DurableState, Input, Machine, NodeId, Output, Record, RequestId,
-    RestoreError, Sequence,
+    CoreConfig, CoreMessage, CoreNode, DurableState, Input, NodeId, Output, Record, RequestId,
 };
 use proptest::prelude::*;
 use proptest::sample::Index;
 use speedy::{Readable, Writable};
+use text::{address, Text};
 
 const CASES: u32 = 2_000;
 const STEP_MICROS: u64 = 20_000;
@@ -18,28 +20,6 @@
 const COMMANDS: u64 = 40;
 const PLACES: usize = 3;
 
-/// Joins all texts.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Text(String);
-
-impl Machine for Text {
-    type Command = String;
-    type Reply = u64;
-
-    fn apply(&mut self, _sequence: Sequence, command: &String) -> u64 {
-        self.0.push_str(command);
-        self.0.len() as u64
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        self.0.clone().into_bytes()
-    }
-
-    fn restore(snapshot: &[u8]) -> Result<Text, RestoreError> {
-        String::from_utf8(snapshot.to_vec()).map(Text).map_err(|_| RestoreError::Unreadable)
-    }
-}
-
 type Node = CoreNode<Text>;
 
 /// What real nodes have written, and how they stand afterwards.
@@ -51,10 +31,6 @@
     now: u64,
 }
 
-fn address(place: usize) -> String {
-    format!("10.0.0.{place}:9000")
-}
-
 fn config(place: usize) -> CoreConfig {
     let mut config = CoreConfig::new(address(place));
     // The last one comes later, and needs the whole state.
--- /dev/null
+++ b/coordination/chain/tests/node/serving.rs
@@ -0,0 +1,156 @@
+//! Commands, reads, records and states of one core node or a few.
+
+use millrudder_chain::{
+    ConfigError, CoreNode, DurableState, Input, NodeId, Output, Record, RequestId, StartError,
+};
+
+use crate::cluster::{config, Cluster, SECOND};
+use crate::text::{address, Text};
+
+#[test]
+fn a_core_of_one_serves_alone() {
+    let mut cluster = Cluster::founded(1);
+    cluster.submit(1, 1, "a");
+    cluster.input(&address(1), Input::Read { request_id: RequestId(2) });
+    assert_eq!(cluster.host(1).replies, vec![(RequestId(1), 1)]);
+    assert_eq!(cluster.host(1).ready, vec![RequestId(2)]);
+}
+
+#[test]
+fn a_command_submitted_at_any_member_is_applied_at_all() {
+    let mut cluster = Cluster::founded(3);
+    for place in 1..=3 {
+        cluster.submit(place, place as u128, &place.to_string());
+    }
+    for place in 1..=3 {
+        assert_eq!(cluster.host(place).node.machine().0, "123");
+        assert_eq!(cluster.host(place).committed, vec!["1", "2", "3"]);
+        assert_eq!(cluster.host(place).replies, vec![(RequestId(place as u128), place as u64)]);
+    }
+}
+
+#[test]
+fn a_request_that_comes_again_gets_the_first_reply_and_does_not_run_again() {
+    let mut cluster = Cluster::founded(3);
+    cluster.submit(1, 7, "a");
+    cluster.submit(2, 8, "b");
+    cluster.submit(3, 7, "a");
+    cluster.run(SECOND);
+    assert_eq!(cluster.host(3).replies, vec![(RequestId(7), 1)]);
+    assert!((1..=3).all(|place| cluster.host(place).node.machine().0 == "ab"));
+}
+
+#[test]
+fn a_command_waits_for_the_core_to_be_founded() {
+    let mut cluster = Cluster::default();
+    cluster.start(config(1, 3), None);
+    cluster.submit(1, 1, "early");
+    cluster.start(config(2, 3), None);
+    cluster.start(config(3, 3), None);
+    cluster.run(SECOND);
+    assert_eq!(cluster.host(1).replies, vec![(RequestId(1), 5)]);
+}
+
+#[test]
+fn an_abandoned_request_is_not_answered() {
+    let mut cluster = Cluster::founded(3);
+    cluster.hosts.remove(&address(2));
+    cluster.submit(1, 1, "a");
+    cluster.input(&address(1), Input::Abandon { request_id: RequestId(1) });
+    cluster.run(3 * SECOND);
+    assert!(cluster.host(1).replies.is_empty());
+}
+
+#[test]
+fn a_node_far_behind_gets_the_state_instead_of_commands() {
+    let mut cluster = Cluster::founded(3);
+    let host = cluster.hosts.remove(&address(3)).expect("the third host");
+    cluster.run(2 * SECOND);
+    for request in 0..1_400 {
+        cluster.submit(1, request, "x");
+    }
+    cluster.run(SECOND);
+    cluster.start(config(3, 3), Some(host.disk));
+    cluster.run(3 * SECOND);
+    assert_eq!(cluster.host(3).node.machine().0.len(), 1_400);
+    assert!(cluster.installs > 0 && cluster.host(3).replaced > 0);
+    assert_eq!(cluster.host(3).node.view().map(|view| view.members.len()), Some(3));
+}
+
+#[test]
+fn a_node_a_little_behind_gets_the_commands_it_lacks() {
+    let mut cluster = Cluster::founded(3);
+    cluster.submit(1, 1, "a");
+    let host = cluster.hosts.remove(&address(3)).expect("the third host");
+    cluster.run(2 * SECOND);
+    cluster.submit(1, 2, "b");
+    cluster.start(config(3, 3), Some(host.disk));
+    cluster.run(3 * SECOND);
+    assert_eq!(cluster.host(3).node.machine().0, "ab");
+    assert_eq!(cluster.installs, 0);
+}
+
+#[test]
+fn large_commands_are_sent_and_do_not_pile_up() {
+    let mut cluster = Cluster::founded(3);
+    let large = "y".repeat(300_000);
+    for request in 0..12 {
+        cluster.submit(2, request, &large);
+    }
+    cluster.run(SECOND);
+    assert!((1..=3).all(|place| cluster.host(place).node.machine().0.len() == 12 * large.len()));
+}
+
+#[test]
+fn a_checkpoint_replaces_the_records_before_it() {
+    let mut cluster = Cluster::founded(3);
+    let large = "z".repeat(400_000);
+    for request in 0..4 {
+        cluster.submit(1, request, &large);
+    }
+    cluster.run(SECOND);
+    let host = cluster.host(1);
+    let checkpoint = host.checkpoint.clone().expect("a checkpoint was asked for");
+    let machine = |state: DurableState| {
+        let node: CoreNode<Text> = CoreNode::new(config(1, 3), Some(state), 9, 0).expect("the node starts");
+        node.machine().clone()
+    };
+    let from_records = machine(host.disk.clone());
+    let from_checkpoint = machine(checkpoint);
+    assert!(!from_checkpoint.0.is_empty());
+    assert!(from_records.0.starts_with(&from_checkpoint.0));
+}
+
+#[test]
+fn a_new_identity_is_recorded_first() {
+    let mut node: CoreNode<Text> = CoreNode::new(config(1, 3), None, 5, 0).expect("the node starts");
+    let first = node.next_output();
+    let id = node.id();
+    assert!(
+        matches!(first, Some(Output::Persist { record: Record::Identity { id: recorded }, .. }) if recorded == id)
+    );
+}
+
+#[test]
+fn nothing_is_sent_before_the_identity_is_durable() {
+    let mut node: CoreNode<Text> = CoreNode::new(config(1, 3), None, 5, 0).expect("the node starts");
+    node.handle(0, Input::PeerSeen { id: NodeId(99), address: address(2) });
+    node.handle(SECOND, Input::Tick);
+    while let Some(output) = node.next_output() {
+        assert!(!matches!(output, Output::Send { .. }));
+    }
+}
+
+#[test]
+fn a_state_that_cannot_be_restored_and_a_senseless_configuration_are_refused() {
+    let mut bad = config(1, 3);
+    bad.minimum_members = 9;
+    let refused: Result<CoreNode<Text>, _> = CoreNode::new(bad, None, 1, 0);
+    let sizes = ConfigError::SizesOfView { minimum: 9, voters: 3 };
+    assert_eq!(refused.err(), Some(StartError::Config(sizes)));
+    let mut few = config(1, 1);
+    few.minimum_members = 2;
+    let refused: Result<CoreNode<Text>, _> = CoreNode::new(few, None, 1, 0);
+    let founders = ConfigError::TooFewFounders { founders: 1, minimum: 2 };
+    assert_eq!(refused.err(), Some(StartError::Config(founders)));
+}
--- a/coordination/chain/tests/transfer.rs
+++ b/coordination/chain/tests/transfer.rs
@@ -1,11 +1,14 @@
 //! The transfer of a large state to a node that is far behind: parts, losses, damage, changes of view, restarts.
 
+mod text;
+
 use std::collections::BTreeMap;
 
 use millrudder_chain::{
-    CoreConfig, CoreMessage, CoreNode, DurableState, Input, Machine, NodeId, Output, RequestId, RestoreError,
-    Sequence, SnapshotId, SnapshotPart, MAX_SNAPSHOT_BYTES,
+    CoreConfig, CoreMessage, CoreNode, DurableState, Input, NodeId, Output, RequestId, Sequence, SnapshotId,
+    SnapshotPart, MAX_SNAPSHOT_BYTES,
 };
+use text::{address, Text};
 
 /// Time goes on in steps of this many microseconds; a message takes one step.
 const STEP_MICROS: u64 = 5_000;
@@ -19,28 +22,6 @@
 /// Parts that may be under way at once.
 const PARTS_IN_FLIGHT: usize = 4;
 
-/// Joins all texts.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Text(String);
-
-impl Machine for Text {
-    type Command = String;
-    type Reply = u64;
-
-    fn apply(&mut self, _sequence: Sequence, command: &String) -> u64 {
-        self.0.push_str(command);
-        self.0.len() as u64
-    }
-
-    fn snapshot(&self) -> Vec<u8> {
-        self.0.clone().into_bytes()
-    }
-
-    fn restore(snapshot: &[u8]) -> Result<Text, RestoreError> {
-        String::from_utf8(snapshot.to_vec()).map(Text).map_err(|_| RestoreError::Unreadable)
-    }
-}
-
 /// A node with its disk, on which everything is durable at once.
 struct Host {
     node: CoreNode<Text>,
@@ -67,10 +48,6 @@
     parts: Vec<SnapshotPart>,
 }
 
-fn address(place: usize) -> String {
-    format!("10.0.0.{place}:9000")
-}
-
 fn config(place: usize, founders: usize) -> CoreConfig {
     let mut config = CoreConfig::new(address(place));
     config.founders = (1..=founders).map(address).collect();
