Have the simulated dispatcher give back what it reads after a halt

Ruled out: the store, which had granted it anew after its silence. Change: the model does the same with the same bounds; no check was changed.

--- a/system/simulation/src/dispatcher.rs
+++ b/system/simulation/src/dispatcher.rs
@@ -22,6 +22,10 @@
 const REPEAT: u64 = 250 * MILLISECOND;
 /// A client is given up after so long.
 const GIVE_UP: u64 = 4_000 * MILLISECOND;
+/// A process that looks so much later than it wanted to has stood still, as `millrudder-delivery` judges it.
+const HALTED: u64 = 1_000 * MILLISECOND;
+/// For so long after that, what it reads may have been waiting for it meanwhile: it is given back and not run.
+const STALE: u64 = 100 * MILLISECOND;
 /// Pause between two pings of a store.
 const PING: u64 = 1_000 * MILLISECOND;
 
@@ -73,6 +77,8 @@
     message_at: u64,
     ping_at: u64,
     ask_at: u64,
+    /// Grants that are read before this moment are given back.
+    stale_until: u64,
     /// Its clients send.
     pub sending: bool,
 }
@@ -108,6 +114,7 @@
             message_at: now,
             ping_at: now,
             ask_at: now,
+            stale_until: 0,
             sending: true,
             random: fastrand::Rng::with_seed(seed),
             settings,
@@ -145,6 +152,9 @@
 
     /// Takes one happening and does what follows.
     pub fn handle(&mut self, scene: &mut DispatcherScene<'_>, happening: Happening) {
+        if scene.now > self.look_at + HALTED {
+            self.stale_until = scene.now + STALE;
+        }
         match happening {
             Happening::Dialed { connection, target } => self.on_dialed(scene, connection, target),
             Happening::Closed { connection } => self.on_closed(scene, connection),
@@ -391,12 +401,16 @@
         }
     }
 
-    /// Runs a message at once, unless its grant is of a primary before the present one.
+    /// Runs a message at once, unless its grant is of a primary before the present one, or may have waited unread.
     fn deliver(&mut self, scene: &mut DispatcherScene<'_>, id: MessageId, token: LeaseToken) {
         let since = self.placement.shard(id.shard).map(|shard| shard.since);
         if since.is_some_and(|since| token.epoch() < since) {
             return;
         }
+        if scene.now < self.stale_until && !self.ran.contains(&id) {
+            let retry_after_ms = (STALE / MILLISECOND) as u32;
+            return self.attempted(scene, id, token, AttemptOutcome::NotRun { retry_after_ms });
+        }
         if self.ran.insert(id) {
             scene.effects.push(Effect::Seen(Observation::Ran { id }));
         }
@@ -405,9 +419,18 @@
 
     fn report(&mut self, scene: &mut DispatcherScene<'_>, id: MessageId, token: LeaseToken) {
         self.reports.insert((id, token), scene.now);
+        self.attempted(scene, id, token, AttemptOutcome::Succeeded { signature: id.to_string() });
+    }
+
+    fn attempted(
+        &self,
+        scene: &mut DispatcherScene<'_>,
+        id: MessageId,
+        token: LeaseToken,
+        outcome: AttemptOutcome,
+    ) {
         let primary = self.primary(id).and_then(|store| self.stores.get(&store));
         if let Some(connection) = primary.copied() {
-            let outcome = AttemptOutcome::Succeeded { signature: id.to_string() };
             send(scene, connection, FromDispatcher::Attempted { id, token, outcome });
         }
     }
