--- /dev/null
+++ b/system/queue/tests/replicas/support.rs
@@ -0,0 +1,54 @@
+//! Three stores, and what tests do to them.
+
+use millrudder_protocol::message::End;
+use millrudder_protocol::placement::{ChangeReason, MemberChange};
+use millrudder_protocol::store::{AttemptOutcome, HeldLease};
+use millrudder_protocol::{Epoch, LeaseToken};
+
+use crate::wired::{store_id, Wired};
+
+/// Three stores, of which one may be lost; a dispatcher is connected to each, by the connection of its number.
+pub fn three_stores() -> Wired {
+    let mut wired = Wired::new(3, 1);
+    for store in 0..3 {
+        wired.hello(store, store as u64 + 1, 7, "zone-0", Vec::new());
+    }
+    wired
+}
+
+pub fn accepted_token(wired: &Wired) -> LeaseToken {
+    wired.last_accepted().expect("accepted").expect("with a lease")
+}
+
+pub fn success() -> AttemptOutcome {
+    AttemptOutcome::Succeeded { signature: "s".to_owned() }
+}
+
+pub fn completed() -> Option<End> {
+    Some(End::Completed { signature: "s".to_owned() })
+}
+
+/// The dispatcher has heard of a new placement.
+pub fn announce(wired: &mut Wired, store: usize, held: Vec<HeldLease>) {
+    wired.hello(store, store as u64 + 1, 7, "zone-0", held);
+}
+
+pub fn replaces(lost: usize, learner: usize, since: Epoch) -> MemberChange {
+    let (joins, leaves) = (store_id(learner), Some(store_id(lost)));
+    MemberChange { joins, leaves, since, reason: ChangeReason::Repair }
+}
+
+/// Store 3 is to take the place of store 2, which is well; nothing was said to it yet.
+pub fn moving_to_a_learner(wired: &mut Wired) -> usize {
+    let learner = wired.add_place();
+    wired.placement.shards[0].change = Some(replaces(2, learner, Epoch(2)));
+    wired.placement.epoch = Epoch(2);
+    wired.start(learner);
+    learner
+}
+
+/// The process ends and its disk is lost: it starts without anything.
+pub fn lose_disk(wired: &mut Wired, store: usize) {
+    wired.kill(store);
+    wired.places[store].records.clear();
+}
