Say in each grant of a lease for how long it binds

Votes of earlier rounds came as an answer of their own beside the grant. There is one kind of grant now, which tells for how long the voter is bound; the holder and the voter lose their special cases, and the model carries shortened grants as late messages too. Behaviour and bounds stay; the tests name the time of a grant.

--- a/coordination/lease/src/holder.rs
+++ b/coordination/lease/src/holder.rs
@@ -31,7 +31,7 @@
     fencing: Fencing,
     grants: BTreeSet<VoterId>,
     /// For how long all of them bind their voters, counted from the request.
-    binding: u64,
+    bound: u64,
     /// When the first of those that refused may grant.
     retry_at: Option<u64>,
 }
@@ -142,9 +142,8 @@
             return HolderStep { request: None, event };
         }
         let event = match answer {
-            LeaseAnswer::Granted { round, .. } => self.granted(now, from, *round, self.duration),
-            LeaseAnswer::StillGranted { round, remaining_micros, .. } => {
-                self.granted(now, from, *round, *remaining_micros)
+            LeaseAnswer::Granted { round, bound_micros, .. } => {
+                self.granted(now, from, *round, *bound_micros)
             }
             LeaseAnswer::Refused { round, refusal, highest, retry_after_micros, .. } => {
                 self.refused(now, *round, *refusal, *highest, Duration::from_micros(*retry_after_micros));
@@ -166,19 +165,19 @@
             sent_at: now,
             fencing,
             grants: BTreeSet::new(),
-            binding: self.duration,
+            bound: self.duration,
             retry_at: None,
         });
         request
     }
 
-    fn granted(&mut self, now: u64, from: VoterId, number: u64, binding: u64) -> Option<HolderEvent> {
+    fn granted(&mut self, now: u64, from: VoterId, number: u64, bound: u64) -> Option<HolderEvent> {
         let round = self.round.as_mut().filter(|round| round.number == number)?;
         round.grants.insert(from);
-        round.binding = round.binding.min(binding);
-        let (fencing, until) = (round.fencing, round.sent_at + round.binding.saturating_sub(self.safety));
+        round.bound = round.bound.min(bound);
+        let (fencing, until) = (round.fencing, round.sent_at + round.bound.saturating_sub(self.safety));
         // A lease that some voter grants for a shorter time is renewed at once.
-        let is_whole = round.binding == self.duration;
+        let is_whole = round.bound == self.duration;
         let renewal = if is_whole { round.sent_at + self.renew_every } else { now };
         if round.grants.len() < self.majority || now >= until {
             return None;
--- a/coordination/lease/src/message.rs
+++ b/coordination/lease/src/message.rs
@@ -72,10 +72,9 @@
 /// A voter's answer.
 #[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
 pub enum LeaseAnswer {
-    /// The voter has bound itself.
-    Granted { role: Role, round: u64 },
-    /// The voter is bound to this candidate by an earlier round that did not win, for the rest of that time only.
-    StillGranted { role: Role, round: u64, remaining_micros: u64 },
+    /// The voter has bound itself for so long, counted from now: for a whole lease, or for what is left of the time by
+    /// which an earlier round of this candidate, which did not win, has bound it.
+    Granted { role: Role, round: u64, bound_micros: u64 },
     /// It has not, and will not before `retry_after_micros` have passed.
     Refused { role: Role, round: u64, refusal: Refusal, highest: Fencing, retry_after_micros: u64 },
 }
@@ -84,9 +83,7 @@
     /// The role that this answer is about.
     pub fn role(&self) -> &Role {
         match self {
-            LeaseAnswer::Granted { role, .. }
-            | LeaseAnswer::StillGranted { role, .. }
-            | LeaseAnswer::Refused { role, .. } => role,
+            LeaseAnswer::Granted { role, .. } | LeaseAnswer::Refused { role, .. } => role,
         }
     }
 }
--- a/coordination/lease/src/voter.rs
+++ b/coordination/lease/src/voter.rs
@@ -94,16 +94,8 @@
     /// votes one after the other would never have a majority at one time.
     fn bind(&mut self, now: u64, from: HolderId, request: &LeaseRequest) -> Vote {
         let bound = self.granted.get(&request.role).filter(|granted| now < granted.until);
-        let Some(until) = bound.filter(|_| !request.held).map(|granted| granted.until) else {
-            return self.grant(now, from, request);
-        };
-        let mut vote = self.grant(now, from, request);
-        if let Some(granted) = self.granted.get_mut(&request.role) {
-            granted.until = until;
-        }
-        let (role, remaining_micros) = (request.role.clone(), until - now);
-        vote.answer = LeaseAnswer::StillGranted { role, round: request.round, remaining_micros };
-        vote
+        let until = bound.filter(|_| !request.held).map_or(now + self.duration, |granted| granted.until);
+        self.grant(now, from, request, until)
     }
 
     /// A holder gives its lease back: this voter is not bound by it any more.
@@ -133,13 +125,13 @@
         outdated.then_some((Refusal::Outdated, now))
     }
 
-    fn grant(&mut self, now: u64, from: HolderId, request: &LeaseRequest) -> Vote {
-        let until = now + self.duration;
+    fn grant(&mut self, now: u64, from: HolderId, request: &LeaseRequest, until: u64) -> Vote {
         self.granted.insert(request.role.clone(), Granted { holder: from, fencing: request.fencing, until });
         let record = LeaseRecord { role: request.role.clone(), fencing: request.fencing };
         let is_new = request.fencing > self.state.highest(&request.role);
         self.state.apply(&record);
-        let answer = LeaseAnswer::Granted { role: request.role.clone(), round: request.round };
+        let (role, round) = (request.role.clone(), request.round);
+        let answer = LeaseAnswer::Granted { role, round, bound_micros: until - now };
         Vote { record: is_new.then_some(record), answer }
     }
 
--- a/coordination/lease/tests/collected_votes.rs
+++ b/coordination/lease/tests/collected_votes.rs
@@ -64,7 +64,7 @@
     let mut voter = fresh_voter(&config);
     assert!(matches!(voter.request(0, ME, &request(1, 1)).answer, LeaseAnswer::Granted { .. }));
     let again = voter.request(lease - 10, ME, &request(2, 2)).answer;
-    assert_eq!(again, LeaseAnswer::StillGranted { role: role(), round: 2, remaining_micros: 10 });
+    assert_eq!(again, LeaseAnswer::Granted { role: role(), round: 2, bound_micros: 10 });
     let other = voter.request(lease, OTHER, &request(3, 1)).answer;
     assert!(matches!(other, LeaseAnswer::Granted { .. }));
 }
--- a/coordination/lease/tests/lease.rs
+++ b/coordination/lease/tests/lease.rs
@@ -30,7 +30,7 @@
 
 fn refusal(answer: &LeaseAnswer) -> Option<Refusal> {
     match answer {
-        LeaseAnswer::Granted { .. } | LeaseAnswer::StillGranted { .. } => None,
+        LeaseAnswer::Granted { .. } => None,
         LeaseAnswer::Refused { refusal, .. } => Some(*refusal),
     }
 }
@@ -87,7 +87,7 @@
     let mut holder = Holder::new(&config, role(), 3);
     holder.voters_changed(1, 0);
     let sent = holder.poll(1_000).request.expect("a request");
-    let granted = LeaseAnswer::Granted { role: role(), round: sent.round };
+    let granted = LeaseAnswer::Granted { role: role(), round: sent.round, bound_micros: duration() };
     let step = holder.answer(300_000, VoterId(1), &granted);
     assert_eq!(step.event, Some(HolderEvent::Granted { fencing: sent.fencing }));
     let end = 1_000 + (config.duration - config.safety).as_micros() as u64;
@@ -106,10 +106,18 @@
     let later = holder.poll(renew).request.expect("another request").round;
     let answers = [(early, 1), (later, 2), (later, 2)];
     for (round, voter) in answers {
-        let step = holder.answer(renew, VoterId(voter), &LeaseAnswer::Granted { role: role(), round });
+        let step = holder.answer(
+            renew,
+            VoterId(voter),
+            &LeaseAnswer::Granted { role: role(), round, bound_micros: duration() },
+        );
         assert_eq!(step.event, None);
     }
-    let step = holder.answer(renew, VoterId(1), &LeaseAnswer::Granted { role: role(), round: later });
+    let step = holder.answer(
+        renew,
+        VoterId(1),
+        &LeaseAnswer::Granted { role: role(), round: later, bound_micros: duration() },
+    );
     assert!(step.event.is_some());
 }
 
@@ -156,7 +164,7 @@
     let mut holder = Holder::new(&LeaseConfig::default(), role(), 1);
     holder.voters_changed(1, 0);
     let round = holder.poll(0).request.expect("a request").round;
-    let granted = LeaseAnswer::Granted { role: role(), round };
+    let granted = LeaseAnswer::Granted { role: role(), round, bound_micros: duration() };
     let _ = holder.answer(1, VoterId(9), &granted);
     let fencing = holder.fencing(2).expect("it is held");
     assert_eq!(holder.release(2), Some(LeaseRelease { role: role(), fencing }));
@@ -191,7 +199,7 @@
         highest: Fencing(1),
         retry_after_micros: duration(),
     };
-    let granted = LeaseAnswer::Granted { role: role(), round };
+    let granted = LeaseAnswer::Granted { role: role(), round, bound_micros: duration() };
     assert_eq!(holder.answer(10, VoterId(1), &granted).event, None);
     assert_eq!(holder.answer(2_000, VoterId(3), &refused).event, None);
     assert!(holder.answer(3_000, VoterId(2), &granted).event.is_some());
--- a/coordination/lease/tests/model.rs
+++ b/coordination/lease/tests/model.rs
@@ -28,7 +28,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 enum InFlight {
     Request { holder: usize, voter: usize, round: u64, fencing: Fencing, held: bool },
-    Granted { holder: usize, voter: usize, round: u64 },
+    Granted { holder: usize, voter: usize, round: u64, bound_micros: u64 },
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -204,14 +204,14 @@
                 let request = LeaseRequest { role: role(), round, fencing, held };
                 let vote = self.voters[voter].request(self.now, HolderId(holder as u64), &request);
                 match vote.answer {
-                    LeaseAnswer::Granted { round, .. } => {
-                        self.in_flight.insert(InFlight::Granted { holder, voter, round });
+                    LeaseAnswer::Granted { round, bound_micros, .. } => {
+                        self.in_flight.insert(InFlight::Granted { holder, voter, round, bound_micros });
                     }
                     refused => self.answer(holder, voter, &refused),
                 }
             }
-            InFlight::Granted { holder, voter, round } => {
-                self.answer(holder, voter, &LeaseAnswer::Granted { role: role(), round });
+            InFlight::Granted { holder, voter, round, bound_micros } => {
+                self.answer(holder, voter, &LeaseAnswer::Granted { role: role(), round, bound_micros });
             }
         }
     }
