--- a/system/contact/src/state.rs
+++ b/system/contact/src/state.rs
@@ -1,5 +1,7 @@
 //! Numbers that tell which of two copies of the control state is newer.
 
+use millrudder_protocol::control::WorkerList;
+
 /// One connection to a core machine; never used again.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ConnectionId(pub u64);
@@ -21,6 +23,12 @@
     }
 }
 
+impl From<&WorkerList> for ListNumber {
+    fn from(list: &WorkerList) -> ListNumber {
+        ListNumber { fencing: list.fencing, number: list.number }
+    }
+}
+
 /// Versions of the parts of the control state that one process has.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct StateNumbers {
--- a/system/node/src/core/host/serving.rs
+++ b/system/node/src/core/host/serving.rs
@@ -14,14 +14,10 @@
     StateNumbers {
         configuration_version: state.configuration().version,
         placement_epoch: state.placement().epoch.0,
-        workers: number(list),
+        workers: ListNumber::from(list),
     }
 }
 
-fn number(list: &WorkerList) -> ListNumber {
-    ListNumber { fencing: list.fencing, number: list.number }
-}
-
 impl CoreHost {
     /// Has the gate look at the time, where that is due.
     pub(super) fn look_at_gate(&mut self) {
@@ -129,7 +125,7 @@
     pub(super) fn adopt_own_list(&mut self, list: WorkerList) {
         let role = Role(CONTROLLER.to_owned());
         let lease = self.node.holds(self.clock.micros(), &role).map(|fencing| fencing.0);
-        if self.current_list.take_own(number(&list), lease) {
+        if self.current_list.take_own(ListNumber::from(&list), lease) {
             self.peers.send_all(&ToCorePort::Workers { list: list.clone() });
             self.adopt_workers(list);
         }
@@ -137,7 +133,7 @@
 
     /// Takes a list that another core machine has told.
     pub(super) fn adopt_told_list(&mut self, list: WorkerList) {
-        if self.current_list.take_told(number(&list)) {
+        if self.current_list.take_told(ListNumber::from(&list)) {
             self.reader.has_list();
             self.adopt_workers(list);
         }
--- a/system/simulation/src/core_machine.rs
+++ b/system/simulation/src/core_machine.rs
@@ -287,7 +287,7 @@
                     self.node.handle(scene.now, Input::Message { from, message });
                 }
             }
-            Payload::Workers { list } if self.current_list.take_told(number(&list)) => {
+            Payload::Workers { list } if self.current_list.take_told(ListNumber::from(&list)) => {
                 self.workers = list;
                 self.tell_news(scene);
             }
@@ -397,7 +397,7 @@
     fn adopt_own_list(&mut self, scene: &mut CoreScene<'_>, list: WorkerList) {
         let lease = self.holds(scene.now).map(|fencing| fencing.0);
         let lease = lease.or(Some(list.fencing).filter(|_| !self.mutant.has(Mechanism::LeaseChecked)));
-        if !self.current_list.take_own(number(&list), lease) {
+        if !self.current_list.take_own(ListNumber::from(&list), lease) {
             return;
         }
         for connection in self.dialed.values() {
@@ -566,14 +566,10 @@
     StateNumbers {
         configuration_version: state.configuration().version,
         placement_epoch: state.placement().epoch.0,
-        workers: number(list),
+        workers: ListNumber::from(list),
     }
 }
 
-fn number(list: &WorkerList) -> ListNumber {
-    ListNumber { fencing: list.fencing, number: list.number }
-}
-
 fn tell(scene: &mut CoreScene<'_>, connection: Connection, message: &FromCore) {
     scene.effects.push(Effect::Send { connection, payload: Payload::FromCore(message.clone()) });
 }
