--- a/system/demo/src/run.rs
+++ b/system/demo/src/run.rs
@@ -8,7 +8,7 @@
 use crate::traffic::Traffic;
 use std::time::Duration;
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::time::{interval, sleep, timeout};
+use tokio::time::{interval, sleep, sleep_until, timeout, Instant, MissedTickBehavior};
 
 const LINE_EVERY: Duration = Duration::from_secs(1);
 /// Messages that are on their way get so long after the last one was sent.
@@ -28,9 +28,8 @@
     println!("all are ready; {} messages a second are sent, Ctrl-C ends", options.rate);
     let traffic = Traffic::start(&deployment, options.rate);
     tokio::select! {
-        problem = attend(&mut deployment, &traffic) => problem?,
+        problem = attend(&mut deployment, &traffic, options.duration) => problem?,
         () = stop.next() => {}
-        () = end_of(options.duration) => {}
     }
     traffic.end();
     let summary = tokio::select! {
@@ -44,12 +43,22 @@
     Ok(summary)
 }
 
-/// Tells how far the messages have come, and has things happen; it ends only with an error.
-async fn attend(deployment: &mut Deployment, traffic: &Traffic) -> Result<(), DemoError> {
+/// Tells how far the messages have come, and has things happen, until the time is over. What happens then is brought to
+/// its end.
+async fn attend(
+    deployment: &mut Deployment,
+    traffic: &Traffic,
+    duration: Option<Duration>,
+) -> Result<(), DemoError> {
     let mut ticks = interval(LINE_EVERY);
-    ticks.tick().await;
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let began = ticks.tick().await;
     for second in 1.. {
-        ticks.tick().await;
+        tokio::select! {
+            biased;
+            _ = ticks.tick() => {}
+            () = end_of(began, duration) => break,
+        }
         println!("{second:>4} s  {}", traffic.counts(deployment.receiver()));
         if let Some(event) = Event::at(second) {
             event.happen(deployment).await?;
@@ -58,9 +67,9 @@
     Ok(())
 }
 
-async fn end_of(duration: Option<Duration>) {
+async fn end_of(began: Instant, duration: Option<Duration>) {
     match duration {
-        Some(duration) => sleep(duration).await,
+        Some(duration) => sleep_until(began + duration).await,
         None => std::future::pending().await,
     }
 }
