Begin a view only with enough members that hold every command

Ruled out: voters (2f+1 were there), losses beyond what is tolerated (one disk at a time).

Change: the next view is proposed only if f+1 of its members hold every command (promises say so; learners say so in heartbeats). Where too few do, the first member seals its epoch (durable): it takes no more commands, so that what its log lacks cannot be committed, and feeds the others ahead of the view. Whoever was fed by another member than its new predecessor cuts back what differs, once that says where.

The model of voters now asks for f+1 complete members in each view; its bound rises from 60,000 to 120,000 states.

--- a/coordination/chain/src/durable.rs
+++ b/coordination/chain/src/durable.rs
@@ -1,7 +1,7 @@
 //! What a node keeps on its disk.
 
 use millrudder_lease::{LeaseRecord, VoterState};
-use millrudder_view::{NodeId, View, ViewRecord, ViewState};
+use millrudder_view::{Epoch, NodeId, View, ViewRecord, ViewState};
 use speedy::{Readable, Writable};
 
 use crate::replies::Replies;
@@ -30,6 +30,8 @@
     Installed { snapshot: Snapshot, complete: bool },
     /// The node left the view: its commands after `committed` are void.
     Left { committed: Sequence },
+    /// The node takes part in the chain of this epoch no more: what its log lacks can never be committed in it.
+    Sealed { epoch: Epoch },
     /// A step of the voter for leases.
     Lease(LeaseRecord),
 }
@@ -45,6 +47,8 @@
     pub(crate) log: Log,
     pub(crate) committed: Sequence,
     pub(crate) complete: bool,
+    /// The newest epoch that this node has sealed.
+    pub(crate) sealed: Epoch,
 }
 
 impl DurableState {
@@ -56,6 +60,7 @@
             Record::Appended { entries, committed, complete } => self.append(entries, *committed, *complete),
             Record::Installed { snapshot, complete } => self.install(snapshot, *complete),
             Record::Left { committed } => self.leave(*committed),
+            Record::Sealed { epoch } => self.sealed = *epoch,
             Record::Lease(record) => self.lease.apply(record),
         }
     }
--- a/coordination/chain/src/lib.rs
+++ b/coordination/chain/src/lib.rs
@@ -89,7 +89,7 @@
 pub use entry::{Entry, Position, RequestId, Sequence};
 pub use log::Log;
 pub use machine::{Machine, RestoreError};
-pub use message::{AppendBatch, CoreMessage, Heartbeat, MessageError};
+pub use message::{AppendBatch, CoreMessage, Heartbeat, InstallPart, MessageError};
 pub use millrudder_lease::{Fencing, LeaseConfig, Role};
 pub use millrudder_view::{DetectorConfig, Epoch, Member, NodeId, View};
 pub use node::{CoreNode, Input, Output, PersistToken, StartError};
--- a/coordination/chain/src/message.rs
+++ b/coordination/chain/src/message.rs
@@ -24,6 +24,8 @@
     pub committed: Sequence,
     /// Whether the sender has caught up with its predecessor in this view.
     pub synced: bool,
+    /// Whether the sender holds every command that was committed before this view.
+    pub complete: bool,
     /// Whether the sender votes in its view and has accepted no later one.
     pub vouches: bool,
     /// Whether the sender is about to end.
@@ -43,6 +45,23 @@
     pub committed: Sequence,
     /// Once the receiver holds the commands up to here, it holds every committed command.
     pub complete_at: Sequence,
+    /// Whether the sender has sealed the epoch, and feeds the receiver ahead of the next view.
+    pub sealed: bool,
+}
+
+/// A part of the replicated state.
+#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+pub struct InstallPart {
+    /// Epoch of the chain.
+    pub epoch: Epoch,
+    /// The part.
+    pub part: SnapshotPart,
+    /// Once the receiver holds the commands up to here, it holds every committed command.
+    pub complete_at: Sequence,
+    /// Whether the sender has sealed the epoch, and feeds the receiver ahead of the next view.
+    pub sealed: bool,
+    /// The end of the receiver's log, where the sender's log has another command or none.
+    pub differs_at: Option<Position>,
 }
 
 /// A message between two core nodes.
@@ -55,7 +74,7 @@
     /// Commands, from a member to the next one or from the tail to a learner.
     Append(AppendBatch),
     /// A part of the replicated state, for a node that is too far behind.
-    Install { epoch: Epoch, part: SnapshotPart, complete_at: Sequence },
+    Install(InstallPart),
     /// The sender holds this many bytes from the start of a snapshot that is being sent to it.
     InstallReceived { epoch: Epoch, id: SnapshotId, received: u64 },
     /// The sender holds commands up to `end` durably, and those up to `committed` are committed.
@@ -95,8 +114,8 @@
     pub(crate) fn epoch(&self) -> Option<Epoch> {
         match self {
             CoreMessage::Append(batch) => Some(batch.epoch),
-            CoreMessage::Install { epoch, .. }
-            | CoreMessage::InstallReceived { epoch, .. }
+            CoreMessage::Install(install) => Some(install.epoch),
+            CoreMessage::InstallReceived { epoch, .. }
             | CoreMessage::Appended { epoch, .. }
             | CoreMessage::Gap { epoch, .. }
             | CoreMessage::ReadIndex { epoch, .. }
--- a/coordination/chain/src/node/messages.rs
+++ b/coordination/chain/src/node/messages.rs
@@ -32,9 +32,7 @@
         }
         match message {
             CoreMessage::Append(batch) => self.replica.append(now, from, batch),
-            CoreMessage::Install { part, complete_at, .. } => {
-                self.replica.install(now, from, part, complete_at)
-            }
+            CoreMessage::Install(install) => self.replica.install(now, from, install),
             CoreMessage::InstallReceived { id, received, .. } => {
                 self.replica.install_received(now, from, id, received)
             }
--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -3,6 +3,7 @@
 mod campaign;
 mod contact;
 mod departure;
+mod filling;
 mod messages;
 mod outbox;
 mod peers;
@@ -173,7 +174,7 @@
             id,
             agreement: ViewAgreement::new(id, state.view, config.minimum_members),
             foundation: Foundation::new(me, config.founders.clone(), config.voters),
-            replica: Replica::new(id, limits, store, state.complete),
+            replica: Replica::new(id, limits, store, state.complete, state.sealed),
             detector: Detector::new(&config.detector, now),
             voter: Voter::new(&config.lease, state.lease, now),
             holders: holders.collect(),
@@ -359,6 +360,7 @@
             log: store.uncommitted(),
             committed: store.applied().sequence,
             complete: self.replica.is_complete(),
+            sealed: self.replica.sealed(),
         }
     }
 
--- a/coordination/chain/src/node/peers.rs
+++ b/coordination/chain/src/node/peers.rs
@@ -15,6 +15,8 @@
     pub(super) heard: Vec<NodeId>,
     /// The epoch in which it said that it has caught up with its predecessor.
     pub(super) synced_in: Option<Epoch>,
+    /// The epoch in which it said that it holds every command that was committed before.
+    pub(super) complete_in: Option<Epoch>,
     pub(super) last_seen: u64,
 }
 
@@ -30,6 +32,7 @@
             address: String::new(),
             heard: Vec::new(),
             synced_in: None,
+            complete_in: None,
             last_seen: now,
         });
         peer.address = address;
@@ -70,6 +73,7 @@
             end: self.replica.end(),
             committed: self.replica.committed(),
             synced: self.replica.is_synced(),
+            complete: self.replica.is_complete(),
             vouches: self.may_vouch(),
             leaving: self.leaving,
         };
@@ -86,6 +90,7 @@
         self.on_peer_seen(now, from, heartbeat.address);
         if let Some(peer) = self.peers.get_mut(&from) {
             peer.synced_in = heartbeat.synced.then_some(heartbeat.epoch);
+            peer.complete_in = heartbeat.complete.then_some(heartbeat.epoch);
             peer.heard = heartbeat.heard.iter().map(|heard| heard.peer).collect();
         }
         if heartbeat.leaving {
--- a/coordination/chain/src/node/reconfigure.rs
+++ b/coordination/chain/src/node/reconfigure.rs
@@ -35,7 +35,7 @@
             return;
         };
         let wanted = self.wanted_view(now, &view);
-        let settled = wanted.is(&view) && !self.agreement.is_fenced();
+        let settled = wanted.is(&view) && !self.agreement.is_fenced() && !self.replica.is_sealed();
         if settled || wanted.members.len() < self.config.minimum_members {
             self.proposal_due = None;
             return self.agreement.abandon();
@@ -44,11 +44,15 @@
             self.proposal_due = Some(now + self.first_pause(&wanted));
             return;
         };
-        if now >= due {
+        if now < due {
+            return;
+        }
+        if self.has_enough_complete(&wanted) {
             self.proposal_due = Some(now + self.random.u64(PROPOSAL_PAUSE_MICROS));
             let step = self.agreement.propose(wanted);
-            self.take_step(now, step);
+            return self.take_step(now, step);
         }
+        self.fill_ahead(now, &wanted);
     }
 
     /// Whoever is to go proposes last.
--- a/coordination/chain/src/node/wanted.rs
+++ b/coordination/chain/src/node/wanted.rs
@@ -18,14 +18,14 @@
     pub(super) fn wanted_view(&self, now: u64, view: &View) -> Wanted {
         let present = view.voters.iter().filter(|voter| !self.is_lost(now, voter.id)).count();
         if present < view.majority() {
-            return Wanted::unchanged(view);
+            return self.wanted(view.voters.clone(), view.members.clone());
         }
         let mut members = self.members_that_stay(now, view);
         self.fill_up(now, view, &mut members);
         if let Some(newcomer) = self.newcomer(now, view, &members) {
             return self.with_newcomer(now, view, members, newcomer);
         }
-        Wanted { voters: view.voters.clone(), members }
+        self.wanted(view.voters.clone(), members)
     }
 
     /// Whether a node is silent or does not hear this one.
@@ -78,10 +78,13 @@
         }
     }
 
-    /// A node that can become a member: a voter first, else one that can also take over a vote.
+    /// A node that can become a member: a voter first, else one that can also take over a vote. Where too few would
+    /// keep the state it may be any number of commands behind, as it is filled before the view changes.
     fn newcomer(&self, now: u64, view: &View, members: &[Member]) -> Option<Member> {
         let outside = self.peers.iter().filter(|(id, _)| !members.iter().any(|member| member.id == **id));
-        let admissible = outside.filter(|(id, _)| self.is_admissible(now, **id, members));
+        let is_short = members.len() < self.config.minimum_members;
+        let admissible =
+            outside.filter(|(id, _)| self.is_there(now, **id, members) && (is_short || self.is_close(**id)));
         let learners: Vec<Member> =
             admissible.map(|(id, peer)| Member { id: *id, address: peer.address.clone() }).collect();
         if let Some(voter) = learners.iter().find(|learner| view.is_voter(learner.id)) {
@@ -106,7 +109,13 @@
             }
         }
         members.push(newcomer);
-        Wanted { voters, members }
+        self.wanted(voters, members)
+    }
+
+    fn wanted(&self, voters: Vec<Member>, members: Vec<Member>) -> Wanted {
+        let complete = members.iter().map(|member| member.id).filter(|id| self.is_complete(*id));
+        let complete = complete.collect();
+        Wanted { complete, ..Wanted::new(voters, members) }
     }
 
     /// Voters that are lost or about to go, and are to be no members.
@@ -116,10 +125,13 @@
         replaceable.cloned().collect()
     }
 
-    fn is_admissible(&self, now: u64, learner: NodeId, members: &[Member]) -> bool {
-        let close = self.replica.lag_of(learner).is_some_and(|lag| lag <= ADMISSIBLE_LAG);
+    fn is_close(&self, learner: NodeId) -> bool {
+        self.replica.lag_of(learner).is_some_and(|lag| lag <= ADMISSIBLE_LAG)
+    }
+
+    fn is_there(&self, now: u64, learner: NodeId, members: &[Member]) -> bool {
         let stays = self.detector.is_steady(now, learner) && !self.is_departing(learner);
-        close && stays && self.is_connected(learner, members)
+        stays && self.is_connected(learner, members)
     }
 
     /// Whether a node and each of `members` say that they hear each other.
--- a/coordination/chain/src/replica/feeding.rs
+++ b/coordination/chain/src/replica/feeding.rs
@@ -22,7 +22,9 @@
 
     /// A fed node has restarted and does not know that it is up to date.
     pub(crate) fn sync(&mut self, to: NodeId) {
-        if self.synced && self.links.contains_key(&to) && self.view.successor(self.me) == Some(to) {
+        let in_chain = self.synced && !self.is_sealed() && self.view.successor(self.me) == Some(to);
+        let ahead = self.is_filling() && self.filling.contains(&to);
+        if self.links.contains_key(&to) && (in_chain || ahead) {
             let link = self.links[&to];
             if self.store.log.contains(link.end) {
                 self.send_batch(to, link.end, Vec::new());
@@ -31,6 +33,9 @@
     }
 
     pub(super) fn feeds(&self, to: NodeId) -> bool {
+        if self.is_sealed() {
+            return self.filling.contains(&to);
+        }
         if self.is_tail() {
             return !self.view.contains(to);
         }
@@ -38,7 +43,7 @@
     }
 
     pub(super) fn feed_all(&mut self, now: u64) {
-        if !self.synced {
+        if !self.synced && !self.is_filling() {
             return;
         }
         let fed: Vec<NodeId> = self.links.keys().copied().collect();
@@ -75,7 +80,8 @@
     }
 
     fn send_entries(&mut self, to: NodeId, link: &mut Link) {
-        let limit = if self.is_tail() { self.committed() } else { self.end().sequence };
+        let only_committed = self.is_tail() && !self.is_sealed();
+        let limit = if only_committed { self.committed() } else { self.end().sequence };
         let mut under_way = self.bytes_between(link.end.sequence, link.sent);
         while link.sent < limit && under_way < BYTES_IN_FLIGHT {
             let Some(previous) = self.store.log.position_at(link.sent) else {
@@ -90,7 +96,7 @@
             link.committed_sent = self.committed();
             self.send_batch(to, previous, entries);
         }
-        let commit_point_is_news = self.is_tail() && link.committed_sent < self.committed();
+        let commit_point_is_news = only_committed && link.committed_sent < self.committed();
         if let (true, Some(previous)) = (commit_point_is_news, self.store.log.position_at(link.sent)) {
             link.committed_sent = self.committed();
             self.send_batch(to, previous, Vec::new());
@@ -124,7 +130,8 @@
             previous,
             entries,
             committed: self.committed(),
-            complete_at: self.complete_at,
+            complete_at: self.complete_at(),
+            sealed: self.is_sealed(),
         };
         self.send(to, CoreMessage::Append(batch));
     }
--- a/coordination/chain/src/replica/installing.rs
+++ b/coordination/chain/src/replica/installing.rs
@@ -5,7 +5,7 @@
 use super::{Replica, ReplicaOutput};
 use crate::link::Link;
 use crate::transfer::{IncomingSnapshot, OutgoingSnapshot, Transfer, MAX_SNAPSHOT_BYTES};
-use crate::{CoreMessage, Machine, Record, Sequence, Snapshot, SnapshotId, SnapshotPart};
+use crate::{CoreMessage, InstallPart, Machine, Record, Sequence, Snapshot, SnapshotId};
 
 impl<M: Machine> Replica<M> {
     /// Begins to send a snapshot: the one that is under way to others if the log goes on from it, else a new one.
@@ -47,8 +47,14 @@
             };
             let part = outgoing.part(transfer.sent, self.limits.batch_bytes);
             transfer.sent += part.bytes.len() as u64;
-            let (epoch, complete_at) = (self.epoch(), self.complete_at);
-            self.send(to, CoreMessage::Install { epoch, part, complete_at });
+            let install = InstallPart {
+                epoch: self.epoch(),
+                part,
+                complete_at: self.complete_at(),
+                sealed: self.is_sealed(),
+                differs_at: self.differs_at(link.end),
+            };
+            self.send(to, CoreMessage::Install(install));
         }
         link.transfer = Some(transfer);
     }
@@ -68,11 +74,14 @@
     }
 
     /// Takes a part of the whole state from the node that feeds this one.
-    pub(crate) fn install(&mut self, now: u64, from: NodeId, part: SnapshotPart, complete_at: Sequence) {
-        if !self.is_fed_by(from) {
+    pub(crate) fn install(&mut self, now: u64, from: NodeId, install: InstallPart) {
+        let InstallPart { part, complete_at, sealed, differs_at, .. } = install;
+        if !self.takes_from(from, sealed) {
             return;
         }
+        self.join_seal(sealed);
         let position = part.id.position;
+        self.drop_what_differs(differs_at);
         let held = self.store.log.contains(position);
         let older = position.sequence < self.committed();
         if held || older || part.id.length > MAX_SNAPSHOT_BYTES {
--- a/coordination/chain/src/replica/mod.rs
+++ b/coordination/chain/src/replica/mod.rs
@@ -3,6 +3,7 @@
 mod feeding;
 mod installing;
 mod progress;
+mod sealing;
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -55,6 +56,10 @@
     complete: bool,
     /// Whether this node has caught up with its predecessor in this view.
     synced: bool,
+    /// The newest epoch that this node has sealed (durable).
+    sealed: Epoch,
+    /// Whom a node that has sealed the epoch feeds ahead of the next view.
+    filling: BTreeSet<NodeId>,
     /// Where the predecessor said that this node is complete.
     sync_target: Option<Sequence>,
     /// What a fed node must hold to be complete.
@@ -75,7 +80,13 @@
 
 impl<M: Machine> Replica<M> {
     /// Continues with what was on the disk.
-    pub(crate) fn new(me: NodeId, limits: ReplicaLimits, store: Store<M>, complete: bool) -> Replica<M> {
+    pub(crate) fn new(
+        me: NodeId,
+        limits: ReplicaLimits,
+        store: Store<M>,
+        complete: bool,
+        sealed: Epoch,
+    ) -> Replica<M> {
         let persisted = store.log.end().sequence;
         Replica {
             me,
@@ -84,6 +95,8 @@
             store,
             complete,
             synced: false,
+            sealed,
+            filling: BTreeSet::new(),
             sync_target: None,
             complete_at: Sequence::default(),
             persisted,
@@ -108,6 +121,10 @@
         self.synced
     }
 
+    pub(crate) fn sealed(&self) -> Epoch {
+        self.sealed
+    }
+
     pub(crate) fn epoch(&self) -> Epoch {
         self.view.epoch
     }
@@ -141,12 +158,17 @@
     pub(crate) fn activate(&mut self, now: u64, view: &View) {
         self.view = view.clone();
         self.links.clear();
+        self.filling.clear();
         self.store.keep_after(None);
         self.pending.clear();
         self.synced = false;
         self.sync_target = None;
-        if !self.is_member() {
-            return self.leave();
+        // What was taken ahead of the next view is kept by a node that starts again before that is decided.
+        if self.is_sealed() {
+            return;
+        }
+        if !self.is_member() || !self.complete {
+            self.drop_uncommitted();
         }
         if self.is_head() {
             self.lead(now);
@@ -160,8 +182,9 @@
         self.become_synced(now);
     }
 
-    /// Outside the view nothing but committed commands may be kept.
-    fn leave(&mut self) {
+    /// Outside the view, and by a member that is yet to be filled, nothing but committed commands may be kept: what
+    /// goes beyond them may differ from what the chain holds.
+    fn drop_uncommitted(&mut self) {
         let loses_entries = self.end().sequence > self.committed();
         if !loses_entries && !self.complete {
             return;
@@ -181,7 +204,7 @@
         request_id: RequestId,
         command: Vec<u8>,
     ) -> bool {
-        if !self.is_head() {
+        if !self.is_head() || self.is_sealed() {
             return false;
         }
         if let Some(reply) = self.store.reply(request_id).map(<[u8]>::to_vec) {
@@ -202,9 +225,10 @@
 
     /// Takes commands from the node that feeds this one.
     pub(crate) fn append(&mut self, now: u64, from: NodeId, batch: AppendBatch) {
-        if !self.is_fed_by(from) {
+        if !self.takes_from(from, batch.sealed) {
             return;
         }
+        self.join_seal(batch.sealed);
         if !self.store.log.contains(batch.previous) {
             return self.report_gap(from);
         }
@@ -226,6 +250,10 @@
         if self.feeds(from) {
             let link = self.links.entry(from).or_insert_with(|| Link::new(end, now));
             link.acknowledged(end, now);
+            // A log that went on otherwise has been cut back to where both agree.
+            if !self.store.log.contains(link.end) && self.store.log.contains(end) {
+                *link = Link::new(end, now);
+            }
             self.feed_all(now);
         }
         if self.believes(from) {
--- a/coordination/chain/src/replica/progress.rs
+++ b/coordination/chain/src/replica/progress.rs
@@ -18,8 +18,9 @@
 
     /// Records new entries, and notes completeness once the log reaches `complete_at`.
     pub(super) fn reach(&mut self, now: u64, fresh: Vec<Entry>, complete_at: Sequence) {
-        self.sync_target = self.is_member().then_some(complete_at);
-        let reached = self.is_member() && self.end().sequence >= complete_at;
+        let is_sealed = self.is_sealed();
+        self.sync_target = (self.is_member() && !is_sealed).then_some(complete_at);
+        let reached = (self.is_member() || is_sealed) && self.end().sequence >= complete_at;
         if reached && !self.complete {
             return self.become_complete(fresh);
         }
@@ -39,7 +40,7 @@
 
     pub(super) fn check_synced(&mut self, now: u64) {
         let reached = self.sync_target.is_some_and(|target| self.persisted >= target);
-        if reached && !self.synced {
+        if reached && !self.synced && !self.is_sealed() {
             self.become_synced(now);
         }
     }
@@ -63,7 +64,7 @@
 
     /// At the tail a durable command is durable at every member.
     pub(super) fn commit_at_tail(&mut self, now: u64) {
-        if self.is_tail() && self.synced {
+        if self.is_tail() && self.synced && !self.is_sealed() {
             self.commit(now, self.persisted);
         }
     }
--- a/coordination/chain/tests/cores/simulation.rs
+++ b/coordination/chain/tests/cores/simulation.rs
@@ -9,6 +9,8 @@
 
 /// Seeds of the ordinary test run.
 const ORDINARY_SEEDS: Range<u64> = 0..200;
+/// Seeds that broke a promise once; both kinds of plan play them in each ordinary run.
+const FOUND_SEEDS: [u64; 10] = [8627, 53222, 57797, 101475, 101600, 105283, 107553, 109563, 111972, 219461];
 /// Seeds are shared out to this many threads; each seed is played by one.
 const THREADS: u64 = 4;
 
@@ -36,13 +38,13 @@
     }
 }
 
-fn seeds() -> Range<u64> {
+fn seeds() -> Vec<u64> {
     let Ok(text) = std::env::var("CORE_SEEDS") else {
-        return ORDINARY_SEEDS;
+        return ORDINARY_SEEDS.chain(FOUND_SEEDS).collect();
     };
     let (from, to) = text.split_once("..").expect("CORE_SEEDS is from..to");
     let number = |text: &str| text.parse().expect("CORE_SEEDS has two numbers");
-    number(from)..number(to)
+    (number(from)..number(to)).collect()
 }
 
 fn play(plan: Plan) -> Totals {
@@ -71,7 +73,7 @@
 
 fn play_share(share: u64, plan: fn(u64) -> Plan) -> Totals {
     let mut totals = Totals::default();
-    for seed in seeds().filter(|seed| seed % THREADS == share) {
+    for seed in seeds().into_iter().filter(|seed| seed % THREADS == share) {
         totals.add(play(plan(seed)));
     }
     totals
--- a/coordination/chain/tests/decoders.rs
+++ b/coordination/chain/tests/decoders.rs
@@ -108,7 +108,7 @@
         let gathered = Gathered::new().run();
         assert!(gathered.nodes.iter().all(Node::is_in_step), "the core stands");
         let messages = gathered.messages.iter().filter_map(|bytes| CoreMessage::decode(bytes).ok());
-        assert!(messages.into_iter().any(|message| matches!(message, CoreMessage::Install { .. })));
+        assert!(messages.into_iter().any(|message| matches!(message, CoreMessage::Install(_))));
         assert!(!gathered.states.is_empty() && !gathered.records.is_empty());
         gathered
     })
--- a/coordination/chain/tests/messages.rs
+++ b/coordination/chain/tests/messages.rs
@@ -34,6 +34,7 @@
             end,
             committed: end.sequence,
             synced: flag,
+            complete: !flag,
             vouches: flag,
             leaving: !flag,
         })
@@ -46,6 +47,7 @@
             entries,
             committed: previous.sequence,
             complete_at: previous.sequence,
+            sealed: previous.sequence.0.is_multiple_of(2),
         })
     });
     prop_oneof![heartbeat, append]
--- a/coordination/chain/tests/model.rs
+++ b/coordination/chain/tests/model.rs
@@ -311,6 +311,7 @@
             end: Position::default(),
             committed: Sequence(0),
             synced: true,
+            complete: true,
             vouches: true,
             leaving: false,
         };
--- a/coordination/chain/tests/node/cluster.rs
+++ b/coordination/chain/tests/node/cluster.rs
@@ -84,7 +84,7 @@
             let host = self.hosts.get_mut(name).expect("the host is there");
             match output {
                 Output::Send { to, message } => {
-                    self.installs += usize::from(matches!(message, CoreMessage::Install { .. }));
+                    self.installs += usize::from(matches!(message, CoreMessage::Install(_)));
                     self.in_flight.push((host.node.id(), to, message));
                 }
                 Output::Persist { token, record } => {
--- a/coordination/chain/tests/transfer.rs
+++ b/coordination/chain/tests/transfer.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeMap;
 
 use millrudder_chain::{
-    CoreConfig, CoreMessage, CoreNode, DurableState, Input, NodeId, Output, RequestId, Sequence, SnapshotId,
-    SnapshotPart, MAX_SNAPSHOT_BYTES,
+    CoreConfig, CoreMessage, CoreNode, DurableState, Input, InstallPart, NodeId, Output, RequestId, Sequence,
+    SnapshotId, SnapshotPart, MAX_SNAPSHOT_BYTES,
 };
 use text::{address, Text};
 
@@ -115,8 +115,8 @@
         while let Some(output) = host.node.next_output() {
             match output {
                 Output::Send { to, message } => {
-                    if let CoreMessage::Install { part, .. } = &message {
-                        self.parts.push(part.clone());
+                    if let CoreMessage::Install(install) = &message {
+                        self.parts.push(install.part.clone());
                     }
                     self.letters.push(Letter { from: host.node.id(), to, message });
                 }
@@ -183,7 +183,7 @@
 }
 
 fn is_part(letter: &Letter) -> bool {
-    matches!(letter.message, CoreMessage::Install { .. })
+    matches!(letter.message, CoreMessage::Install(_))
 }
 
 fn is_answer_to_part(letter: &Letter) -> bool {
@@ -265,10 +265,10 @@
     cluster.start_learner(2);
     let mut number = 0;
     cluster.interference = Box::new(move |letter| {
-        if let CoreMessage::Install { part, .. } = &mut letter.message {
+        if let CoreMessage::Install(install) = &mut letter.message {
             number += 1;
             if number == 10 {
-                part.bytes[0] ^= 1;
+                install.part.bytes[0] ^= 1;
             }
         }
         true
@@ -358,7 +358,9 @@
     change(&mut id, &mut part);
     part.id = id;
     let epoch = cluster.node(1).epoch();
-    let message = CoreMessage::Install { epoch, part, complete_at: Sequence::default() };
+    let complete_at = Sequence::default();
+    let install = InstallPart { epoch, part, complete_at, sealed: false, differs_at: None };
+    let message = CoreMessage::Install(install);
     Letter { from: cluster.node(1).id(), to: cluster.node(2).id(), message }
 }
 
--- a/coordination/view/src/proposer.rs
+++ b/coordination/view/src/proposer.rs
@@ -11,12 +11,15 @@
     pub voters: Vec<Member>,
     /// Who is to keep the state: the present members that stay in their order, then others.
     pub members: Vec<Member>,
+    /// Which of the members are known to hold every command that the present view can commit. What voters say in
+    /// their promises counts; this is believed of nodes that do not vote yet.
+    pub complete: BTreeSet<NodeId>,
 }
 
 impl Wanted {
-    /// The same voters and members as in `view`.
-    pub fn unchanged(view: &View) -> Wanted {
-        Wanted { voters: view.voters.clone(), members: view.members.clone() }
+    /// These voters and members, of whom nothing is known to be complete.
+    pub fn new(voters: Vec<Member>, members: Vec<Member>) -> Wanted {
+        Wanted { voters, members, complete: BTreeSet::new() }
     }
 
     /// Whether this is what `view` says already.
@@ -80,17 +83,25 @@
         accepted.max_by_key(|accepted| accepted.ballot).map(|accepted| accepted.view.clone())
     }
 
-    /// The wanted view, once each of its members that votes now has answered, and the first has kept the state until
-    /// now and holds every committed command.
+    /// The wanted view, once each of its members that votes now has answered, the first has kept the state until now
+    /// and holds every committed command, and so do enough others that a loss of disks leaves one of them.
     ///
     /// A majority alone could come from members that are to go, and leave a view whose others have died unnoticed.
     /// Whoever is complete stands before all that are not, so no later member needs to be tried.
     fn own_view(&self, base: &View, minimum_members: usize) -> Option<View> {
-        let Wanted { voters, members } = &self.wanted;
+        let Wanted { voters, members, .. } = &self.wanted;
         let answered = |member: &Member| !base.is_voter(member.id) || self.promises.contains_key(&member.id);
         let first = members.first().filter(|first| base.contains(first.id))?;
-        let is_complete = self.promises.get(&first.id).is_some_and(|promise| promise.complete);
-        let usable = members.len() >= minimum_members && members.iter().all(answered) && is_complete;
+        let complete = members.iter().filter(|member| self.is_complete(base, member.id));
+        let enough = complete.count() >= minimum_members;
+        let usable = enough && members.iter().all(answered) && self.is_complete(base, first.id);
         usable.then(|| View { epoch: base.epoch.next(), voters: voters.clone(), members: members.clone() })
     }
+
+    fn is_complete(&self, base: &View, id: NodeId) -> bool {
+        match self.promises.get(&id) {
+            Some(promise) => promise.complete,
+            None => !base.is_voter(id) && self.wanted.complete.contains(&id),
+        }
+    }
 }
--- a/coordination/view/tests/agreement.rs
+++ b/coordination/view/tests/agreement.rs
@@ -23,7 +23,7 @@
 /// The same voters, and these members.
 fn wanted(ids: &[u64]) -> Wanted {
     let View { voters, members, .. } = chain(2, ids);
-    Wanted { voters, members }
+    Wanted::new(voters, members)
 }
 
 fn agreement(id: u64) -> ViewAgreement {
@@ -64,7 +64,7 @@
 fn no_view_is_proposed_before_each_member_that_is_to_stay_has_answered() {
     let mut proposer = agreement(2);
     let next = view(2, &[1, 2, 4]);
-    let next = Wanted { voters: next.voters, members: next.members };
+    let next = Wanted::new(next.voters, next.members);
     let ballot = ballot_of(&proposer.propose(next));
     let own = proposer.handle(NodeId(2), promise(ballot, None, true), true);
     let leaving = proposer.handle(NodeId(3), promise(ballot, None, true), true);
@@ -177,7 +177,7 @@
     let mut proposer = ViewAgreement::new(NodeId(1), state(), 2);
     let ballot = ballot_of(&proposer.propose(wanted(&[1, 3])));
     let _ = proposer.handle(NodeId(1), promise(ballot, None, true), true);
-    let step = proposer.handle(NodeId(3), promise(ballot, None, false), true);
+    let step = proposer.handle(NodeId(3), promise(ballot, None, true), true);
     assert_eq!(accepted_views(&step), vec![chain(2, &[1, 3]); 3]);
     // Even if it says that it is complete: it has not kept the state until now.
     let mut proposer = ViewAgreement::new(NodeId(3), state(), 2);
@@ -187,11 +187,38 @@
     assert_eq!(accepted_views(&step), Vec::new());
 }
 
+#[test]
+fn no_view_begins_with_too_few_members_that_hold_every_command() {
+    let state = || ViewState::of(chain(1, &[1, 2]));
+    let mut proposer = ViewAgreement::new(NodeId(1), state(), 2);
+    let ballot = ballot_of(&proposer.propose(wanted(&[1, 3])));
+    let _ = proposer.handle(NodeId(1), promise(ballot, None, true), true);
+    let step = proposer.handle(NodeId(3), promise(ballot, None, false), true);
+    assert_eq!(accepted_views(&step), Vec::new(), "the only copy could be lost before the second is there");
+    let step = proposer.handle(NodeId(3), promise(ballot, None, true), true);
+    assert_eq!(accepted_views(&step), vec![chain(2, &[1, 3]); 3]);
+}
+
+#[test]
+fn what_is_known_of_a_node_that_does_not_vote_yet_counts() {
+    let filled = |complete: &[u64]| Wanted {
+        complete: complete.iter().copied().map(NodeId).collect(),
+        ..Wanted::new(view(2, &[1, 2, 4]).voters, view(2, &[1, 4]).members)
+    };
+    for (complete, proposed) in [(&[][..], 0), (&[2][..], 0), (&[4][..], 3)] {
+        let mut proposer = agreement(1);
+        let ballot = ballot_of(&proposer.propose(filled(complete)));
+        let _ = proposer.handle(NodeId(1), promise(ballot, None, true), true);
+        let step = proposer.handle(NodeId(2), promise(ballot, None, false), true);
+        assert_eq!(accepted_views(&step).len(), proposed, "complete: {complete:?}");
+    }
+}
+
 #[test]
 fn a_majority_of_voters_decides_whatever_the_number_of_members() {
     let base = View { voters: view(1, &[1, 2, 3, 4, 5]).voters, ..view(1, &[1, 2, 3]) };
     let mut proposer = ViewAgreement::new(NodeId(1), ViewState::of(base.clone()), 2);
-    let next = Wanted { voters: base.voters.clone(), members: view(2, &[1, 2]).members };
+    let next = Wanted::new(base.voters.clone(), view(2, &[1, 2]).members);
     let ballot = ballot_of(&proposer.propose(next));
     let _ = proposer.handle(NodeId(1), promise(ballot, None, true), true);
     let two = proposer.handle(NodeId(2), promise(ballot, None, true), true);
@@ -211,7 +238,7 @@
 #[test]
 fn voters_change_one_at_a_time() {
     let mut node = agreement(1);
-    let change = |ids: &[u64]| Wanted { voters: view(2, ids).voters, members: view(2, &[1, 2]).members };
+    let change = |ids: &[u64]| Wanted::new(view(2, ids).voters, view(2, &[1, 2]).members);
     assert_eq!(node.propose(change(&[1, 2, 4, 5])), Step::default());
     assert_eq!(node.propose(change(&[1])), Step::default());
     for one in [&[1, 2, 4][..], &[1, 2], &[1, 2, 3, 4], &[1, 2, 3]] {
--- a/coordination/view/tests/model.rs
+++ b/coordination/view/tests/model.rs
@@ -47,7 +47,7 @@
 }
 
 fn wanted(voters: &[u64], kept_by: &[u64]) -> Wanted {
-    Wanted { voters: members(voters), members: members(kept_by) }
+    Wanted::new(members(voters), members(kept_by))
 }
 
 impl World {
@@ -149,7 +149,7 @@
                 } else {
                     kept_by.extend(voters.iter().find(|voter| !view.contains(voter.id)).cloned());
                 }
-                let wanted = Wanted { voters, members: kept_by };
+                let wanted = Wanted::new(voters, kept_by);
                 Some(Action::Propose { node, wanted })
             }
             _ => random.choice(self.deliveries()),
--- a/coordination/view/tests/voters_model.rs
+++ b/coordination/view/tests/voters_model.rs
@@ -4,6 +4,7 @@
 //!
 //! - At most one view is decided in an epoch.
 //! - The first member of a view has kept the state in the view before and holds every committed command.
+//! - So many members of a view hold every command committed before that the loss of one leaves another.
 //! - A node that is not a voter of a view is never counted in the decision of the next.
 //! - After one loss, with another machine back or in its place, the loss of a second leaves a core that can go on.
 
@@ -20,7 +21,7 @@
 /// More views than this are not explored.
 const LAST_EPOCH: Epoch = Epoch(4);
 /// An ordinary run ends after this many states, repeated ones counted; `VOTERS_MODEL_STATES` sets another bound.
-const ORDINARY_STATES: usize = 60_000;
+const ORDINARY_STATES: usize = 120_000;
 /// Attempts to change the view, unless `VOTERS_MODEL_PROPOSALS` sets another number.
 const ORDINARY_PROPOSALS: usize = 2;
 /// Restarts of the first machine, unless `VOTERS_MODEL_RESTARTS` sets another number.
@@ -71,6 +72,8 @@
     /// Nodes that hold every committed command.
     complete: BTreeSet<NodeId>,
     decided: BTreeMap<Epoch, View>,
+    /// The newest view that each node has entered.
+    entered: BTreeMap<NodeId, Epoch>,
     proposals_left: usize,
     restarts_left: usize,
     broken: Option<&'static str>,
@@ -111,7 +114,7 @@
     LoseSecond,
     /// The third comes back with its disk.
     ThirdReturns,
-    /// A member takes over the state from the first one.
+    /// A node takes over the state from the first member, within the view or ahead of the next one.
     Fill(NodeId),
 }
 
@@ -144,6 +147,7 @@
             in_flight: BTreeMap::new(),
             down: BTreeSet::from([THIRD]),
             complete: BTreeSet::from([FIRST, SECOND]),
+            entered: BTreeMap::from([(FIRST, second.epoch), (SECOND, second.epoch), (THIRD, first.epoch)]),
             decided: BTreeMap::from([(first.epoch, first), (second.epoch, second)]),
             proposals_left: number("VOTERS_MODEL_PROPOSALS", ORDINARY_PROPOSALS),
             restarts_left: number("VOTERS_MODEL_RESTARTS", ORDINARY_RESTARTS),
@@ -170,8 +174,8 @@
             members.push(member(NEWCOMER));
         }
         match self.rules {
-            Rules::AsBuilt => Wanted { voters, members },
-            Rules::VotersShrink => Wanted { voters: members.clone(), members },
+            Rules::AsBuilt => Wanted { complete: state.complete.clone(), ..Wanted::new(voters, members) },
+            Rules::VotersShrink => Wanted::new(members.clone(), members),
         }
     }
 }
@@ -188,7 +192,9 @@
             let message = InFlight { from: node, to: envelope.to, text };
             self.in_flight.insert(message, envelope.message);
         }
-        if let Some(view) = self.nodes[&node].view().cloned() {
+        let entered = self.nodes[&node].view().filter(|view| self.entered.get(&node) != Some(&view.epoch));
+        if let Some(view) = entered.cloned() {
+            self.entered.insert(node, view.epoch);
             self.note_view(node, view);
         }
         // What a node says to itself waits for its own disk only, which is written at once here.
@@ -220,6 +226,9 @@
         if !before.contains(head) || !self.complete.contains(&head) {
             self.broken = Some("a head that may lack commands");
         }
+        if view.ids().filter(|id| self.complete.contains(id)).count() < MINIMUM_MEMBERS {
+            self.broken = Some("a loss may take the only copy");
+        }
         let accepted = |id: &NodeId| {
             let disk = format!("{:?}", self.disks[id]);
             let knows = self.nodes[id].epoch() >= view.epoch;
@@ -272,9 +281,11 @@
         }
         let newest = state.newest();
         let head_knows = newest.head().is_some_and(|head| state.nodes[&head].epoch() == newest.epoch);
-        let lagging = newest.ids().filter(|id| !state.complete.contains(id) && up(id));
+        let next = self.wanted(state, newest);
+        let is_wanted = |id: &NodeId| newest.contains(*id) || next.members.iter().any(|it| it.id == *id);
+        let lagging = state.nodes.keys().filter(|id| !state.complete.contains(id) && up(id) && is_wanted(id));
         let lagging = lagging.filter(|id| head_knows && state.nodes[id].epoch() == newest.epoch);
-        actions.extend(lagging.map(Action::Fill));
+        actions.extend(lagging.copied().map(Action::Fill));
     }
 
     fn next_state(&self, last: &State, action: Action) -> Option<State> {
