Give up what rests on a clock that stood still

Ruled out: time limits by the process's own clock, which shows nothing.

Change: the time of day, which goes on, is held against the steady clock at each event. After a leap a dispatcher gives back what it has not sent and sends each store a barrier; grants from a store count again once it has answered on the same connection, after all that lay unread. A core machine gives back its leases and counts only answers to what it sends from then on. The simulation holds such machines to the same promises as others now: the exemption is gone.

Attempts follow each other less and less often.

--- a/coordination/chain/src/contact.rs
+++ b/coordination/chain/src/contact.rs
@@ -64,6 +64,8 @@
     /// The newest own time to which each peer has answered within the epoch, while it vouched for that.
     vouched: BTreeMap<NodeId, u64>,
     reports: VecDeque<Report>,
+    /// Answers to what this node sent before prove nothing.
+    not_before: u64,
     view_as_of: Option<u64>,
     /// As proven by the tail of the present epoch ...
     state_as_of: Option<u64>,
@@ -79,6 +81,7 @@
             epoch: Epoch::NONE,
             vouched: BTreeMap::new(),
             reports: VecDeque::new(),
+            not_before: 0,
             view_as_of: None,
             state_as_of: None,
             earlier_state_as_of: None,
@@ -110,6 +113,16 @@
         self.reports.clear();
     }
 
+    /// The clock has stood still: nothing that was proven is known to be recent.
+    pub(crate) fn stood_still(&mut self, now: u64) {
+        self.not_before = now;
+        self.view_as_of = None;
+        self.state_as_of = None;
+        self.earlier_state_as_of = None;
+        self.vouched.clear();
+        self.reports.clear();
+    }
+
     /// Takes what a heartbeat proves.
     pub(crate) fn heartbeat(&mut self, me: NodeId, view: &View, from: NodeId, heartbeat: &Heartbeat) {
         self.stamps.insert(from, heartbeat.stamp);
@@ -121,6 +134,9 @@
             return;
         }
         let asked_at = asked.stamp.micros;
+        if asked_at < self.not_before {
+            return;
+        }
         if heartbeat.vouches {
             let newest = self.vouched.entry(from).or_insert(asked_at);
             *newest = asked_at.max(*newest);
--- a/coordination/chain/src/node/contact.rs
+++ b/coordination/chain/src/node/contact.rs
@@ -51,6 +51,16 @@
         }
     }
 
+    /// Nothing that rests on the steady clock holds any more. Heartbeats go out at once, so that it is proven anew.
+    pub(super) fn on_stood_still(&mut self, now: u64) {
+        self.contact.stood_still(now);
+        if self.contact_until.take().is_some() {
+            self.outbox.push(Output::ContactLost);
+        }
+        self.release_leases(now);
+        self.send_heartbeats(now);
+    }
+
     /// Draws conclusions from what has come, and reports contact that was gained.
     pub(super) fn renew_contact(&mut self, now: u64) {
         let Some(view) = self.agreement.view() else {
--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -56,6 +56,8 @@
     /// These nodes, and no others, are to be taken out for good; to be given again after a start. Those that have the
     /// state are replaced by others first; see [`CoreNode::can_do_without`].
     Exclude { ids: BTreeSet<NodeId> },
+    /// The machine stood still, its steady clock with it: leases have run out meanwhile, and contact has.
+    StoodStill,
     /// A node answers at an address.
     PeerSeen { id: NodeId, address: String },
 }
@@ -127,6 +129,8 @@
     /// When the next voter that is heard now becomes suspect unless it is heard again.
     next_loss: Option<u64>,
     proposal_due: Option<u64>,
+    /// Attempts to change the view since the last one came about, as far as they lengthen the pause.
+    attempts: u32,
     leaving: bool,
     /// Since when the others can do without this node, which is about to end.
     dispensable_since: Option<u64>,
@@ -193,6 +197,7 @@
             next_heartbeat: now,
             next_loss: None,
             proposal_due: None,
+            attempts: 0,
             leaving: false,
             dispensable_since: None,
             excluded: BTreeSet::new(),
@@ -272,6 +277,7 @@
             Input::Persisted { token } => self.outbox.durable(token),
             Input::Leave => self.on_leave(now),
             Input::Exclude { ids } => self.on_exclude(now, ids),
+            Input::StoodStill => self.on_stood_still(now),
             Input::PeerSeen { id, address } => self.on_peer_seen(now, id, address),
         }
         self.settle(now);
--- a/coordination/chain/src/node/reconfigure.rs
+++ b/coordination/chain/src/node/reconfigure.rs
@@ -7,8 +7,11 @@
 
 /// The n-th survivor in chain order waits n times this long before it proposes, so that attempts rarely collide.
 const PROPOSAL_STEP_MICROS: u64 = 60_000;
-/// Shortest and longest pause before the next attempt of the same node.
+/// Shortest and longest pause before the next attempt of the same node, the second in a row.
 const PROPOSAL_PAUSE_MICROS: std::ops::Range<u64> = 150_000..400_000;
+/// The pause doubles so often at most. An attempt ends the one before: voters whose disks are slow need time for both
+/// phases.
+const PROPOSAL_DOUBLINGS: u32 = 3;
 
 impl<M: Machine> CoreNode<M> {
     /// Takes part in the newest decided view.
@@ -23,6 +26,7 @@
         }
         self.enter_voters(now, &view);
         self.proposal_due = None;
+        self.attempts = 0;
         self.take_replica_outputs();
         self.restart_requests(now);
         self.announce_view(now);
@@ -38,6 +42,7 @@
         let settled = wanted.is(&view) && !self.agreement.is_fenced() && !self.replica.is_sealed();
         if settled || wanted.members.len() < self.config.minimum_members {
             self.proposal_due = None;
+            self.attempts = 0;
             return self.agreement.abandon();
         }
         let Some(due) = self.proposal_due else {
@@ -48,13 +53,20 @@
             return;
         }
         if self.has_enough_complete(&wanted) {
-            self.proposal_due = Some(now + self.random.u64(PROPOSAL_PAUSE_MICROS));
+            self.proposal_due = Some(now + self.next_pause());
             let step = self.agreement.propose(wanted);
             return self.take_step(now, step);
         }
         self.fill_ahead(now, &wanted);
     }
 
+    /// Attempts that lead to nothing follow each other less and less often.
+    fn next_pause(&mut self) -> u64 {
+        let pause = self.random.u64(PROPOSAL_PAUSE_MICROS) << self.attempts;
+        self.attempts = (self.attempts + 1).min(PROPOSAL_DOUBLINGS);
+        pause
+    }
+
     /// Whoever is to go proposes last.
     fn first_pause(&self, wanted: &Wanted) -> u64 {
         let place = wanted.members.iter().position(|member| member.id == self.id);
--- a/coordination/chain/tests/contact.rs
+++ b/coordination/chain/tests/contact.rs
@@ -254,3 +254,21 @@
     }
     assert_eq!(cluster.told[&0], vec![true, false]);
 }
+
+#[test]
+fn a_clock_that_stood_still_proves_nothing_until_something_comes_back_anew() {
+    let mut cluster = Cluster::founded(3);
+    // Answers to what was sent before lie unread.
+    cluster.frozen = vec![0];
+    cluster.run(SECOND / 10);
+    cluster.frozen.clear();
+    assert!(cluster.has_contact(0), "by its clock too little time has passed");
+    let now = cluster.now;
+    cluster.nodes[0].handle(now, Input::StoodStill);
+    assert!(!cluster.has_contact(0));
+    assert!(cluster.nodes[0].state_age(now).is_none());
+    let lost = std::iter::from_fn(|| cluster.nodes[0].next_output());
+    assert!(lost.into_iter().any(|output| matches!(output, Output::ContactLost)));
+    cluster.run(SECOND);
+    assert!(cluster.has_contact(0));
+}
--- a/system/delivery/src/delivery/leases.rs
+++ b/system/delivery/src/delivery/leases.rs
@@ -82,7 +82,7 @@
         if let Some(outcome) = self.reports.final_outcome(key.id) {
             return self.report(now, granted.store, key, outcome, out);
         }
-        if self.leaving || now < self.stale_until {
+        if self.leaving || now < self.stale_until || self.doubts.concern(granted.store) {
             // Another dispatcher can have it at once; this one can only once what lay unread is through.
             let retry_after_ms = if self.leaving { 0 } else { STALE_MS as u32 };
             let outcome = AttemptOutcome::NotRun { retry_after_ms };
--- a/system/delivery/src/delivery/mod.rs
+++ b/system/delivery/src/delivery/mod.rs
@@ -7,6 +7,7 @@
 use crate::attempts::Attempts;
 use crate::callbacks::CallBacks;
 use crate::credits::{Credits, Limit};
+use crate::doubts::Doubts;
 use crate::interface::*;
 use crate::reports::{Due, LeaseKey, Reports};
 use crate::service::{Decision, ServiceState, Site};
@@ -44,6 +45,8 @@
     next_deadline: Option<u64>,
     /// Grants that come before this are from before a halt of the process.
     stale_until: u64,
+    /// Stores whose grants may be from before a halt, however long they take to be read.
+    doubts: Doubts,
 }
 
 fn site(configuration: &Configuration, dispatchers: u32, zone: u32) -> Site {
@@ -72,6 +75,7 @@
             leaving: false,
             next_deadline: None,
             stale_until: 0,
+            doubts: Doubts::default(),
             configuration,
         }
     }
@@ -80,6 +84,7 @@
     pub fn handle(&mut self, now: u64, input: Input, out: &mut Vec<Output>) {
         if self.next_deadline.is_some_and(|due| now > due + HALTED_MS) {
             self.stale_until = now + STALE_MS;
+            self.send_barriers(out);
         }
         self.take_in(now, input, out);
         self.on_time(now, out);
@@ -100,6 +105,8 @@
             Input::Connected { store } => {
                 let due = self.reports.on_connected(now, store);
                 send_reports(due, out);
+                let barrier = self.doubts.connected(store);
+                out.extend(barrier.map(|number| Output::Barrier { store, number }));
             }
             Input::Deliver { store, id, token, age_ms, failed_attempts, message } => {
                 let received = now as i64 - i64::try_from(age_ms).unwrap_or(i64::MAX);
@@ -115,11 +122,24 @@
             Input::CallBackResult { attempt, result } => {
                 self.on_call_back_result(now, attempt, result, out);
             }
+            Input::StoodStill => self.on_stood_still(now, out),
+            Input::BarrierReached { store, number } => self.doubts.reached(store, number),
             Input::Leaving => self.on_leaving(now, out),
             Input::Tick => {}
         }
     }
 
+    fn send_barriers(&mut self, out: &mut Vec<Output>) {
+        let barriers = self.doubts.stood_still().into_iter();
+        out.extend(barriers.map(|(store, number)| Output::Barrier { store, number }));
+    }
+
+    /// What waits here was granted before, and what comes before the barriers are reached may have been.
+    fn on_stood_still(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.send_barriers(out);
+        self.give_back_unsent(now, STALE_MS as u32, out);
+    }
+
     /// When [`Input::Tick`] is due, if no input comes before.
     pub fn next_deadline(&self) -> Option<u64> {
         self.next_deadline
--- a/system/delivery/src/delivery/updates.rs
+++ b/system/delivery/src/delivery/updates.rs
@@ -89,15 +89,20 @@
         self.place(now, key, lease, out);
     }
 
-    pub(super) fn on_leaving(&mut self, now: u64, out: &mut Vec<Output>) {
-        self.leaving = true;
+    /// Gives back what has not been sent, to be granted again after a pause at the earliest.
+    pub(super) fn give_back_unsent(&mut self, now: u64, retry_after_ms: u32, out: &mut Vec<Output>) {
         let waiting = self.leases.iter().filter(|(_, lease)| !lease.sent);
         let waiting: Vec<MessageId> = waiting.map(|(id, _)| *id).collect();
         for id in waiting {
             let Some(lease) = self.take_unsent(now, id, out) else { continue };
             let key = LeaseKey { id, token: lease.token };
-            self.report(now, lease.store, key, AttemptOutcome::NotRun { retry_after_ms: 0 }, out);
+            self.report(now, lease.store, key, AttemptOutcome::NotRun { retry_after_ms }, out);
         }
+    }
+
+    pub(super) fn on_leaving(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.leaving = true;
+        self.give_back_unsent(now, 0, out);
         let mut decisions = Vec::new();
         self.callbacks.leave(&mut decisions);
         self.carry_out_call_backs(now, decisions, out);
--- a/system/delivery/src/interface.rs
+++ b/system/delivery/src/interface.rs
@@ -2,6 +2,7 @@
 //!
 //! Times are milliseconds on the caller's steady clock.
 
+use crate::doubts::BarrierNumber;
 use millrudder_protocol::control::WorkerList;
 use millrudder_protocol::message::{End, Message};
 use millrudder_protocol::store::{FromDispatcher, ServiceCredit};
@@ -179,6 +180,13 @@
         attempt: AttemptId,
         result: CallBackResult,
     },
+    /// The machine stood still, its steady clock with it: what was granted before may be others' by now.
+    StoodStill,
+    /// A store has answered [`Output::Barrier`].
+    BarrierReached {
+        store: StoreId,
+        number: BarrierNumber,
+    },
     /// SIGTERM: what has not been sent is given back, what is out goes on.
     Leaving,
     /// The deadline is there.
@@ -246,6 +254,11 @@
         store: StoreId,
         message: FromDispatcher,
     },
+    /// Ask the store for an answer on the connection there is now, which it gives after all that it has sent before.
+    Barrier {
+        store: StoreId,
+        number: BarrierNumber,
+    },
     /// Close the idle connections to a worker that drains or is gone.
     CloseIdle {
         address: Address,
--- a/system/delivery/src/lib.rs
+++ b/system/delivery/src/lib.rs
@@ -64,6 +64,7 @@
 mod credit;
 mod credits;
 mod delivery;
+mod doubts;
 mod fleet;
 mod health;
 mod interface;
@@ -73,4 +74,5 @@
 mod window;
 
 pub use delivery::Delivery;
+pub use doubts::BarrierNumber;
 pub use interface::*;
--- a/system/delivery/tests/leases.rs
+++ b/system/delivery/tests/leases.rs
@@ -4,7 +4,7 @@
 use common::*;
 use millrudder_delivery::*;
 use millrudder_protocol::store::{AttemptOutcome, HeldLease};
-use millrudder_protocol::{LeaseToken, ShardId};
+use millrudder_protocol::{LeaseToken, ShardId, StoreId};
 
 fn held(fixture: &Fixture) -> Vec<HeldLease> {
     fixture.delivery.held(|_| true)
@@ -140,6 +140,64 @@
     assert!(fixture.send(10, 1, "/a").worker.instance_id.is_some());
 }
 
+/// The barriers that the last input had sent, by store.
+fn barriers(fixture: &mut Fixture) -> Vec<(StoreId, BarrierNumber)> {
+    let sent = fixture.out.drain(..).filter_map(|output| match output {
+        Output::Barrier { store, number } => Some((store, number)),
+        _ => None,
+    });
+    sent.collect()
+}
+
+#[test]
+fn after_a_standstill_nothing_is_sent_before_the_store_has_answered() {
+    let mut fixture = Fixture::new(1);
+    fixture.input(Input::Connected { store: STORE });
+    fixture.input(Input::StoodStill);
+    let sent = barriers(&mut fixture);
+    assert_eq!(sent.len(), 1);
+    // However long it takes to read what lay there: by the clock of the process next to no time has passed.
+    fixture.pass(10_000);
+    fixture.deliver(1, 1, "/a");
+    assert!(fixture.sent().is_none());
+    assert_eq!(fixture.outcome(), AttemptOutcome::NotRun { retry_after_ms: 100 });
+    fixture.input(Input::BarrierReached { store: STORE, number: sent[0].1 });
+    assert!(fixture.send(2, 1, "/a").worker.instance_id.is_some());
+}
+
+#[test]
+fn an_answer_to_an_earlier_barrier_or_of_another_store_ends_no_doubt() {
+    let mut fixture = Fixture::new(1);
+    fixture.input(Input::Connected { store: STORE });
+    fixture.input(Input::StoodStill);
+    let first = barriers(&mut fixture)[0].1;
+    fixture.input(Input::StoodStill);
+    let second = barriers(&mut fixture)[0].1;
+    fixture.input(Input::BarrierReached { store: STORE, number: first });
+    fixture.input(Input::BarrierReached { store: StoreId(STORE.0 + 1), number: second });
+    fixture.deliver(1, 1, "/a");
+    assert!(fixture.sent().is_none());
+    // A new connection has a barrier of its own, as the one before was lost with its connection.
+    fixture.out.clear();
+    fixture.input(Input::Connected { store: STORE });
+    let third = barriers(&mut fixture)[0].1;
+    fixture.input(Input::BarrierReached { store: STORE, number: third });
+    assert!(fixture.send(2, 1, "/a").worker.instance_id.is_some());
+}
+
+#[test]
+fn what_waits_for_a_worker_is_given_back_after_a_standstill_and_what_is_out_goes_on() {
+    let mut fixture = Fixture::new(1);
+    let out: Vec<Sent> = (0..8).map(|unique| fixture.send(unique, 1, "/a")).collect();
+    fixture.deliver(8, 1, "/a");
+    fixture.input(Input::StoodStill);
+    let ends = fixture.reported();
+    assert_eq!(ends.len(), 1);
+    assert_eq!((ends[0].id, &ends[0].outcome), (id(8), &AttemptOutcome::NotRun { retry_after_ms: 100 }));
+    fixture.end(out[0].attempt, success());
+    assert_eq!(fixture.outcome(), succeeded());
+}
+
 #[test]
 fn a_revoked_lease_that_waits_is_never_sent() {
     let mut fixture = Fixture::new(0);
--- a/system/delivery/tests/random.rs
+++ b/system/delivery/tests/random.rs
@@ -33,6 +33,11 @@
     calls: BTreeMap<AttemptId, Address>,
     succeeded: BTreeSet<MessageId>,
     ready: BTreeMap<Address, String>,
+    /// Barriers that no store has answered.
+    barriers: BTreeMap<StoreId, BarrierNumber>,
+    /// The machine has stood still, and the store that grants has not answered since.
+    in_doubt: bool,
+    connected: BTreeSet<StoreId>,
 }
 
 struct Course {
@@ -73,6 +78,7 @@
     fn check(&mut self, output: &Output) {
         match output {
             Output::Send { attempt, message, worker, .. } => {
+                assert!(!self.world.in_doubt, "{attempt:?} is sent before the store has answered");
                 let id = id_of(message);
                 let token = LeaseToken(self.world.messages[&id].0);
                 assert!(self.world.sent.insert((id, token)), "{id} sent twice under one lease");
@@ -103,6 +109,9 @@
                 self.world.out.remove(attempt);
                 self.world.calls.remove(attempt);
             }
+            Output::Barrier { store, number } => {
+                self.world.barriers.insert(*store, *number);
+            }
             Output::CloseIdle { .. } | Output::Credits { .. } => {}
         }
     }
@@ -117,11 +126,26 @@
             80..83 => self.revoke(),
             83..85 => self.move_primary(),
             85..89 => self.grant_call_back(),
-            89..93 => self.end_call_back(),
+            89..92 => self.end_call_back(),
+            92 => self.stand_still(),
             _ => self.wait(),
         }
     }
 
+    /// The machine stands still, or a store answers the barrier that was sent after it did.
+    fn stand_still(&mut self) {
+        match self.world.barriers.pop_first() {
+            Some((store, number)) => {
+                self.world.in_doubt &= store != STORE;
+                self.input(Input::BarrierReached { store, number });
+            }
+            None => {
+                self.world.in_doubt = self.world.connected.contains(&STORE);
+                self.input(Input::StoodStill);
+            }
+        }
+    }
+
     /// A store grants a message that it does not know the end of, perhaps one that is here under an earlier lease.
     fn grant(&mut self) {
         let id = id(self.dice.u64(0..60));
@@ -231,6 +255,7 @@
         let shard = ShardId(self.dice.u16(0..3));
         let store = StoreId(self.dice.u64(1..4));
         self.input(Input::Primary { shard, store });
+        self.world.connected.insert(store);
         self.input(Input::Connected { store });
     }
 
--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -5,7 +5,7 @@
 mod retiring;
 mod serving;
 
-use crate::clock::SteadyClock;
+use crate::clock::{time_of_day_ms, SteadyClock};
 use crate::core::journal::{Journal, Report};
 use crate::core::messages::ToCorePort;
 use crate::core::operator::{Order, Outcome};
@@ -16,7 +16,7 @@
 use crate::error::RoleError;
 use arc_swap::ArcSwap;
 use millrudder_chain::{CoreNode, Input, NodeId, RequestId};
-use millrudder_contact::{ConnectionId, CurrentList, Gate, Input as GateInput, RoundNumber};
+use millrudder_contact::{ConnectionId, CurrentList, Gate, Input as GateInput, RoundNumber, StandstillWatch};
 use millrudder_control_state::ControlState;
 use millrudder_placement::{Input as PlacementInput, PlacementManager};
 use millrudder_protocol::control::WorkerList;
@@ -65,6 +65,7 @@
 /// Owns the replicated state machine, the placement manager, the reader and all connections.
 pub struct CoreHost {
     clock: SteadyClock,
+    standstill: StandstillWatch,
     node: CoreNode<ControlState>,
     manager: PlacementManager,
     reader: Reader,
@@ -119,8 +120,10 @@
         let catch_up_ms = settings.bounds.catch_up.as_millis() as u64;
         let mut manager = PlacementManager::new(settings.fault_tolerance.machines).with_catch_up(catch_up_ms);
         manager.handle(0, PlacementInput::Committed(node.machine().placement().clone()));
+        let clock = SteadyClock::start();
         CoreHost {
-            clock: SteadyClock::start(),
+            standstill: StandstillWatch::new(clock.millis(), time_of_day_ms()),
+            clock,
             manager,
             reader: Reader::new(&settings, client.clone(), seed, events.clone()),
             orders: Orders::new(seed),
@@ -229,6 +232,7 @@
     }
 
     fn tick(&mut self) {
+        self.look_at_clocks();
         self.node.handle(self.clock.micros(), Input::Tick);
         self.manage(PlacementInput::Tick);
         let now = self.clock.millis();
@@ -242,6 +246,7 @@
     }
 
     fn take_report(&mut self, report: Report) -> Result<(), RoleError> {
+        self.look_at_clocks();
         match report {
             Report::Persisted { token } => {
                 self.node.handle(self.clock.micros(), Input::Persisted { token });
@@ -251,7 +256,18 @@
         }
     }
 
+    /// After a standstill nothing that was confirmed before is known to be recent.
+    fn look_at_clocks(&mut self) {
+        if self.standstill.has_stood_still(self.clock.millis(), time_of_day_ms()) {
+            log::warn!("the machine has stood still: leases and contact are given up");
+            self.node.handle(self.clock.micros(), Input::StoodStill);
+            self.look_at_gate();
+            self.carry_out();
+        }
+    }
+
     fn take(&mut self, event: Event) {
+        self.look_at_clocks();
         match event {
             Event::Inbound { connection, outbox, event } => self.on_inbound(connection, &outbox, event),
             Event::PeerOpened { address } => {
--- a/system/node/src/edge/host.rs
+++ b/system/node/src/edge/host.rs
@@ -8,7 +8,7 @@
 use crate::edge::routes::InForce;
 use crate::edge::store_links::StoreLinks;
 use arc_swap::{ArcSwap, ArcSwapOption};
-use millrudder_contact::Freshness;
+use millrudder_contact::{Freshness, StandstillWatch};
 use millrudder_delivery as delivery;
 use millrudder_delivery::{AttemptId, AttemptResult, CallBackResult, Delivery};
 use millrudder_intake as intake;
@@ -67,6 +67,7 @@
 /// Owns intake, delivery and all connections.
 pub struct EdgeHost {
     clock: SteadyClock,
+    standstill: StandstillWatch,
     me: DispatcherId,
     name: String,
     zone: String,
@@ -108,6 +109,7 @@
             delivery::Configuration { zone: zone.clone(), seed, ..delivery::Configuration::default() };
         EdgeHost {
             clock,
+            standstill: StandstillWatch::new(clock.millis(), clock::time_of_day_ms()),
             me: DispatcherId(seed),
             intake: Intake::new(zone.clone(), seed),
             delivery: Delivery::new(configuration),
@@ -156,7 +158,16 @@
         }
     }
 
+    /// After a standstill what lies unread may be outdated.
+    fn look_at_clocks(&mut self) {
+        if self.standstill.has_stood_still(self.clock.millis(), clock::time_of_day_ms()) {
+            log::warn!("the machine has stood still: what stores granted before is given back");
+            self.give_delivery(delivery::Input::StoodStill);
+        }
+    }
+
     fn tick(&mut self) {
+        self.look_at_clocks();
         let now = self.clock.millis();
         if self.intake.next_deadline().is_some_and(|due| due <= now) {
             self.give_intake(intake::Input::Tick);
@@ -180,6 +191,7 @@
     }
 
     fn take(&mut self, event: Event) {
+        self.look_at_clocks();
         match event {
             Event::Submit { submitted, reply } => self.on_submit(*submitted, reply),
             Event::Query { id, body, reply } => {
@@ -282,6 +294,10 @@
             ToDispatcher::Recorded { id, token } if self.is_primary(store, id.shard) => {
                 self.give_delivery(delivery::Input::Recorded { id, token });
             }
+            ToDispatcher::BarrierReached { number } => {
+                let number = delivery::BarrierNumber(number);
+                self.give_delivery(delivery::Input::BarrierReached { store, number });
+            }
             ToDispatcher::Recorded { .. } | ToDispatcher::Welcome { .. } | ToDispatcher::Pong => {}
             ToDispatcher::Accepted { .. }
             | ToDispatcher::NotAccepted { .. }
@@ -441,6 +457,9 @@
                     self.calls.call_back(attempt, url, &body, timeout_ms);
                 }
                 delivery::Output::Report { store, message } => self.stores.send(store, message),
+                delivery::Output::Barrier { store, number } => {
+                    self.stores.send(store, FromDispatcher::Barrier { number: number.0 });
+                }
                 delivery::Output::CloseIdle { address } => self.calls.close_idle(address.0),
                 delivery::Output::Credits { credits } => {
                     self.stores.send_all(&FromDispatcher::Credits { credits });
--- a/system/protocol/src/store.rs
+++ b/system/protocol/src/store.rs
@@ -77,6 +77,8 @@
     Leaving,
     /// Answered with `Pong`.
     Ping,
+    /// Answered with `BarrierReached` after all that was sent on this connection before.
+    Barrier { number: u64 },
 }
 
 /// Why a store does not keep a message. It does not have it then, and never will.
@@ -154,6 +156,9 @@
         answer: QueryAnswer,
     },
     Pong,
+    BarrierReached {
+        number: u64,
+    },
 }
 
 /// A change of what is known of a message; what replicas write and exchange.
--- a/system/queue/src/node.rs
+++ b/system/queue/src/node.rs
@@ -193,6 +193,9 @@
             FromDispatcher::Query { request, id, body } => self.query(connection, request, id, body),
             FromDispatcher::Leaving => self.dispatcher_leaving(connection),
             FromDispatcher::Ping => self.tell(connection, ToDispatcher::Pong),
+            FromDispatcher::Barrier { number } => {
+                self.tell(connection, ToDispatcher::BarrierReached { number })
+            }
         }
     }
 
--- a/system/queue/tests/cluster/dispatcher.rs
+++ b/system/queue/tests/cluster/dispatcher.rs
@@ -168,7 +168,10 @@
 
     pub fn dispatcher_receives(&mut self, at: usize, from: usize, message: ToDispatcher) {
         match message {
-            ToDispatcher::Welcome { .. } | ToDispatcher::Pong | ToDispatcher::State { .. } => {}
+            ToDispatcher::Welcome { .. }
+            | ToDispatcher::Pong
+            | ToDispatcher::BarrierReached { .. }
+            | ToDispatcher::State { .. } => {}
             ToDispatcher::Revoke { id, token } => self.revoked(at, id, token),
             ToDispatcher::Accepted { request, token } => self.acknowledged(at, request, token),
             ToDispatcher::NotAccepted { request, reason } => self.refused(at, request, reason),
--- a/system/simulation/src/checks.rs
+++ b/system/simulation/src/checks.rs
@@ -44,23 +44,17 @@
 }
 
 impl Checks {
-    /// Something was seen at a place at a true time. `stood_still`: the machine's clock has stood still before.
-    pub fn seen(
-        &mut self,
-        place: Place,
-        now: u64,
-        stood_still: bool,
-        seen: Observation,
-    ) -> Result<(), Violation> {
+    /// Something was seen at a place at a true time.
+    pub fn seen(&mut self, place: Place, now: u64, seen: Observation) -> Result<(), Violation> {
         match seen {
-            Observation::ToldConfiguration { version } => self.told(place, now, stood_still, version),
+            Observation::ToldConfiguration { version } => self.told(place, now, version),
             Observation::Committed { sequence, request_id, command, reply } => {
                 self.committed(sequence, request_id, command, reply)
             }
             Observation::ViewEntered { view } => self.view(view),
             Observation::LeaseGranted { fencing } => self.lease_granted(fencing.0),
-            Observation::ActedAsHolder { fencing } if !stood_still => self.acted(place, now, fencing.0),
-            Observation::ActedAsHolder { .. } | Observation::Queried { .. } => Ok(()),
+            Observation::ActedAsHolder { fencing } => self.acted(place, now, fencing.0),
+            Observation::Queried { .. } => Ok(()),
             Observation::Adopted { .. } => self.adopted(place, seen),
             Observation::Accepted { id } => {
                 if let Place::Dispatcher(dispatcher) = place {
@@ -106,9 +100,9 @@
         Err(Violation::NotLinearizable { history: shrunk(operations) })
     }
 
-    fn told(&self, machine: Place, now: u64, stood_still: bool, told: u64) -> Result<(), Violation> {
+    fn told(&self, machine: Place, now: u64, told: u64) -> Result<(), Violation> {
         let acknowledged = self.acknowledged_at(now.saturating_sub(STALE_BOUND));
-        if told >= acknowledged || stood_still {
+        if told >= acknowledged {
             return Ok(());
         }
         let age = now - self.acknowledged_since(told);
--- a/system/simulation/src/core_machine.rs
+++ b/system/simulation/src/core_machine.rs
@@ -70,6 +70,8 @@
     read_list_at: u64,
     sweep_at: u64,
     leaving: bool,
+    /// For how long the machine is known to have stood still in all (microseconds).
+    stood_still: u64,
 }
 
 /// The read under way that confirms the state here.
@@ -83,6 +85,8 @@
 pub struct CoreScene<'a> {
     /// Steady clock of the machine (microseconds).
     pub now: u64,
+    /// By how much the time of day has run ahead of it, since it stood still (microseconds).
+    pub stood_still: u64,
     pub disk: &'a mut CoreDisk,
     pub effects: &'a mut Vec<Effect>,
 }
@@ -123,6 +127,7 @@
             read_list_at: u64::MAX,
             sweep_at: now,
             leaving: false,
+            stood_still: u64::MAX,
             settings,
             mutant,
             node,
@@ -152,6 +157,7 @@
 
     /// Takes one happening and does what follows.
     pub fn handle(&mut self, scene: &mut CoreScene<'_>, happening: Happening) {
+        self.look_at_clocks(scene);
         match happening {
             Happening::Dialed { connection, target } => self.on_dialed(scene, connection, target.address),
             Happening::Accepted { .. } => {}
@@ -171,10 +177,20 @@
 
     /// Everything up to this write is durable.
     pub fn persisted(&mut self, scene: &mut CoreScene<'_>, token: millrudder_chain::PersistToken) {
+        self.look_at_clocks(scene);
         self.node.handle(scene.now, Input::Persisted { token });
         self.finish(scene);
     }
 
+    /// After a standstill nothing that was confirmed before is known to be recent.
+    fn look_at_clocks(&mut self, scene: &mut CoreScene<'_>) {
+        let before = std::mem::replace(&mut self.stood_still, scene.stood_still);
+        if scene.stood_still > before {
+            self.node.handle(scene.now, Input::StoodStill);
+            self.finish(scene);
+        }
+    }
+
     fn finish(&mut self, scene: &mut CoreScene<'_>) {
         let contact = self.has_contact(scene.now);
         if self.gate.is_due(scene.now / MILLISECOND, contact) {
--- a/system/simulation/src/dispatcher.rs
+++ b/system/simulation/src/dispatcher.rs
@@ -79,6 +79,11 @@
     ask_at: u64,
     /// Grants that are read before this moment are given back.
     stale_until: u64,
+    /// For how long the machine is known to have stood still in all (microseconds).
+    stood_still: u64,
+    /// Barriers that a store has not answered on the connection.
+    barriers: BTreeMap<Connection, u64>,
+    last_barrier: u64,
     /// Its clients send.
     pub sending: bool,
 }
@@ -87,6 +92,8 @@
 pub struct DispatcherScene<'a> {
     /// Steady clock of the machine (microseconds).
     pub now: u64,
+    /// By how much the time of day has run ahead of it, since it stood still (microseconds).
+    pub stood_still: u64,
     pub effects: &'a mut Vec<Effect>,
 }
 
@@ -115,6 +122,9 @@
             ping_at: now,
             ask_at: now,
             stale_until: 0,
+            stood_still: u64::MAX,
+            barriers: BTreeMap::new(),
+            last_barrier: 0,
             sending: true,
             random: fastrand::Rng::with_seed(seed),
             settings,
@@ -154,6 +164,11 @@
     pub fn handle(&mut self, scene: &mut DispatcherScene<'_>, happening: Happening) {
         if scene.now > self.look_at + HALTED {
             self.stale_until = scene.now + STALE;
+            self.send_barriers(scene);
+        }
+        let before = std::mem::replace(&mut self.stood_still, scene.stood_still);
+        if scene.stood_still > before {
+            self.send_barriers(scene);
         }
         match happening {
             Happening::Dialed { connection, target } => self.on_dialed(scene, connection, target),
@@ -168,6 +183,15 @@
         }
     }
 
+    /// What comes from a store before it answers on the connection there is now may have lain unread.
+    fn send_barriers(&mut self, scene: &mut DispatcherScene<'_>) {
+        for connection in self.stores.values() {
+            self.last_barrier += 1;
+            self.barriers.insert(*connection, self.last_barrier);
+            send(scene, *connection, FromDispatcher::Barrier { number: self.last_barrier });
+        }
+    }
+
     fn look(&mut self, scene: &mut DispatcherScene<'_>) {
         self.look_at = scene.now + LOOK;
         self.follow_plan(scene);
@@ -393,7 +417,10 @@
                     self.pending.remove(&id);
                 }
             }
-            ToDispatcher::Deliver { id, token, .. } => self.deliver(scene, id, token),
+            ToDispatcher::Deliver { id, token, .. } => self.deliver(scene, connection, id, token),
+            ToDispatcher::BarrierReached { number } if self.barriers.get(&connection) == Some(&number) => {
+                self.barriers.remove(&connection);
+            }
             ToDispatcher::Recorded { id, token } if self.reports.remove(&(id, token)).is_some() => {
                 scene.effects.push(Effect::Seen(Observation::Recorded { id }));
             }
@@ -402,12 +429,19 @@
     }
 
     /// Runs a message at once, unless its grant is of a primary before the present one, or may have waited unread.
-    fn deliver(&mut self, scene: &mut DispatcherScene<'_>, id: MessageId, token: LeaseToken) {
+    fn deliver(
+        &mut self,
+        scene: &mut DispatcherScene<'_>,
+        connection: Connection,
+        id: MessageId,
+        token: LeaseToken,
+    ) {
         let since = self.placement.shard(id.shard).map(|shard| shard.since);
         if since.is_some_and(|since| token.epoch() < since) {
             return;
         }
-        if scene.now < self.stale_until && !self.ran.contains(&id) {
+        let in_doubt = scene.now < self.stale_until || self.barriers.contains_key(&connection);
+        if in_doubt && !self.ran.contains(&id) {
             let retry_after_ms = (STALE / MILLISECOND) as u32;
             return self.attempted(scene, id, token, AttemptOutcome::NotRun { retry_after_ms });
         }
--- a/system/simulation/src/strikes.rs
+++ b/system/simulation/src/strikes.rs
@@ -169,7 +169,6 @@
             return;
         }
         self.freeze(place, micros);
-        self.machine(place).stood_still = true;
         match place {
             Place::Core(index) => self.cores[index].clock.stood_still += micros,
             Place::Store(index) => self.stores[index].clock.stood_still += micros,
--- a/system/simulation/src/world.rs
+++ b/system/simulation/src/world.rs
@@ -134,8 +134,6 @@
     pub sync_free_at: u64,
     /// Count of replacements by a machine at another address.
     pub generation: u8,
-    /// The clock has stood still.
-    pub stood_still: bool,
     tick_at: Option<u64>,
     /// A disk of it was lost and is not made up for yet.
     pub disk_lost: bool,
@@ -621,9 +619,10 @@
         let now = self.clock(place).local(self.now);
         match place {
             Place::Core(index) => {
-                let CoreMachine { process, disk, .. } = &mut self.cores[index];
+                let CoreMachine { process, disk, clock, .. } = &mut self.cores[index];
                 let Some(process) = process else { return };
-                process.handle(&mut CoreScene { now, disk, effects: &mut effects }, happening);
+                let stood_still = clock.stood_still;
+                process.handle(&mut CoreScene { now, stood_still, disk, effects: &mut effects }, happening);
             }
             Place::Store(index) => {
                 let StoreMachine { process, disk, .. } = &mut self.stores[index];
@@ -632,8 +631,9 @@
                 process.handle(&mut StoreScene { now, true_now, disk, effects: &mut effects }, happening);
             }
             Place::Dispatcher(index) => {
+                let stood_still = self.dispatchers[index].clock.stood_still;
                 let Some(process) = &mut self.dispatchers[index].process else { return };
-                process.handle(&mut DispatcherScene { now, effects: &mut effects }, happening);
+                process.handle(&mut DispatcherScene { now, stood_still, effects: &mut effects }, happening);
             }
             Place::Operator(_) => return,
         }
@@ -650,8 +650,7 @@
                 Effect::Sync => syncs = true,
                 Effect::Answer { call, answer } => self.send_answer(place, call, answer),
                 Effect::Seen(seen) => {
-                    let stood_still = self.machines.get(&place).is_some_and(|machine| machine.stood_still);
-                    if let Err(violation) = self.checks.seen(place, self.now, stood_still, seen) {
+                    if let Err(violation) = self.checks.seen(place, self.now, seen) {
                         self.violation.get_or_insert(violation);
                     }
                 }
@@ -734,10 +733,11 @@
         let place = Place::Core(index);
         let now = self.clock(place).local(self.now);
         let mut effects = Vec::new();
-        let CoreMachine { process, disk, .. } = &mut self.cores[index];
+        let CoreMachine { process, disk, clock, .. } = &mut self.cores[index];
+        let stood_still = clock.stood_still;
         disk.finish(token);
         if let Some(process) = process {
-            process.persisted(&mut CoreScene { now, disk, effects: &mut effects }, token);
+            process.persisted(&mut CoreScene { now, stood_still, disk, effects: &mut effects }, token);
         }
         self.carry_out(place, effects);
         self.arm(place);
--- a/system/simulation/tests/control/support.rs
+++ b/system/simulation/tests/control/support.rs
@@ -14,7 +14,7 @@
 use std::sync::Mutex;
 use std::thread;
 
-/// Runs are shared out to this many threads.
+/// Drawn runs are shared out to this many threads, unless `SIMULATION_THREADS` sets another number.
 pub const THREADS: usize = 4;
 /// Worlds that runs begin from.
 const FOUNDED: u64 = 8;
@@ -105,11 +105,13 @@
     plan_of: impl Fn(u64) -> Plan + Sync,
 ) -> Result<(), Failure> {
     let failures: Mutex<BTreeMap<u64, Failure>> = Mutex::new(BTreeMap::new());
+    let threads = std::env::var("SIMULATION_THREADS").ok().and_then(|text| text.parse().ok());
+    let threads: u64 = threads.unwrap_or(THREADS as u64);
     thread::scope(|scope| {
-        for share in 0..THREADS as u64 {
+        for share in 0..threads {
             let (seeds, plan_of, failures) = (seeds.clone(), &plan_of, &failures);
             scope.spawn(move || {
-                for seed in seeds.filter(|seed| seed % THREADS as u64 == share) {
+                for seed in seeds.filter(|seed| seed % threads == share) {
                     let plan = Box::new(plan_of(seed));
                     if let Err(violation) = play(worlds, &plan) {
                         println!("seed {seed}: {violation}");
