Count no read that lay unread over a standstill; two false alarms of the simulation

The gate is now told of a standstill and drops both confirmation and read. Test seen failing without it (gate.rs).

--- a/system/contact/src/gate.rs
+++ b/system/contact/src/gate.rs
@@ -53,6 +53,8 @@
     Tick,
     /// There is a connection to another core machine: a read that was asked for without one may end now.
     PeerOpened,
+    /// This machine's clock has stood still: no confirmation is known to be recent, nor a read that is under way.
+    StoodStill,
     /// This machine is about to end.
     Leaving,
 }
@@ -194,6 +196,7 @@
             Input::ReadReady { round } => self.on_ready(now, round, out),
             Input::Tick => {}
             Input::PeerOpened => self.on_peer_opened(now, out),
+            Input::StoodStill => self.on_stood_still(now, out),
             Input::Leaving => self.on_leaving(out),
         }
         self.start_read_if_due(now, out);
@@ -292,6 +295,12 @@
         }
     }
 
+    fn on_stood_still(&mut self, now: u64, out: &mut Vec<Output>) {
+        self.confirmed_at = None;
+        self.restart_read(now, out);
+        self.refuse_unconfirmed(now, out);
+    }
+
     fn on_leaving(&mut self, out: &mut Vec<Output>) {
         self.leaving = true;
         let connections = std::mem::take(&mut self.registrants);
--- a/system/contact/tests/gate.rs
+++ b/system/contact/tests/gate.rs
@@ -423,3 +423,18 @@
     }
     assert!(vouched > 1000, "only {vouched} confirmations were given");
 }
+
+#[test]
+fn after_a_standstill_only_a_read_that_begins_later_confirms_anything() {
+    let mut machine = Machine::with(numbers(5, 2));
+    machine.admit(FIRST, Kind::Dispatcher);
+    let under_way = started(&machine.tick_after(CONFIRM_EVERY_MS)).unwrap();
+    // With or without contact: a read that was answered meanwhile lies unread.
+    for contact in [true, false] {
+        machine.contact = contact;
+        let out = machine.give(Input::StoodStill);
+        assert!(!machine.gate.takes_orders(machine.now));
+        assert_eq!(said(&machine.give(Input::ReadReady { round: under_way })), vec![]);
+        assert!(started(&out).is_some_and(|later| later > under_way), "a read begins anew");
+    }
+}
--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -261,7 +261,7 @@
         if self.standstill.has_stood_still(self.clock.millis(), time_of_day_ms()) {
             log::warn!("the machine has stood still: leases and contact are given up");
             self.node.handle(self.clock.micros(), Input::StoodStill);
-            self.look_at_gate();
+            self.guard(GateInput::StoodStill);
             self.carry_out();
         }
     }
--- a/system/simulation/src/core_machine.rs
+++ b/system/simulation/src/core_machine.rs
@@ -187,6 +187,7 @@
         let before = std::mem::replace(&mut self.stood_still, scene.stood_still);
         if scene.stood_still > before {
             self.node.handle(scene.now, Input::StoodStill);
+            self.guard(scene, GateInput::StoodStill);
             self.finish(scene);
         }
     }
--- a/system/simulation/src/reachability.rs
+++ b/system/simulation/src/reachability.rs
@@ -6,7 +6,6 @@
 use crate::violation::Violation;
 use crate::world::World;
 use millrudder_chain::NodeId;
-use millrudder_protocol::placement::Placement;
 use millrudder_protocol::StoreId;
 use std::collections::BTreeMap;
 
@@ -71,11 +70,15 @@
         Ok(())
     }
 
-    /// The newest placement that any core machine holds.
-    fn newest_placement(&self) -> Option<&Placement> {
+    /// Notes the newest placement that any core machine has held: those that hold it may all be down at times, and a
+    /// machine that was cut off before still has an earlier one.
+    pub(crate) fn note_placement(&mut self) {
         let processes = self.cores.iter().filter_map(|core| core.process.as_ref());
         let placements = processes.map(|process| process.node.machine().state().placement());
-        placements.max_by_key(|placement| placement.epoch)
+        let newest = placements.max_by_key(|placement| placement.epoch);
+        if let Some(placement) = newest.filter(|placement| placement.epoch > self.newest_placement.epoch) {
+            self.newest_placement = placement.clone();
+        }
     }
 
     fn store_index(&self, id: StoreId) -> Option<usize> {
@@ -84,7 +87,7 @@
 
     /// A primary that serves under the newest placement knows every accepted message of its shards.
     pub(crate) fn check_messages(&self) -> Result<(), Violation> {
-        let Some(placement) = self.newest_placement() else { return Ok(()) };
+        let placement = &self.newest_placement;
         for id in self.checks.ledger.messages() {
             let Some(primary) = placement.shard(id.shard).map(|shard| shard.primary) else { continue };
             let Some(index) = self.store_index(primary) else { continue };
@@ -128,9 +131,10 @@
 
     /// Every store runs, and the newest placement, which all have adopted, has every shard on as many as wanted.
     fn stores_are_whole(&self) -> bool {
-        let Some(placement) = self.newest_placement().filter(|placement| placement.epoch.0 > 0) else {
+        let placement = &self.newest_placement;
+        if placement.epoch.0 == 0 {
             return false;
-        };
+        }
         let wanted = (2 * self.plan.shape.tolerated_losses as usize + 1).min(self.stores.len());
         let live = |id: &StoreId| self.store_index(*id).is_some_and(|index| self.runs(Place::Store(index)));
         let filled = placement.shards.iter().all(|shard| {
--- a/system/simulation/src/world.rs
+++ b/system/simulation/src/world.rs
@@ -20,6 +20,7 @@
 use crate::{MILLISECOND, SECOND};
 use millrudder_chain::PersistToken;
 use millrudder_control_state::ControlState;
+use millrudder_protocol::placement::Placement;
 use millrudder_protocol::{DispatcherId, StoreId};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -168,6 +169,8 @@
     pub events_played: u64,
     pub checks: Checks,
     pub(crate) learning: Learning,
+    /// The newest placement that any core machine has held.
+    pub(crate) newest_placement: Placement,
     pub(crate) lose_answers_until: u64,
     struck: Vec<bool>,
     /// When the last fault ends.
@@ -217,6 +220,7 @@
             events_played: 0,
             checks: Checks::default(),
             learning: Learning::default(),
+            newest_placement: Placement::default(),
             lose_answers_until: 0,
             struck: Vec::new(),
             faults_end: 0,
@@ -327,6 +331,10 @@
         loop {
             self.run_until(self.now + WATCH_EVERY)?;
             let since = self.faults_end;
+            if self.now >= since {
+                // Operators who hear nothing send nothing new, by which the system could show that it is well.
+                self.plan.noise.lost_answers = 0.0;
+            }
             if self.now >= since && self.is_well_since(since) {
                 return Ok(());
             }
@@ -357,6 +365,7 @@
         let until = self.now + self.plan.recovery;
         let mut lost = false;
         while self.step_before(until)? {
+            self.note_placement();
             self.note_made_up_disks();
             let lacks = self.machines.values().any(|machine| machine.disk_lost);
             if lost && !lacks {
@@ -837,6 +846,7 @@
 
     fn watch(&mut self) {
         self.drop_silent_links();
+        self.note_placement();
         if self.founding {
             return;
         }
