--- a/system/simulation/src/fault.rs
+++ b/system/simulation/src/fault.rs
@@ -13,6 +13,8 @@
     PowerLossOfAll { down: u64 },
     /// The disk is lost; the machine starts with an empty one.
     Wipe { place: Place, down: u64 },
+    /// The disk is lost while every other machine, dispatchers included, loses power.
+    WipeInDarkness { place: Place, down: u64 },
     /// The machine is replaced by another at another address, with an empty disk.
     Replace { place: Place, down: u64 },
     /// SIGTERM: the process tells the others, serves on for a while, and ends.
@@ -25,6 +27,8 @@
     Isolate { place: Place, micros: u64 },
     /// These are cut off from all others, and talk among each other.
     Split { places: Vec<Place>, micros: u64 },
+    /// These machines with disks are cut off from the others with disks; all other machines reach both.
+    Halves { places: Vec<Place>, micros: u64 },
     /// Nothing passes in one direction.
     CutOneWay { from: Place, to: Place, micros: u64 },
     /// Nothing that this machine sends arrives, while it hears the others.
@@ -40,7 +44,7 @@
 impl Fault {
     /// Whether the fault takes a disk.
     pub fn takes_disk(&self) -> bool {
-        matches!(self, Fault::Wipe { .. } | Fault::Replace { .. })
+        matches!(self, Fault::Wipe { .. } | Fault::WipeInDarkness { .. } | Fault::Replace { .. })
     }
 
     /// How long the fault lasts (microseconds).
@@ -50,12 +54,14 @@
             | Fault::PowerLoss { down, .. }
             | Fault::PowerLossOfAll { down }
             | Fault::Wipe { down, .. }
+            | Fault::WipeInDarkness { down, .. }
             | Fault::Replace { down, .. }
             | Fault::Stop { down, .. } => *down,
             Fault::Freeze { micros, .. }
             | Fault::Suspend { micros, .. }
             | Fault::Isolate { micros, .. }
             | Fault::Split { micros, .. }
+            | Fault::Halves { micros, .. }
             | Fault::CutOneWay { micros, .. }
             | Fault::Mute { micros, .. }
             | Fault::SlowDisk { micros, .. }
--- a/system/simulation/src/plan.rs
+++ b/system/simulation/src/plan.rs
@@ -10,6 +10,9 @@
 const FAULTS_WITHIN: u64 = 6 * SECOND;
 /// Most faults of a drawn plan.
 const MOST_FAULTS: usize = 6;
+/// Fewest and most faults of a plan that is drawn harder, and within how long they begin.
+const HARDER_FAULTS: std::ops::RangeInclusive<usize> = 3..=9;
+const HARDER_WITHIN: u64 = 8 * SECOND;
 /// A long cut, as machines on the users' days meet it.
 const LONG_CUT: u64 = 20 * SECOND;
 
@@ -97,6 +100,21 @@
         self
     }
 
+    /// A plan drawn from a seed, with more faults that overlap: halves, suspensions, slow disks, losses of power.
+    pub fn drawn_harder(seed: u64, from: u64) -> Plan {
+        let mut random = fastrand::Rng::with_seed(seed ^ 0xface);
+        let mut plan = Plan::drawn(seed, from);
+        plan.faults.clear();
+        for _ in 0..random.usize(HARDER_FAULTS) {
+            let fault = draw_harder_fault(&mut random, &plan.shape);
+            let at = from + random.u64(0..HARDER_WITHIN);
+            let when = if fault.takes_disk() && random.bool() { When::WhenWhole(at) } else { When::At(at) };
+            plan.faults.push(PlannedFault { when, fault });
+        }
+        plan.faults.sort_by_key(|planned| planned.when);
+        plan
+    }
+
     /// A plan drawn from a seed. Faults strike at times after `from` (microseconds).
     pub fn drawn(seed: u64, from: u64) -> Plan {
         let mut random = fastrand::Rng::with_seed(seed);
@@ -148,6 +166,32 @@
     }
 }
 
+/// A fault of a kind that other draws bring seldom, or of any.
+fn draw_harder_fault(random: &mut fastrand::Rng, shape: &Shape) -> Fault {
+    let place = draw_place(random, shape);
+    let disk = draw_disk(random, shape);
+    let down = random.u64(50 * MILLISECOND..2 * SECOND);
+    let micros = random.u64(100 * MILLISECOND..6 * SECOND);
+    match random.u8(0..12) {
+        0 | 1 => Fault::Halves { places: draw_half(random, shape), micros },
+        2 | 3 => Fault::SlowDisk { place: disk, micros },
+        4 => Fault::Suspend { place, micros },
+        5 => Fault::PowerLossOfAll { down },
+        6 => Fault::PowerLoss { place: disk, down },
+        7 => Fault::Freeze { place, micros },
+        8 => Fault::WipeInDarkness { place: disk, down },
+        9 => Fault::Wipe { place: disk, down },
+        _ => draw_fault(random, shape),
+    }
+}
+
+/// Each machine with a disk on one side or the other.
+fn draw_half(random: &mut fastrand::Rng, shape: &Shape) -> Vec<Place> {
+    let cores = (0..shape.cores).map(Place::Core);
+    let stores = (0..shape.stores).map(Place::Store);
+    cores.chain(stores).filter(|_| random.bool()).collect()
+}
+
 fn draw_place(random: &mut fastrand::Rng, shape: &Shape) -> Place {
     match random.u8(0..5) {
         0 | 1 => Place::Core(random.usize(0..shape.cores)),
--- a/system/simulation/src/strikes.rs
+++ b/system/simulation/src/strikes.rs
@@ -35,6 +35,12 @@
                 self.lose_power(*place, *down);
                 self.wipe(*place);
             }
+            Fault::WipeInDarkness { place, down } => {
+                for other in self.places() {
+                    self.lose_power(other, *down);
+                }
+                self.wipe(*place);
+            }
             Fault::Replace { place, down } => {
                 self.lose_power(*place, *down);
                 self.machine(*place).generation += 1;
@@ -45,6 +51,7 @@
             Fault::Suspend { place, micros } => self.suspend(*place, *micros),
             Fault::Isolate { place, micros } => self.split(&[*place], *micros),
             Fault::Split { places, micros } => self.split(places, *micros),
+            Fault::Halves { places, micros } => self.halve(places, *micros),
             Fault::CutOneWay { from, to, micros } => self.network.cut(*from, *to, self.now + micros),
             Fault::Mute { place, micros } => {
                 for other in self.places() {
@@ -71,7 +78,11 @@
 
     /// Disks of one kind are lost one at a time: as many as are tolerated.
     fn may_lose_disk(&mut self, fault: &Fault) -> bool {
-        let (Fault::Wipe { place, .. } | Fault::Replace { place, .. }) = fault else { return true };
+        let (Fault::Wipe { place, .. } | Fault::WipeInDarkness { place, .. } | Fault::Replace { place, .. }) =
+            fault
+        else {
+            return true;
+        };
         self.note_made_up_disks();
         let same_kind = |other: &Place| matches!(other, Place::Core(_)) == matches!(place, Place::Core(_));
         let lost = self.machines.iter().filter(|(other, _)| same_kind(other));
@@ -189,6 +200,18 @@
         }
     }
 
+    fn halve(&mut self, places: &[Place], micros: u64) {
+        let until = self.now + micros;
+        let (ours, theirs): (Vec<Place>, Vec<Place>) =
+            self.disks().into_iter().partition(|place| places.contains(place));
+        for one in ours {
+            for other in &theirs {
+                self.network.cut(one, *other, until);
+                self.network.cut(*other, one, until);
+            }
+        }
+    }
+
     fn reset(&mut self, place: Place) {
         for connection in self.network.touching(place) {
             let Some(link) = self.network.link(connection).copied() else { continue };
