--- a/system/simulation/src/plan.rs
+++ b/system/simulation/src/plan.rs
@@ -105,14 +105,25 @@
         let mut random = fastrand::Rng::with_seed(seed ^ 0xface);
         let mut plan = Plan::drawn(seed, from);
         plan.faults.clear();
-        for _ in 0..random.usize(HARDER_FAULTS) {
-            let fault = draw_harder_fault(&mut random, &plan.shape);
-            let at = from + random.u64(0..HARDER_WITHIN);
+        let count = random.usize(HARDER_FAULTS);
+        plan.draw_faults(&mut random, count, from..from + HARDER_WITHIN, draw_harder_fault);
+        plan
+    }
+
+    fn draw_faults(
+        &mut self,
+        random: &mut fastrand::Rng,
+        count: usize,
+        within: std::ops::Range<u64>,
+        draw: fn(&mut fastrand::Rng, &Shape) -> Fault,
+    ) {
+        for _ in 0..count {
+            let fault = draw(random, &self.shape);
+            let at = random.u64(within.clone());
             let when = if fault.takes_disk() && random.bool() { When::WhenWhole(at) } else { When::At(at) };
-            plan.faults.push(PlannedFault { when, fault });
+            self.faults.push(PlannedFault { when, fault });
         }
-        plan.faults.sort_by_key(|planned| planned.when);
-        plan
+        self.faults.sort_by_key(|planned| planned.when);
     }
 
     /// A plan drawn from a seed. Faults strike at times after `from` (microseconds).
@@ -127,13 +138,7 @@
         };
         plan.load.operator_pace = [60, 400, 1_500][random.usize(0..3)] * MILLISECOND;
         let count = random.usize(1..=MOST_FAULTS);
-        for _ in 0..count {
-            let fault = draw_fault(&mut random, &plan.shape);
-            let at = from + random.u64(0..FAULTS_WITHIN);
-            let when = if fault.takes_disk() && random.bool() { When::WhenWhole(at) } else { When::At(at) };
-            plan.faults.push(PlannedFault { when, fault });
-        }
-        plan.faults.sort_by_key(|planned| planned.when);
+        plan.draw_faults(&mut random, count, from..from + FAULTS_WITHIN, draw_fault);
         plan
     }
 }
