Keep a shard's copies in one region where only machines may be lost

How far two places are from each other is now a type (millrudder-topology), used by placement, stores and intake in place of booleans of nearness. Replicas are laid out by what must be borne: in one region where only machines may be lost, over zones or regions where those may. Founding, repair, balance and the choice of an heir keep to it; of equally fast followers the nearest are written to; grants and accepts go to the nearest region after the own zone.

Ruled out: copies to all in the region and none outside it, as a region may have fewer stores than a shard has replicas.

--- a/system/intake/src/lib.rs
+++ b/system/intake/src/lib.rs
@@ -15,6 +15,7 @@
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::store::{FromDispatcher, ToDispatcher};
 use millrudder_protocol::{LeaseToken, MessageId, ShardId, StoreId};
+use millrudder_topology::Location;
 use query::Queries;
 use stores::Stores;
 
@@ -91,10 +92,10 @@
 }
 
 impl Intake {
-    /// `zone` is this dispatcher's; `seed` decides names and spreads load.
-    pub fn new(zone: String, seed: u64) -> Self {
+    /// `location` is this dispatcher's; `seed` decides names and spreads load.
+    pub fn new(location: impl Into<Location>, seed: u64) -> Self {
         Intake {
-            stores: Stores::new(zone),
+            stores: Stores::new(location.into()),
             accepts: Accepts::new(seed),
             queries: Queries::default(),
             ask_at: 0,
--- a/system/intake/src/stores.rs
+++ b/system/intake/src/stores.rs
@@ -2,6 +2,7 @@
 
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::{ShardId, StoreId};
+use millrudder_topology::{Distance, Location};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// A lost primary is usually replaced this long (ms) after its loss was seen here: the core's suspicion, the next view,
@@ -12,7 +13,7 @@
 
 /// The placement in force and the open connections.
 pub struct Stores {
-    zone: String,
+    location: Location,
     placement: Placement,
     open: BTreeSet<StoreId>,
     /// When each was last heard.
@@ -21,22 +22,20 @@
     silent: BTreeSet<StoreId>,
     /// Since when each store that cannot be used has been so.
     lost: BTreeMap<StoreId, u64>,
-    /// Shards by how near their primary is: in this zone, elsewhere.
-    near: Vec<ShardId>,
-    far: Vec<ShardId>,
+    /// Shards by how far their primary is.
+    by_distance: BTreeMap<Distance, Vec<ShardId>>,
 }
 
 impl Stores {
-    pub fn new(zone: String) -> Self {
+    pub fn new(location: Location) -> Self {
         Stores {
-            zone,
+            location,
             placement: Placement::default(),
             open: BTreeSet::new(),
             heard: BTreeMap::new(),
             silent: BTreeSet::new(),
             lost: BTreeMap::new(),
-            near: Vec::new(),
-            far: Vec::new(),
+            by_distance: BTreeMap::new(),
         }
     }
 
@@ -48,12 +47,12 @@
     }
 
     fn sort_shards(&mut self) {
-        (self.near, self.far) = (Vec::new(), Vec::new());
+        self.by_distance.clear();
         for (number, entry) in self.placement.shards.iter().enumerate() {
             let Ok(number) = u16::try_from(number) else { break };
-            let zone = self.placement.store(entry.primary).map(|store| &store.zone);
-            let list = if zone == Some(&self.zone) { &mut self.near } else { &mut self.far };
-            list.push(ShardId(number));
+            let store = self.placement.store(entry.primary);
+            let distance = store.map(|store| self.location.distance_to(&store.zone)).unwrap_or_default();
+            self.by_distance.entry(distance).or_default().push(ShardId(number));
         }
     }
 
@@ -132,14 +131,14 @@
         std::iter::once(entry.primary).chain(others).collect()
     }
 
-    /// A shard that can take a message now, in this zone if any can, and of none of the stores in `tried`.
+    /// A shard that can take a message now, of the nearest that can, and of none of the stores in `tried`.
     pub fn any_shard(&self, turn: usize, tried: &[StoreId]) -> Option<ShardId> {
         let usable =
             |shard: &&ShardId| self.usable_primary(**shard).is_some_and(|store| !tried.contains(&store));
-        let pick = |list: &[ShardId]| {
+        let pick = |list: &Vec<ShardId>| {
             let usable: Vec<&ShardId> = list.iter().filter(usable).collect();
             (!usable.is_empty()).then(|| *usable[turn % usable.len()])
         };
-        pick(&self.near).or_else(|| pick(&self.far))
+        self.by_distance.values().find_map(pick)
     }
 }
--- a/system/intake/tests/intake.rs
+++ b/system/intake/tests/intake.rs
@@ -56,7 +56,7 @@
 
 impl Rig {
     fn new() -> Self {
-        let mut rig = Rig { intake: Intake::new("a".into(), 1), out: Vec::new() };
+        let mut rig = Rig { intake: Intake::new("a", 1), out: Vec::new() };
         rig.give(0, Input::Placement(placement(1, [HERE, THERE, FAR])));
         for store in [HERE, THERE, FAR] {
             rig.give(0, Input::StoreConnected { store });
--- a/system/node/src/core/host/mod.rs
+++ b/system/node/src/core/host/mod.rs
@@ -118,7 +118,9 @@
     ) -> Self {
         let seed = crate::clock::seed();
         let catch_up_ms = settings.bounds.catch_up.as_millis() as u64;
-        let mut manager = PlacementManager::new(settings.fault_tolerance.machines).with_catch_up(catch_up_ms);
+        let mut manager = PlacementManager::new(settings.fault_tolerance.machines)
+            .with_catch_up(catch_up_ms)
+            .with_layout(crate::place::layout(&settings));
         manager.handle(0, PlacementInput::Committed(node.machine().placement().clone()));
         let clock = SteadyClock::start();
         CoreHost {
--- a/system/node/src/edge/host.rs
+++ b/system/node/src/edge/host.rs
@@ -111,7 +111,7 @@
             clock,
             standstill: StandstillWatch::new(clock.millis(), clock::time_of_day_ms()),
             me: DispatcherId(seed),
-            intake: Intake::new(zone.clone(), seed),
+            intake: Intake::new(crate::place::location(settings), seed),
             delivery: Delivery::new(configuration),
             stores: StoreLinks::new(events.clone()),
             control: ControlLink::start(clock, CORE_LINKS, registrant, settings.seeds.clone(), seed, deliver),
--- a/system/node/src/main.rs
+++ b/system/node/src/main.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod locate;
 mod logging;
+mod place;
 mod role;
 mod signals;
 mod storage;
--- /dev/null
+++ b/system/node/src/place.rs
@@ -0,0 +1,20 @@
+//! Where this process runs, and what that means for where replicas go, from its settings.
+
+use millrudder_placement::{Layout, Spread};
+use millrudder_settings::Settings;
+use millrudder_topology::{Location, Topology};
+
+fn topology(settings: &Settings) -> Topology {
+    Topology::new(settings.zones.iter().map(|(zone, region)| (&**zone, &**region)))
+}
+
+/// Where this process runs.
+pub fn location(settings: &Settings) -> Location {
+    Location::new(&settings.zone, topology(settings))
+}
+
+/// How replicas are laid out, by what may be lost at one time.
+pub fn layout(settings: &Settings) -> Layout {
+    let tolerance = settings.fault_tolerance;
+    Layout { topology: topology(settings), spread: Spread::for_losses(tolerance.zones, tolerance.regions) }
+}
--- a/system/node/src/storage/host.rs
+++ b/system/node/src/storage/host.rs
@@ -105,7 +105,7 @@
         let zone = settings.zone.to_string();
         let config = config(settings, seed);
         let full_retry_after_ms = config.full_retry_after_ms;
-        let node = StoreNode::new(config, me, zone.clone(), 0, records.into_iter());
+        let node = StoreNode::new(config, me, crate::place::location(settings), 0, records.into_iter());
         let registrant = Registrant::Store {
             id: me,
             name: settings.node_name.to_string(),
--- a/system/placement/src/balance.rs
+++ b/system/placement/src/balance.rs
@@ -5,7 +5,7 @@
 use crate::knowledge::{loads, zone_of, Knowledge};
 use millrudder_protocol::placement::{ChangeReason, MemberChange, Placement, ShardEntry};
 use millrudder_protocol::StoreId;
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 /// Shards on their way at one time for the sake of even shares.
 const MOVES_AT_ONCE: usize = 8;
@@ -95,7 +95,7 @@
             let needs_homes = count(homes, *leaves) > count(homes, taker.id) + 1;
             let fills_within_zone = zone_of(next, known.stores, shard.primary) == taker.zone;
             let suits_homes = (place == 0) == needs_homes;
-            let is_allowed = surplus >= UNEVEN && keeps_zones(known, next, shard, *leaves, taker);
+            let is_allowed = surplus >= UNEVEN && keeps_layout(known, next, shard, *leaves, taker);
             is_allowed.then_some(Move {
                 surplus,
                 suits_homes,
@@ -108,8 +108,8 @@
     moves.max()
 }
 
-/// The shard's replicas are in no fewer zones than before.
-fn keeps_zones(
+/// The shard's replicas are laid out no worse than before.
+fn keeps_layout(
     known: &Knowledge,
     next: &Placement,
     shard: &ShardEntry,
@@ -117,10 +117,9 @@
     taker: &Seen,
 ) -> bool {
     let zone = |id: &StoreId| zone_of(next, known.stores, *id);
-    let before: BTreeSet<&str> = shard.replicas.iter().map(zone).collect();
-    let stay = shard.replicas.iter().filter(|id| **id != leaves).map(zone);
-    let after: BTreeSet<&str> = stay.chain([taker.zone.as_str()]).collect();
-    after.len() >= before.len()
+    let before: Vec<&str> = shard.replicas.iter().map(zone).collect();
+    let stay: Vec<&str> = shard.replicas.iter().filter(|id| **id != leaves).map(zone).collect();
+    known.layout.misfit_with(&stay, &taker.zone) <= known.layout.misfit(&before)
 }
 
 fn start(next: &mut Placement, taker: &Seen, chosen: &Move) {
--- a/system/placement/src/founding.rs
+++ b/system/placement/src/founding.rs
@@ -1,6 +1,7 @@
 //! The first placement.
 
 use crate::health::Seen;
+use crate::layout::Layout;
 use millrudder_protocol::placement::{Placement, ShardEntry, StoreEntry};
 use millrudder_protocol::{Epoch, StoreId};
 use std::collections::BTreeMap;
@@ -16,13 +17,13 @@
     2 * tolerated_losses as usize + 1
 }
 
-/// Lays out all shards over the stores: replicas in different zones as far as there are, primaries even.
-pub fn found(stores: &[&Seen], tolerated_losses: u32) -> Placement {
+/// Lays out all shards over the stores, primaries even.
+pub fn found(stores: &[&Seen], tolerated_losses: u32, layout: &Layout) -> Placement {
     let count = (SHARDS_A_STORE * stores.len()).clamp(FEWEST_SHARDS, MOST_SHARDS);
     let epoch = Epoch(1);
     let mut load: BTreeMap<StoreId, usize> = BTreeMap::new();
     let shards = (0..count).map(|number| {
-        let replicas = spread(stores, number, replicas_wanted(tolerated_losses), &load);
+        let replicas = spread(stores, number, replicas_wanted(tolerated_losses), &load, layout);
         for store in &replicas {
             *load.entry(*store).or_default() += 1;
         }
@@ -43,8 +44,14 @@
 }
 
 /// `wanted` stores for shard `number`: the first in turn, the others after it in an order that differs from shard to
-/// shard; other zones first, then those that hold least.
-fn spread(stores: &[&Seen], number: usize, wanted: usize, load: &BTreeMap<StoreId, usize>) -> Vec<StoreId> {
+/// shard; those first that the layout asks for, then those that hold least.
+fn spread(
+    stores: &[&Seen],
+    number: usize,
+    wanted: usize,
+    load: &BTreeMap<StoreId, usize>,
+    layout: &Layout,
+) -> Vec<StoreId> {
     let count = stores.len();
     let (first, round) = (number % count, number / count);
     let mut order: Vec<&Seen> = (0..count).map(|step| stores[(first + step) % count]).collect();
@@ -54,8 +61,9 @@
     }
     let mut chosen = vec![order.remove(0)];
     while chosen.len() < wanted && !order.is_empty() {
-        let has_zone = |seen: &Seen| chosen.iter().any(|other| other.zone == seen.zone);
-        let rank = |at: &usize| (has_zone(order[*at]), load.get(&order[*at].id).copied().unwrap_or(0));
+        let zones: Vec<&str> = chosen.iter().map(|seen| seen.zone.as_str()).collect();
+        let misfit = |seen: &Seen| layout.misfit_with(&zones, &seen.zone);
+        let rank = |at: &usize| (misfit(order[*at]), load.get(&order[*at].id).copied().unwrap_or(0));
         let Some(next) = (0..order.len()).min_by_key(rank) else { break };
         chosen.push(order.remove(next));
     }
--- a/system/placement/src/knowledge.rs
+++ b/system/placement/src/knowledge.rs
@@ -1,6 +1,7 @@
 //! What a placement is decided by, and how stores are judged from it.
 
 use crate::health::{Seen, Stores};
+use crate::layout::Layout;
 use millrudder_protocol::placement::{MemberChange, Placement, ShardEntry};
 use millrudder_protocol::{Epoch, ShardId, StoreId};
 use std::collections::{BTreeMap, BTreeSet};
@@ -50,6 +51,7 @@
     /// Names of the machines that are to be emptied, or were.
     pub retiring: &'a BTreeSet<String>,
     pub patience: Patience,
+    pub layout: &'a Layout,
     /// Since when this manager has been listening.
     pub watched_since: u64,
 }
--- a/system/placement/src/lib.rs
+++ b/system/placement/src/lib.rs
@@ -13,8 +13,10 @@
 mod founding;
 mod health;
 mod knowledge;
+mod layout;
 mod manager;
 mod primaries;
 mod repair;
 
+pub use layout::{Layout, Spread};
 pub use manager::{Input, PlacementManager};
--- a/system/placement/src/manager.rs
+++ b/system/placement/src/manager.rs
@@ -4,6 +4,7 @@
 use crate::founding;
 use crate::health::{Seen, Stores};
 use crate::knowledge::{CaughtUp, Knowledge, Patience, Report};
+use crate::layout::Layout;
 use millrudder_protocol::control::{FilledShard, StoreHealth};
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::{Address, StoreId};
@@ -64,6 +65,7 @@
     caught_up: CaughtUp,
     retiring: BTreeSet<String>,
     patience: Patience,
+    layout: Layout,
     leading_since: Option<u64>,
     last_newcomer: u64,
     last_registered: u64,
@@ -83,6 +85,7 @@
             caught_up: CaughtUp::default(),
             retiring: BTreeSet::new(),
             patience: Patience::from_catch_up(CATCH_UP_MS),
+            layout: Layout::default(),
             leading_since: None,
             last_newcomer: 0,
             last_registered: 0,
@@ -99,6 +102,13 @@
         self
     }
 
+    /// How replicas are laid out over zones and regions; without it, over the zones of one region.
+    #[must_use]
+    pub fn with_layout(mut self, layout: Layout) -> Self {
+        self.layout = layout;
+        self
+    }
+
     /// Takes an input in; the placement returned is to be submitted.
     pub fn handle(&mut self, now: u64, input: Input) -> Option<Placement> {
         match input {
@@ -207,7 +217,7 @@
         let wanted = founding::replicas_wanted(self.tolerated_losses);
         let least = self.tolerated_losses as usize + 1;
         let enough = well.len() >= wanted || waited && well.len() >= least;
-        (calm && enough).then(|| founding::found(&well, self.tolerated_losses))
+        (calm && enough).then(|| founding::found(&well, self.tolerated_losses, &self.layout))
     }
 
     fn knowledge(&self, now: u64, watched_since: u64) -> Knowledge<'_> {
@@ -218,6 +228,7 @@
             caught_up: &self.caught_up,
             retiring: &self.retiring,
             patience: self.patience,
+            layout: &self.layout,
             watched_since,
         }
     }
--- a/system/placement/src/repair.rs
+++ b/system/placement/src/repair.rs
@@ -140,7 +140,7 @@
     Some(Need { leaves: Some(*retiring), reason: ChangeReason::Retire, takers: Takers::All })
 }
 
-/// The store that takes a place: in a zone where no other replica is, if there is one, and with the least to hold.
+/// The store that takes a place: where the layout asks for one, and with the least to hold.
 fn taker<'a>(
     known: &'a Knowledge,
     next: &Placement,
@@ -150,12 +150,12 @@
     load: &BTreeMap<StoreId, usize>,
 ) -> Option<&'a Seen> {
     let stay = shard.replicas.iter().copied().filter(|id| Some(*id) != need.leaves);
-    let zones: BTreeSet<&str> = stay.map(|id| zone_of(next, known.stores, id)).collect();
+    let zones: Vec<&str> = stay.map(|id| zone_of(next, known.stores, id)).collect();
     let is_spare = |seen: &&Seen| need.takers == Takers::All || is_spare_for(known, need, holders, seen.id);
     let free = known.candidates().filter(|seen| !shard.replicas.contains(&seen.id)).filter(is_spare);
     let rank = |seen: &&Seen| {
         let held = load.get(&seen.id).copied().unwrap_or(0);
-        (zones.contains(seen.zone.as_str()), held, seen.id)
+        (known.layout.misfit_with(&zones, &seen.zone), held, seen.id)
     };
     free.min_by_key(rank)
 }
--- /dev/null
+++ b/system/placement/tests/regions.rs
@@ -0,0 +1,190 @@
+//! Replicas over zones and regions: founding, repair, new stores, the heir of a lost primary.
+
+mod rig;
+
+use millrudder_placement::{Layout, Spread};
+use millrudder_protocol::placement::{Placement, ShardEntry};
+use millrudder_protocol::StoreId;
+use millrudder_topology::Topology;
+use proptest::prelude::*;
+use rig::Rig;
+use std::collections::BTreeSet;
+
+/// Three regions of two zones each.
+const ZONES: [&str; 6] = ["n-1", "n-2", "s-1", "s-2", "w-1", "w-2"];
+
+fn topology() -> Topology {
+    Topology::new(ZONES.iter().map(|zone| (*zone, &zone[..1])))
+}
+
+fn layout(spread: Spread) -> Layout {
+    Layout { topology: topology(), spread }
+}
+
+/// Stores one after the other in the zones given.
+fn rig(spread: Spread, tolerated_losses: u32, zones: &[&'static str]) -> Rig {
+    let mut rig = Rig::with_layout(tolerated_losses, layout(spread));
+    for (at, zone) in zones.iter().enumerate() {
+        rig.register_in(at as u64 + 1, zone);
+    }
+    rig.run(2000);
+    rig
+}
+
+fn zones_of<'a>(placement: &'a Placement, shard: &ShardEntry) -> Vec<&'a str> {
+    shard.replicas.iter().map(|id| placement.store(*id).unwrap().zone.as_str()).collect()
+}
+
+fn region(zone: &str) -> &str {
+    &zone[..1]
+}
+
+/// Replicas in the region of the first.
+fn in_home_region(placement: &Placement, shard: &ShardEntry) -> usize {
+    let zones = zones_of(placement, shard);
+    zones.iter().filter(|zone| region(zone) == region(zones[0])).count()
+}
+
+fn two_in_each_zone() -> Vec<&'static str> {
+    ZONES.iter().chain(&ZONES).copied().collect()
+}
+
+#[test]
+fn where_only_machines_may_be_lost_a_region_holds_all_that_it_can() {
+    let rig = rig(Spread::ZonesOfRegion, 2, &two_in_each_zone());
+    for shard in &rig.placement.shards {
+        assert_eq!(shard.replicas.len(), 5);
+        assert_eq!(in_home_region(&rig.placement, shard), 4);
+    }
+    let held: Vec<usize> = (1..=12).map(|id| rig.held(id)).collect();
+    let (least, most) = (held.iter().min().unwrap(), held.iter().max().unwrap());
+    assert!(most - least <= 2, "{held:?}");
+}
+
+#[test]
+fn within_a_region_replicas_lie_in_different_zones_first() {
+    let rig = rig(Spread::ZonesOfRegion, 1, &["n-1", "n-1", "n-2", "n-1"]);
+    for shard in &rig.placement.shards {
+        assert!(zones_of(&rig.placement, shard).contains(&"n-2"));
+    }
+}
+
+#[test]
+fn a_region_with_too_few_stores_has_the_rest_in_one_other() {
+    let rig = rig(Spread::ZonesOfRegion, 1, &["n-1", "s-1", "s-2", "s-1", "w-1", "w-2", "w-1"]);
+    for shard in rig.placement.shards.iter().filter(|shard| shard.replicas[0] == StoreId(1)) {
+        let others: BTreeSet<&str> =
+            zones_of(&rig.placement, shard)[1..].iter().map(|zone| region(zone)).collect();
+        assert_eq!(others.len(), 1);
+    }
+}
+
+#[test]
+fn where_zones_may_be_lost_they_come_before_the_region() {
+    let rig = rig(Spread::Zones, 1, &two_in_each_zone());
+    for shard in &rig.placement.shards {
+        let zones = zones_of(&rig.placement, shard);
+        assert_eq!(zones.iter().collect::<BTreeSet<_>>().len(), 3);
+        assert_eq!(in_home_region(&rig.placement, shard), 2);
+    }
+}
+
+#[test]
+fn where_regions_may_be_lost_each_replica_has_another() {
+    let rig = rig(Spread::Regions, 1, &two_in_each_zone());
+    for shard in &rig.placement.shards {
+        let zones = zones_of(&rig.placement, shard);
+        assert_eq!(zones.iter().map(|zone| region(zone)).collect::<BTreeSet<_>>().len(), 3);
+    }
+}
+
+#[test]
+fn what_must_be_borne_decides_the_spread() {
+    assert_eq!(Spread::for_losses(0, 0), Spread::ZonesOfRegion);
+    assert_eq!(Spread::for_losses(1, 0), Spread::Zones);
+    assert_eq!(Spread::for_losses(1, 1), Spread::Regions);
+}
+
+#[test]
+fn a_lost_store_is_replaced_in_its_region_while_there_is_one() {
+    let zones = ["n-1", "n-2", "n-1", "n-2", "s-1", "s-2", "s-1", "s-2"];
+    let mut rig = rig(Spread::ZonesOfRegion, 1, &zones);
+    rig.beating.remove(&1);
+    rig.run_filling(30_000);
+    assert_eq!(rig.held(1), 0);
+    for shard in &rig.placement.shards {
+        assert_eq!(in_home_region(&rig.placement, shard), 3, "{shard:?}");
+    }
+}
+
+#[test]
+fn without_a_store_left_in_the_region_another_region_helps() {
+    let zones = ["n-1", "n-2", "n-1", "s-1", "s-2", "s-1"];
+    let mut rig = rig(Spread::ZonesOfRegion, 1, &zones);
+    rig.beating.remove(&1);
+    rig.run_filling(30_000);
+    assert_eq!(rig.held(1), 0);
+    assert!(rig.placement.shards.iter().all(|shard| shard.replicas.len() == 3));
+}
+
+#[test]
+fn the_heir_of_a_lost_primary_is_of_its_region() {
+    let mut rig = rig(Spread::ZonesOfRegion, 2, &two_in_each_zone());
+    let homes: Vec<StoreId> = rig.placement.shards.iter().map(|shard| shard.primary).collect();
+    rig.beating.remove(&1);
+    rig.run(700);
+    for (shard, home) in rig.placement.shards.iter().zip(homes) {
+        let zone = |id: StoreId| rig.placement.store(id).unwrap().zone.clone();
+        assert_ne!(shard.primary, StoreId(1));
+        assert_eq!(region(&zone(shard.primary)), region(&zone(home)));
+    }
+}
+
+#[test]
+fn a_new_store_takes_shares_without_drawing_shards_out_of_their_region() {
+    let mut rig = rig(Spread::ZonesOfRegion, 1, &["n-1", "n-2", "n-1", "s-1", "s-2", "s-1"]);
+    rig.register_in(7, "s-2");
+    rig.run_filling(30_000);
+    assert!(rig.held(7) > 0);
+    for shard in &rig.placement.shards {
+        assert_eq!(in_home_region(&rig.placement, shard), 3);
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+
+    /// Whatever stores there are: every shard has as many replicas as it should, all different.
+    #[test]
+    fn every_founding_is_whole(
+        at in prop::collection::vec(0..ZONES.len(), 5..30),
+        spread in prop_oneof![
+            Just(Spread::ZonesOfRegion),
+            Just(Spread::Zones),
+            Just(Spread::Regions),
+        ],
+    ) {
+        let zones: Vec<&'static str> = at.iter().map(|at| ZONES[*at]).collect();
+        let rig = rig(spread, 2, &zones);
+        prop_assert!(!rig.placement.shards.is_empty());
+        for shard in &rig.placement.shards {
+            let distinct: BTreeSet<_> = shard.replicas.iter().collect();
+            prop_assert_eq!(distinct.len(), 5);
+            prop_assert_eq!(shard.primary, shard.replicas[0]);
+        }
+    }
+}
+
+#[test]
+fn added_stores_settle() {
+    let zones = ["n-1", "n-2", "n-1", "n-1", "n-2", "s-1", "s-2", "s-1", "s-2", "w-1", "w-2", "w-1", "w-2"];
+    let mut rig = rig(Spread::ZonesOfRegion, 2, &zones);
+    rig.register_in(14, "n-1");
+    rig.register_in(15, "s-2");
+    rig.run_filling(40_000);
+    let begun = rig.changes_begun;
+    assert!(begun < rig.placement.shards.len(), "{begun}");
+    rig.run_filling(40_000);
+    assert_eq!(rig.changes_begun, begun, "nothing moves any more");
+    assert!(rig.held(14) > 10 && rig.held(15) > 10, "{} {}", rig.held(14), rig.held(15));
+}
--- a/system/placement/tests/rig/mod.rs
+++ b/system/placement/tests/rig/mod.rs
@@ -2,7 +2,7 @@
 
 #![allow(dead_code)]
 
-use millrudder_placement::{Input, PlacementManager};
+use millrudder_placement::{Input, Layout, PlacementManager};
 use millrudder_protocol::control::{FilledShard, StoreHealth};
 use millrudder_protocol::placement::{ChangeReason, Placement};
 use millrudder_protocol::{Address, ShardId, StoreId};
@@ -26,8 +26,17 @@
 
 impl Rig {
     pub fn new(stores: u64, tolerated_losses: u32) -> Self {
+        let mut rig = Rig::with_layout(tolerated_losses, Layout::default());
+        for id in 1..=stores {
+            rig.register(id, &format!("store-{id}"));
+        }
+        rig
+    }
+
+    /// A manager that leads, without a store.
+    pub fn with_layout(tolerated_losses: u32, layout: Layout) -> Self {
         let mut rig = Rig {
-            manager: PlacementManager::new(tolerated_losses),
+            manager: PlacementManager::new(tolerated_losses).with_layout(layout),
             now: 0,
             beating: BTreeMap::new(),
             placement: Placement::default(),
@@ -36,17 +45,22 @@
             reasons: Vec::new(),
         };
         rig.give(Input::Leading(true));
-        for id in 1..=stores {
-            rig.register(id, &format!("store-{id}"));
-        }
         rig
     }
 
     pub fn register(&mut self, id: u64, name: &str) {
         let number: u64 = name.trim_start_matches("store-").parse().unwrap();
-        let zone = ZONES[(number as usize - 1) % ZONES.len()].into();
+        self.register_as(id, name, ZONES[(number as usize - 1) % ZONES.len()]);
+    }
+
+    pub fn register_in(&mut self, id: u64, zone: &str) {
+        self.register_as(id, &format!("store-{id}"), zone);
+    }
+
+    fn register_as(&mut self, id: u64, name: &str, zone: &str) {
         let address = Address(([127, 0, 0, 1], 7000 + id as u16).into());
-        self.give(Input::Registered { id: StoreId(id), name: name.into(), zone, address });
+        let (name, zone) = (name.into(), zone.into());
+        self.give(Input::Registered { id: StoreId(id), name, zone, address });
         self.beating.insert(id, StoreHealth::default());
     }
 
--- a/system/queue/src/callback_flow.rs
+++ b/system/queue/src/callback_flow.rs
@@ -49,7 +49,7 @@
         true
     }
 
-    /// The dispatcher that reported the end; else one of this zone with the fewest call-backs.
+    /// The dispatcher that reported the end; else of the nearest the one with the fewest call-backs.
     fn callback_dispatcher(&self, id: MessageId) -> Option<DispatcherId> {
         let reporter = self.table.get(id)?.lead.as_ref()?.reporter;
         let is_open =
@@ -58,7 +58,7 @@
             return Some(reporter);
         }
         let open = self.dispatchers.iter().filter(|(_, life)| life.is_open());
-        open.min_by_key(|(_, life)| (!life.near, life.callbacks.len())).map(|(dispatcher, _)| dispatcher)
+        open.min_by_key(|(_, life)| (life.distance, life.callbacks.len())).map(|(dispatcher, _)| dispatcher)
     }
 
     fn send_callback(
--- a/system/queue/src/connections.rs
+++ b/system/queue/src/connections.rs
@@ -27,11 +27,11 @@
         if let Some(former) = former.filter(|former| *former != connection) {
             self.close_dispatcher(former);
         }
-        let near = zone == self.zone;
+        let distance = self.location.distance_to(zone);
         let held: BTreeMap<MessageId, LeaseToken> =
             held.iter().map(|lease| (lease.id, lease.token)).collect();
         let life = self.dispatchers.connect(connection, dispatcher, self.now);
-        life.near = near;
+        life.distance = distance;
         life.epoch = epoch;
         life.held = held;
         life.in_doubt = in_doubt.into_iter().collect();
@@ -49,7 +49,7 @@
         let Some(life) = self.dispatchers.get(dispatcher).filter(|life| life.is_open()) else { return };
         for index in self.services.indexes() {
             let limit = life.limits.get(&index).copied().unwrap_or(self.config.default_credit);
-            self.services.get_mut(index).credits.open(dispatcher, limit, life.near);
+            self.services.get_mut(index).credits.open(dispatcher, limit, life.distance);
             self.services.wanted.insert(index);
         }
     }
--- a/system/queue/src/credits.rs
+++ b/system/queue/src/credits.rs
@@ -1,6 +1,8 @@
 //! How many more deliveries of one service each dispatcher can take.
 
 use millrudder_protocol::DispatcherId;
+use millrudder_topology::Distance;
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// One dispatcher's deliveries of one service.
@@ -8,8 +10,8 @@
 struct Credit {
     limit: u32,
     out: u32,
-    /// It is in the store's own zone.
-    near: bool,
+    /// From the store.
+    distance: Distance,
     /// It may be granted something.
     open: bool,
 }
@@ -25,7 +27,7 @@
 }
 
 /// Order in which dispatchers are chosen: the last one is the best.
-type Rank = (bool, u32, DispatcherId);
+type Rank = (Reverse<Distance>, u32, DispatcherId);
 
 /// Credits of one service.
 #[derive(Clone, Debug, Default)]
@@ -36,16 +38,16 @@
 
 impl Credits {
     fn change(&mut self, dispatcher: DispatcherId, change: impl FnOnce(&mut Credit)) {
-        let unknown = Credit { limit: 0, out: 0, near: false, open: false };
+        let unknown = Credit { limit: 0, out: 0, distance: Distance::default(), open: false };
         let credit = self.dispatchers.entry(dispatcher).or_insert(unknown);
         let before = *credit;
         change(credit);
         let after = *credit;
         if before.free() > 0 {
-            self.free.remove(&(before.near, before.free(), dispatcher));
+            self.free.remove(&(Reverse(before.distance), before.free(), dispatcher));
         }
         if after.free() > 0 {
-            self.free.insert((after.near, after.free(), dispatcher));
+            self.free.insert((Reverse(after.distance), after.free(), dispatcher));
         }
         if !after.open && after.out == 0 {
             self.dispatchers.remove(&dispatcher);
@@ -53,10 +55,10 @@
     }
 
     /// The dispatcher may be granted up to `limit` at a time.
-    pub fn open(&mut self, dispatcher: DispatcherId, limit: u32, near: bool) {
+    pub fn open(&mut self, dispatcher: DispatcherId, limit: u32, distance: Distance) {
         self.change(dispatcher, |credit| {
             credit.limit = limit;
-            credit.near = near;
+            credit.distance = distance;
             credit.open = true;
         });
     }
@@ -93,8 +95,7 @@
         self.dispatchers.get(&dispatcher).is_some_and(|credit| credit.free() > 0)
     }
 
-    /// In the store's zone if there is one, and of those the one with the most free credit; `other` only if there is
-    /// no other.
+    /// Of the nearest that have free credit the one with the most; `other` only if there is no other.
     pub fn best_but(&self, other: Option<DispatcherId>) -> Option<DispatcherId> {
         let mut best = self.free.iter().rev().map(|(_, _, dispatcher)| *dispatcher);
         best.find(|dispatcher| Some(*dispatcher) != other).or(other.filter(|other| self.has_free(*other)))
--- a/system/queue/src/dispatchers.rs
+++ b/system/queue/src/dispatchers.rs
@@ -4,6 +4,7 @@
 use crate::schedule::ServiceIndex;
 use crate::time::Time;
 use millrudder_protocol::{DispatcherId, Epoch, LeaseToken, MessageId};
+use millrudder_topology::Distance;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Whether a dispatcher is known to hold a lease.
@@ -27,8 +28,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Life {
     pub connection: Option<ConnectionId>,
-    /// It is in this store's zone.
-    pub near: bool,
+    /// From this store.
+    pub distance: Distance,
     /// It stops; nothing more is granted to it.
     pub leaving: bool,
     pub heard_at: Time,
@@ -47,7 +48,7 @@
     fn new(now: Time) -> Self {
         Life {
             connection: None,
-            near: false,
+            distance: Distance::default(),
             leaving: false,
             heard_at: now,
             epoch: Epoch::default(),
--- a/system/queue/src/grants.rs
+++ b/system/queue/src/grants.rs
@@ -24,7 +24,7 @@
         let index = self.services.add(name);
         for (dispatcher, life) in self.dispatchers.iter().filter(|(_, life)| life.is_open()) {
             let limit = life.limits.get(&index).copied().unwrap_or(self.config.default_credit);
-            self.services.get_mut(index).credits.open(dispatcher, limit, life.near);
+            self.services.get_mut(index).credits.open(dispatcher, limit, life.distance);
         }
         index
     }
--- a/system/queue/src/lib.rs
+++ b/system/queue/src/lib.rs
@@ -11,7 +11,7 @@
 //! use millrudder_queue::{Config, Input, Output, StoreNode};
 //!
 //! let me = StoreId(1);
-//! let mut node = StoreNode::new(Config::default(), me, "zone".to_owned(), 0, std::iter::empty());
+//! let mut node = StoreNode::new(Config::default(), me, "zone", 0, std::iter::empty());
 //! let shard = ShardEntry { primary: me, replicas: vec![me], change: None, since: Epoch(1) };
 //! let placement = Placement { epoch: Epoch(1), tolerated_losses: 0, stores: vec![], shards: vec![shard] };
 //!
--- a/system/queue/src/node.rs
+++ b/system/queue/src/node.rs
@@ -19,6 +19,7 @@
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::store::{BetweenStores, FromDispatcher, ServiceRate, ToDispatcher};
 use millrudder_protocol::{Epoch, MessageId, ShardId, StoreId};
+use millrudder_topology::Location;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// All decisions of one store process.
@@ -26,7 +27,7 @@
 pub struct StoreNode {
     pub(crate) config: Config,
     pub(crate) me: StoreId,
-    pub(crate) zone: String,
+    pub(crate) location: Location,
     pub(crate) now: Time,
     pub(crate) out: Vec<Output>,
     pub(crate) placement: Placement,
@@ -60,7 +61,7 @@
     pub fn new(
         config: Config,
         me: StoreId,
-        zone: String,
+        location: impl Into<Location>,
         now_ms: u64,
         recovered: impl Iterator<Item = Recovered>,
     ) -> Self {
@@ -68,7 +69,7 @@
         let mut node = StoreNode {
             config,
             me,
-            zone,
+            location: location.into(),
             now: Time::from_steady(now_ms),
             out: Vec::new(),
             placement: Placement::default(),
--- a/system/queue/src/replication.rs
+++ b/system/queue/src/replication.rs
@@ -9,6 +9,7 @@
 use crate::peers::Sent;
 use millrudder_protocol::store::{BetweenStores, Record};
 use millrudder_protocol::{MessageId, RequestNumber, ShardId, StoreId};
+use millrudder_topology::Distance;
 use std::collections::BTreeMap;
 
 /// Something that became known of a message and is not written yet.
@@ -35,6 +36,7 @@
     is_leaving: bool,
     slowness: u32,
     holds_nothing: bool,
+    distance: Distance,
     position: usize,
 }
 
@@ -178,6 +180,7 @@
                 is_leaving: reign.is_leaving(*store),
                 slowness: peer.slowness(self.now),
                 holds_nothing: !is_holder,
+                distance: self.distance_to(*store),
                 position,
             };
             ranked.push((rank, *store));
@@ -186,6 +189,11 @@
         ranked.into_iter().map(|(_, store)| store).collect()
     }
 
+    fn distance_to(&self, store: StoreId) -> Distance {
+        let entry = self.placement.store(store);
+        entry.map(|entry| self.location.distance_to(&entry.zone)).unwrap_or_default()
+    }
+
     pub(crate) fn is_of_reign(&self, sent: &Sent) -> bool {
         self.reigns.get(&sent.id.shard).is_some_and(|reign| reign.since == sent.since)
     }
