--- a/system/delivery/src/credits.rs
+++ b/system/delivery/src/credits.rs
@@ -1,6 +1,7 @@
 //! When stores are told what they may grant here.
 
 use millrudder_protocol::store::ServiceCredit;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Pause between two tellings, unless a limit falls to a few or rises from there (ms).
 const EACH_MS: u64 = 100;
@@ -26,7 +27,8 @@
 /// What was told, and when.
 #[derive(Debug, Default)]
 pub(crate) struct Credits {
-    told: Vec<ServiceCredit>,
+    /// By service.
+    told: BTreeMap<String, u32>,
     told_at: u64,
     /// A change waits for the pause's end.
     waiting: bool,
@@ -45,38 +47,47 @@
     }
 }
 
+fn credit(limit: Limit<'_>) -> ServiceCredit {
+    ServiceCredit { service: limit.service.to_owned(), limit: limit.limit }
+}
+
 impl Credits {
-    /// What stores must be told now, if anything; `limits` in the same order each time.
+    /// What stores must be told now, if anything: the limits that are news.
     pub fn update<'a>(
         &mut self,
         now: u64,
         limits: impl Iterator<Item = Limit<'a>> + Clone,
     ) -> Option<Vec<ServiceCredit>> {
-        let change = self.change(limits.clone());
+        let change = limits.clone().map(|limit| self.change(limit)).max().unwrap_or(Change::None);
         self.waiting = change == Change::Small && now < self.told_at + EACH_MS;
         if change == Change::None || self.waiting {
             return None;
         }
         self.told_at = now;
-        let credit =
-            |limit: Limit<'a>| ServiceCredit { service: limit.service.to_owned(), limit: limit.limit };
-        self.told = limits.map(credit).collect();
-        Some(self.told.clone())
+        let news: Vec<Limit<'a>> =
+            limits.clone().filter(|limit| self.change(*limit) != Change::None).collect();
+        for limit in &news {
+            self.told.insert(limit.service.to_owned(), limit.limit);
+        }
+        self.forget_others(limits);
+        Some(news.into_iter().map(credit).collect())
     }
 
-    fn change<'a>(&self, limits: impl Iterator<Item = Limit<'a>> + Clone) -> Change {
-        let told = self.told.iter().map(|credit| credit.service.as_str());
-        if !told.eq(limits.clone().map(|limit| limit.service)) {
-            return Change::Urgent;
-        }
-        let pairs = self.told.iter().zip(limits);
-        let changes = pairs.map(|(told, limit)| change(told.limit, limit.limit));
-        changes.max().unwrap_or(Change::None)
+    fn change(&self, limit: Limit<'_>) -> Change {
+        self.told.get(limit.service).map_or(Change::Urgent, |told| change(*told, limit.limit))
+    }
+
+    /// Services that there are no more are told anew when they come back.
+    fn forget_others<'a>(&mut self, limits: impl Iterator<Item = Limit<'a>>) {
+        let services: BTreeSet<&str> = limits.map(|limit| limit.service).collect();
+        self.told.retain(|service, _| services.contains(service.as_str()));
     }
 
-    /// What stores were told last.
-    pub fn told(&self) -> &[ServiceCredit] {
-        &self.told
+    /// What stores were told last, of all services.
+    pub fn told(&self) -> Vec<ServiceCredit> {
+        let credit =
+            |(service, limit): (&String, &u32)| ServiceCredit { service: service.clone(), limit: *limit };
+        self.told.iter().map(credit).collect()
     }
 
     pub fn next_deadline(&self) -> Option<u64> {
--- a/system/delivery/src/delivery/mod.rs
+++ b/system/delivery/src/delivery/mod.rs
@@ -165,7 +165,7 @@
     }
 
     /// What stores were told last; for a store that connects.
-    pub fn credits(&self) -> &[ServiceCredit] {
+    pub fn credits(&self) -> Vec<ServiceCredit> {
         self.credits.told()
     }
 
--- a/system/node/src/edge/host.rs
+++ b/system/node/src/edge/host.rs
@@ -263,7 +263,7 @@
             in_doubt: self.intake.in_doubt(mine),
         };
         self.stores.send(store, hello);
-        let credits = self.delivery.credits().to_vec();
+        let credits = self.delivery.credits();
         self.stores.send(store, FromDispatcher::Credits { credits });
         if self.leaving {
             self.stores.send(store, FromDispatcher::Leaving);
--- a/system/protocol/src/store.rs
+++ b/system/protocol/src/store.rs
@@ -69,7 +69,8 @@
     CalledBack { id: MessageId, token: LeaseToken, done: bool, retry_after_ms: u32 },
     /// It lacks the body of a granted message.
     NeedBody { id: MessageId, token: LeaseToken },
-    /// How much it can take; replaces what it said before.
+    /// How much it can take, of the services for which that is news; limits of others stay. All of them follow each
+    /// `Hello`.
     Credits { credits: Vec<ServiceCredit> },
     /// What is known of a message. Answered with `State`.
     Query { request: RequestNumber, id: MessageId, body: bool },
--- a/system/queue/src/connections.rs
+++ b/system/queue/src/connections.rs
@@ -3,7 +3,6 @@
 use crate::api::{ConnectionId, Output};
 use crate::dispatchers::Hold;
 use crate::node::StoreNode;
-use crate::schedule::ServiceIndex;
 use crate::timers::Timer;
 use millrudder_protocol::store::{HeldLease, ServiceCredit, ToDispatcher};
 use millrudder_protocol::{DispatcherId, Epoch, LeaseToken, MessageId};
@@ -159,15 +158,13 @@
     /// How much a dispatcher can take; what it does not name has the limit that holds without.
     pub(crate) fn set_credits(&mut self, connection: ConnectionId, credits: &[ServiceCredit]) {
         let Some(dispatcher) = self.dispatchers.of(connection) else { return };
-        let limits: BTreeMap<ServiceIndex, u32> =
-            credits.iter().map(|credit| (self.service(&credit.service), credit.limit)).collect();
-        let Some(life) = self.dispatchers.get_mut(dispatcher) else { return };
-        let former = std::mem::replace(&mut life.limits, limits.clone());
-        let default = self.config.default_credit;
-        for index in former.keys().chain(limits.keys()) {
-            let limit = limits.get(index).copied().unwrap_or(default);
-            self.services.get_mut(*index).credits.set_limit(dispatcher, limit);
-            self.services.wanted.insert(*index);
+        for ServiceCredit { service, limit } in credits {
+            let index = self.service(service);
+            if let Some(life) = self.dispatchers.get_mut(dispatcher) {
+                life.limits.insert(index, *limit);
+            }
+            self.services.get_mut(index).credits.set_limit(dispatcher, *limit);
+            self.services.wanted.insert(index);
         }
     }
 
