Compress long frames between processes

Frames of 2 KB and more are compressed (DEFLATE, miniz_oxide) where that makes them shorter; what one unpacks to is bounded by what it says, and that by the longest message.

--- a/system/protocol/tests/frames.rs
+++ b/system/protocol/tests/frames.rs
@@ -1,9 +1,9 @@
 //! Names and frames: what goes out comes back, and nothing else is taken for a frame.
 
 use millrudder_protocol::frame::{
-    decode, encode, Content, FrameError, HEADER_BYTES, KEEP_ALIVE, MAX_CONTENT_BYTES,
+    self, decode, encode, Content, FrameError, HEADER_BYTES, KEEP_ALIVE, MAX_CONTENT_BYTES,
 };
-use millrudder_protocol::store::{FromDispatcher, ToDispatcher};
+use millrudder_protocol::store::{FromDispatcher, QueryAnswer, ToDispatcher};
 use millrudder_protocol::{Address, MessageId, RequestNumber, ShardId};
 use proptest::prelude::*;
 use speedy::{Readable, Writable};
@@ -86,3 +86,46 @@
         let _ = FromDispatcher::read_from_buffer(&bytes);
     }
 }
+
+fn long_text(bytes: usize) -> ToDispatcher {
+    let body = b"the same names over and over, ".iter().copied().cycle().take(bytes).collect();
+    ToDispatcher::State { request: RequestNumber(1), answer: QueryAnswer::Body { body } }
+}
+
+#[test]
+fn a_long_message_is_sent_shorter_and_reads_back() {
+    let message = long_text(40_000);
+    let mut bytes = Vec::new();
+    frame::encode(&message, &mut bytes).unwrap();
+    assert!(bytes.len() < 4_000, "{}", bytes.len());
+    let decoded = frame::decode::<ToDispatcher>(&bytes).unwrap().unwrap();
+    assert_eq!(decoded.consumed, bytes.len());
+    assert_eq!(decoded.content, Content::Message(message));
+}
+
+#[test]
+fn what_cannot_be_shortened_is_sent_as_it_is() {
+    let mut random = 1_u64;
+    let mut byte = || {
+        random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (random >> 33) as u8
+    };
+    let body: Vec<u8> = (0..5_000).map(|_| byte()).collect();
+    let message = ToDispatcher::State { request: RequestNumber(1), answer: QueryAnswer::Body { body } };
+    let mut bytes = Vec::new();
+    frame::encode(&message, &mut bytes).unwrap();
+    assert!(bytes.len() < 5_100);
+    let decoded = frame::decode::<ToDispatcher>(&bytes).unwrap().unwrap();
+    assert_eq!(decoded.content, Content::Message(message));
+}
+
+#[test]
+fn a_compressed_frame_never_unpacks_to_more_than_it_says() {
+    let mut bytes = Vec::new();
+    frame::encode(&long_text(40_000), &mut bytes).unwrap();
+    let raw_length = frame::HEADER_BYTES;
+    bytes[raw_length..raw_length + 4].copy_from_slice(&1_000_u32.to_le_bytes());
+    let checksum = (xxhash_rust::xxh3::xxh3_64(&bytes[raw_length..]) & u64::from(u32::MAX)) as u32;
+    bytes[4..8].copy_from_slice(&checksum.to_le_bytes());
+    assert_eq!(frame::decode::<ToDispatcher>(&bytes), Err(FrameError::Content));
+}
