Let few dispatchers speak with a receiver of call-backs, and take its resets for crowding

A receiver accepts 64 connections from all dispatchers together. 45 dispatchers opened up to two each, the receiver reset those beyond, and each reset counted as a failure: the dispatcher paused for up to 3.2 s, the store let one call-back at a time through.

Each receiver has home dispatchers now, four in a region, the same for all stores there by rendezvous hashing; the one that reported the end makes the call-back itself if it is one. A reset halves the number that may be out at the receiver and the call-back goes again after 50 ms; successes let it grow. Five resets in a row without an answer count as a failure, as a refused connection or silence did and do.

Ruled out: receivers that are slow (a call-back takes 25 ms), stores' limit (two to eight a store and receiver).

--- a/system/delivery/src/callbacks.rs
+++ b/system/delivery/src/callbacks.rs
@@ -1,26 +1,22 @@
-//! Call-backs that stores granted: sent to their receivers, a few at a time, each receiver with its own back-off.
+//! Call-backs that stores granted: sent to their receivers, as many at a time as each receiver takes.
 
 use crate::health::jittered;
 use crate::interface::{AttemptId, CallBackBody, CallBackResult, CallBackState, CallBackUrl};
+use crate::receiver::{Receiver, ResetSign};
 use crate::reports::LeaseKey;
 use fastrand::Rng;
 use millrudder_protocol::message::End;
 use millrudder_protocol::store::FromDispatcher;
 use millrudder_protocol::{Address, MessageId, StoreId};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Of one attempt (ms).
 pub(crate) const TIMEOUT_MS: u32 = 2000;
 /// So long after that the shell should have told its end (ms).
 const OVERDUE_MS: u64 = 1000;
-/// Attempts out at one receiver: it accepts few connections.
-const OUT_MOST: usize = 2;
 /// Call-backs that wait for one receiver here; stores keep the rest.
 const WAITING_MOST: usize = 32;
-/// Pause after the first failure in a row, doubled with each further one, and the longest (ms).
-const PAUSE_FIRST_MS: u64 = 200;
-const PAUSE_MOST_MS: u64 = 3200;
 /// A receiver that refuses one call-back (an answer other than 200) gets that one again after this (ms).
 const REFUSED_PAUSE_MS: u64 = 1000;
 /// Receivers of which something is remembered.
@@ -54,14 +50,6 @@
     Report { store: StoreId, key: LeaseKey, message: FromDispatcher },
 }
 
-#[derive(Debug, Default)]
-struct Receiver {
-    out: usize,
-    failures: u32,
-    closed_until: u64,
-    waiting: VecDeque<MessageId>,
-}
-
 struct Lease {
     granted: Granted,
     attempt: Option<AttemptId>,
@@ -95,10 +83,6 @@
     FromDispatcher::CalledBack { id: key.id, token: key.token, done, retry_after_ms }
 }
 
-fn pause(failures: u32) -> u64 {
-    (PAUSE_FIRST_MS << failures.saturating_sub(1).min(8)).min(PAUSE_MOST_MS)
-}
-
 impl CallBacks {
     pub fn new(seed: u64) -> Self {
         CallBacks {
@@ -148,9 +132,7 @@
     /// Receivers of which nothing is here and whose pause is over are forgotten when there are many.
     fn make_room(&mut self, now: u64) {
         if self.receivers.len() >= RECEIVERS_MOST {
-            self.receivers.retain(|_, receiver| {
-                receiver.out > 0 || !receiver.waiting.is_empty() || receiver.closed_until > now
-            });
+            self.receivers.retain(|_, receiver| !receiver.is_idle(now));
         }
     }
 
@@ -162,12 +144,10 @@
         out: &mut Vec<CallBackDecision>,
     ) {
         let Some(receiver) = self.receivers.get_mut(&address) else { return };
-        if now < receiver.closed_until {
-            return self.give_waiting_back(now, address, out);
+        if let Some(left) = receiver.closed_for(now) {
+            return self.give_waiting_back(left, address, out);
         }
-        // After a failure, one alone shows whether it is back.
-        let most = if receiver.failures > 0 { 1 } else { OUT_MOST };
-        while receiver.out < most {
+        while receiver.has_room(now) {
             let Some(id) = receiver.waiting.pop_front() else { return };
             let Some(lease) = self.leases.get_mut(&id) else { continue };
             let attempt = next_attempt();
@@ -179,9 +159,8 @@
         }
     }
 
-    fn give_waiting_back(&mut self, now: u64, address: Address, out: &mut Vec<CallBackDecision>) {
+    fn give_waiting_back(&mut self, left: u64, address: Address, out: &mut Vec<CallBackDecision>) {
         let Some(receiver) = self.receivers.get_mut(&address) else { return };
-        let left = receiver.closed_until.saturating_sub(now).max(1);
         for id in std::mem::take(&mut receiver.waiting) {
             let Some(lease) = self.leases.remove(&id) else { continue };
             give_back(&lease.granted, jittered(left, &mut self.dice), out);
@@ -204,18 +183,20 @@
         receiver.out = receiver.out.saturating_sub(1);
         match result {
             CallBackResult::Answer { status: ACCEPTED } => {
-                receiver.failures = 0;
+                receiver.on_taken();
                 let (store, key) = (lease.granted.store, lease.granted.key);
                 out.push(CallBackDecision::Report { store, key, message: report(key, true, 0) });
             }
             CallBackResult::Answer { status } if status < 500 => {
-                receiver.failures = 0;
+                receiver.on_answer();
                 give_back(&lease.granted, jittered(REFUSED_PAUSE_MS, &mut self.dice), out);
             }
-            CallBackResult::Answer { .. } | CallBackResult::Failed => {
-                receiver.failures = receiver.failures.saturating_add(1);
-                let wait = jittered(pause(receiver.failures), &mut self.dice);
-                receiver.closed_until = receiver.closed_until.max(now + u64::from(wait));
+            CallBackResult::Reset if receiver.on_reset(now, &mut self.dice) == ResetSign::Crowded => {
+                receiver.waiting.push_front(id);
+                self.leases.insert(id, Lease { attempt: None, ..lease });
+            }
+            CallBackResult::Answer { .. } | CallBackResult::Reset | CallBackResult::Failed => {
+                let wait = receiver.on_failure(now, &mut self.dice);
                 give_back(&lease.granted, wait, out);
             }
         }
@@ -241,6 +222,24 @@
         }
     }
 
+    /// Sends what waited for the end of a receiver's pause.
+    pub fn resume(
+        &mut self,
+        now: u64,
+        next_attempt: &mut impl FnMut() -> AttemptId,
+        out: &mut Vec<CallBackDecision>,
+    ) {
+        let mut resumed = Vec::new();
+        for (address, receiver) in &mut self.receivers {
+            if receiver.resume(now) {
+                resumed.push(*address);
+            }
+        }
+        for address in resumed {
+            self.send_waiting(now, address, next_attempt, out);
+        }
+    }
+
     /// Attempts of which the shell should have told the end.
     pub fn overdue(&self, now: u64) -> Vec<AttemptId> {
         let overdue = self.attempts.iter().filter(|(_, attempt)| now >= attempt.overdue);
@@ -248,7 +247,9 @@
     }
 
     pub fn next_deadline(&self) -> Option<u64> {
-        self.attempts.values().map(|attempt| attempt.overdue).min()
+        let overdue = self.attempts.values().map(|attempt| attempt.overdue);
+        let resumes = self.receivers.values().filter_map(Receiver::resumes_at);
+        overdue.chain(resumes).min()
     }
 }
 
--- a/system/delivery/src/delivery/calls.rs
+++ b/system/delivery/src/delivery/calls.rs
@@ -53,6 +53,14 @@
         self.carry_out_call_backs(now, decisions, out);
     }
 
+    /// Receivers whose pause is over get what waits for them.
+    pub(super) fn resume_call_backs(&mut self, now: u64, out: &mut Vec<Output>) {
+        let mut decisions = Vec::new();
+        let attempts = &mut self.attempts;
+        self.callbacks.resume(now, &mut || attempts.next(), &mut decisions);
+        self.carry_out_call_backs(now, decisions, out);
+    }
+
     pub(super) fn carry_out_call_backs(
         &mut self,
         now: u64,
--- a/system/delivery/src/delivery/mod.rs
+++ b/system/delivery/src/delivery/mod.rs
@@ -187,6 +187,7 @@
             out.push(Output::CancelAttempt { attempt: id });
             self.on_call_back_result(now, id, CallBackResult::Failed, out);
         }
+        self.resume_call_backs(now, out);
         let mut decisions = Vec::new();
         for state in self.services.values_mut() {
             if state.next_deadline().is_some_and(|due| due <= now) {
--- a/system/delivery/src/interface.rs
+++ b/system/delivery/src/interface.rs
@@ -118,7 +118,9 @@
     Answer {
         status: u16,
     },
-    /// No answer: no connection, a reset, silence.
+    /// The connection was closed without an answer, as by a receiver that has too many of them.
+    Reset,
+    /// No answer: no connection, silence, what is no answer.
     Failed,
 }
 
--- a/system/delivery/src/lib.rs
+++ b/system/delivery/src/lib.rs
@@ -69,6 +69,7 @@
 mod health;
 mod interface;
 mod outcome;
+mod receiver;
 mod reports;
 mod service;
 mod window;
--- a/system/delivery/tests/callbacks.rs
+++ b/system/delivery/tests/callbacks.rs
@@ -232,3 +232,71 @@
     fixture.input(Input::Revoke { store: STORE, id: id(2), token: LeaseToken(1) });
     assert_eq!(fixture.delivery.held(|_| true).len(), 2);
 }
+
+/// Gives five call-backs; those that are out.
+fn five(fixture: &mut Fixture) -> Vec<AttemptId> {
+    let mut out = Vec::new();
+    for unique in 0..5 {
+        grant(fixture, unique, 1, completed(), URL);
+        out.extend(sends(&fixture.out));
+    }
+    out
+}
+
+#[test]
+fn a_reset_is_no_failure_and_the_same_call_back_goes_again_soon() {
+    let mut fixture = Fixture::new(1);
+    grant(&mut fixture, 1, 1, completed(), URL);
+    let attempt = sends(&fixture.out)[0];
+    end(&mut fixture, attempt, CallBackResult::Reset);
+    assert!(called_back(&fixture.out).is_empty(), "its store is not troubled");
+    assert!(sends(&fixture.out).is_empty(), "not at once");
+    assert_eq!(sends(&fixture.pass(100)).len(), 1);
+}
+
+#[test]
+fn resets_leave_fewer_out_at_a_time_and_successes_more() {
+    let mut fixture = Fixture::new(1);
+    let out = five(&mut fixture);
+    end(&mut fixture, out[0], CallBackResult::Reset);
+    end(&mut fixture, out[1], CallBackResult::Reset);
+    let again = sends(&fixture.pass(200));
+    assert_eq!(again.len(), 1);
+    let mut out = again;
+    for unique in 10..40 {
+        grant(&mut fixture, unique, 1, completed(), URL);
+        out.extend(sends(&fixture.out));
+    }
+    let mut most = 0;
+    while let Some(attempt) = out.pop() {
+        end(&mut fixture, attempt, TAKEN);
+        out.extend(sends(&fixture.out));
+        most = most.max(out.len());
+    }
+    assert!(most > 3, "{most}");
+}
+
+#[test]
+fn a_receiver_that_only_resets_counts_as_down() {
+    let mut fixture = Fixture::new(1);
+    grant(&mut fixture, 1, 1, completed(), URL);
+    let mut attempts = sends(&fixture.out);
+    for _ in 0..5 {
+        assert!(called_back(&fixture.out).is_empty());
+        end(&mut fixture, attempts[0], CallBackResult::Reset);
+        if !called_back(&fixture.out).is_empty() {
+            return;
+        }
+        attempts = sends(&fixture.pass(1000));
+    }
+    panic!("never given back");
+}
+
+#[test]
+fn what_waits_for_a_pause_is_given_back_by_one_that_leaves() {
+    let mut fixture = Fixture::new(1);
+    let out = five(&mut fixture);
+    end(&mut fixture, out[0], CallBackResult::Reset);
+    fixture.input(Input::Leaving);
+    assert_eq!(called_back(&fixture.out).len(), 4);
+}
--- a/system/node/src/edge/calls.rs
+++ b/system/node/src/edge/calls.rs
@@ -20,7 +20,7 @@
 use tokio::task::AbortHandle;
 
 /// Connections to one receiver of call-backs: they accept few, from all dispatchers together.
-const RECEIVER_CONNECTIONS: usize = 2;
+const RECEIVER_CONNECTIONS: usize = 16;
 
 /// Carries calls out and reports how they ended.
 pub struct Calls {
@@ -72,6 +72,7 @@
             let timeout = Duration::from_millis(timeout_ms.into());
             let result = match client.post_json(target, path, body, timeout).await {
                 Ok(status) => CallBackResult::Answer { status: status.as_u16() },
+                Err(SendError::Reset | SendError::ResetBeforeSent) => CallBackResult::Reset,
                 Err(_) => CallBackResult::Failed,
             };
             drop(events.send(Event::CalledBack { attempt, result }));
--- a/system/queue/src/callback_flow.rs
+++ b/system/queue/src/callback_flow.rs
@@ -1,7 +1,7 @@
 //! Call-backs that ends owe: granted to dispatchers few at a time, repeated until one was taken.
 
 use crate::api::ConnectionId;
-use crate::callbacks::CallbackLease;
+use crate::callbacks::{receiver_of, CallbackLease};
 use crate::lead::Effect;
 use crate::node::StoreNode;
 use crate::timers::Timer;
@@ -49,16 +49,18 @@
         true
     }
 
-    /// The dispatcher that reported the end; else of the nearest the one with the fewest call-backs.
+    /// One of the receiver's home dispatchers: the one that reported the end if it is one, else the one with the fewest
+    /// call-backs.
     fn callback_dispatcher(&self, id: MessageId) -> Option<DispatcherId> {
-        let reporter = self.table.get(id)?.lead.as_ref()?.reporter;
-        let is_open =
-            |dispatcher: &DispatcherId| self.dispatchers.get(*dispatcher).is_some_and(|life| life.is_open());
-        if let Some(reporter) = reporter.filter(is_open) {
+        let entry = self.table.get(id)?;
+        let url = entry.message.as_ref()?.callback_url.as_deref()?;
+        let reporter = entry.lead.as_ref()?.reporter;
+        let homes = self.dispatchers.homes(receiver_of(url));
+        if let Some(reporter) = reporter.filter(|reporter| homes.contains(reporter)) {
             return Some(reporter);
         }
-        let open = self.dispatchers.iter().filter(|(_, life)| life.is_open());
-        open.min_by_key(|(_, life)| (life.distance, life.callbacks.len())).map(|(dispatcher, _)| dispatcher)
+        let callbacks = |home: &DispatcherId| self.dispatchers.get(*home).map(|life| life.callbacks.len());
+        homes.into_iter().min_by_key(callbacks)
     }
 
     fn send_callback(
--- a/system/queue/src/callbacks.rs
+++ b/system/queue/src/callbacks.rs
@@ -45,7 +45,7 @@
 }
 
 /// Part of a URL that names its receiver.
-fn receiver_of(url: &str) -> &str {
+pub(crate) fn receiver_of(url: &str) -> &str {
     let after_scheme = url.split_once("://").map_or(url, |(_, rest)| rest);
     after_scheme.split(['/', '?', '#']).next().unwrap_or(after_scheme)
 }
--- a/system/queue/tests/call_backs.rs
+++ b/system/queue/tests/call_backs.rs
@@ -212,3 +212,57 @@
     advance_alive(&mut wired, 15_000);
     assert!(take_calls(&mut wired).is_empty());
 }
+
+/// One store with as many dispatchers of its zone; each message succeeds at dispatcher 1.
+fn with_dispatchers(count: u64) -> Wired {
+    let mut wired = Wired::new(1, 0);
+    for dispatcher in 1..=count {
+        wired.hello(0, dispatcher, dispatcher, "zone-0", Vec::new());
+    }
+    wired
+}
+
+fn callers(wired: &mut Wired, receiver: &str, call_backs: usize) -> std::collections::BTreeSet<u64> {
+    let mut callers = std::collections::BTreeSet::new();
+    for _ in 0..call_backs {
+        complete(wired, owing(receiver));
+        for call in take_calls(wired) {
+            callers.insert(call.connection.0);
+            report(wired, &call, true);
+        }
+    }
+    callers
+}
+
+#[test]
+fn few_dispatchers_speak_with_one_receiver() {
+    let mut wired = with_dispatchers(30);
+    let callers = callers(&mut wired, "r", 40);
+    assert!(callers.len() <= 4, "{callers:?}");
+}
+
+#[test]
+fn other_receivers_have_other_home_dispatchers() {
+    let mut wired = with_dispatchers(30);
+    let all: std::collections::BTreeSet<u64> =
+        (0..20).flat_map(|number| callers(&mut wired, &format!("r-{number}"), 8)).collect();
+    assert!(all.len() > 8, "{all:?}");
+}
+
+#[test]
+fn in_a_small_fleet_the_one_that_reported_the_end_calls_back() {
+    let mut wired = with_dispatchers(3);
+    assert_eq!(callers(&mut wired, "r", 10), [1].into());
+}
+
+#[test]
+fn when_home_dispatchers_leave_others_call_back() {
+    let mut wired = with_dispatchers(12);
+    let before = callers(&mut wired, "r", 20);
+    for gone in before.iter().filter(|gone| **gone != 1) {
+        wired.say(0, *gone, FromDispatcher::Leaving);
+    }
+    let after = callers(&mut wired, "r", 20);
+    assert!(!after.is_empty());
+    assert!(after.iter().all(|caller| *caller == 1 || !before.contains(caller)), "{after:?}");
+}
