Grant what one shard binds to few dispatchers of its region

Ordered messages, and those of a service with a ceiling, were run by whichever dispatcher had accepted them. A reset attempt waits for its back-off of 250 ms and more, and holds up its key: after a loss of power nearly all calib-const messages were late for 18 s, though their workers had room. Each step of a key also went to a dispatcher in another region and back.

Each service has home dispatchers now, four in a region, chosen as a receiver's are; the acceptor keeps the message if it is one, and others get it where the homes have no room. A message that is granted to a home as it is accepted is delivered with the record that keeps it. Messages without order stay with who accepts them.

Ruled out: the workers' speed (24 slots for 10 messages at a time), credits (16 places a dispatcher).

--- a/system/queue/src/accept.rs
+++ b/system/queue/src/accept.rs
@@ -47,8 +47,12 @@
         }
         self.changed_whole(id);
         self.when_durable(id, Effect::Accepted { connection, request });
-        if self.lease_of(id).is_none() {
-            self.when_durable(id, Effect::Kept);
+        match self.lease_of(id) {
+            None => self.when_durable(id, Effect::Kept),
+            Some(lease) if lease.dispatcher != dispatcher => {
+                self.when_durable(id, Effect::Deliver { token: lease.token });
+            }
+            Some(_) => {}
         }
         self.set_expiry(id);
     }
--- a/system/queue/src/callback_flow.rs
+++ b/system/queue/src/callback_flow.rs
@@ -55,7 +55,7 @@
         let entry = self.table.get(id)?;
         let url = entry.message.as_ref()?.callback_url.as_deref()?;
         let reporter = entry.lead.as_ref()?.reporter;
-        let homes = self.dispatchers.homes(receiver_of(url));
+        let homes = self.dispatchers.homes(receiver_of(url), self.config.homes_per_receiver);
         if let Some(reporter) = reporter.filter(|reporter| homes.contains(reporter)) {
             return Some(reporter);
         }
--- a/system/queue/src/config.rs
+++ b/system/queue/src/config.rs
@@ -25,6 +25,12 @@
     pub default_credit: u32,
     /// Age up to which the dispatcher that accepted a message is trusted to have its body still.
     pub body_kept_ms: u64,
+    /// Dispatchers of a region that speak with one receiver of call-backs: it accepts few connections, and each of them
+    /// keeps its own.
+    pub homes_per_receiver: usize,
+    /// Dispatchers of a region that get the messages of one service which only one shard's primary grants: its workers
+    /// accept few connections.
+    pub homes_per_service: usize,
     /// Call-backs under way to one receiver, at first and at the most.
     pub callbacks_per_receiver: u32,
     pub max_callbacks_per_receiver: u32,
@@ -68,6 +74,8 @@
             silence_ms: 3_000,
             default_credit: 16,
             body_kept_ms: 10_000,
+            homes_per_receiver: 4,
+            homes_per_service: 4,
             callbacks_per_receiver: 2,
             max_callbacks_per_receiver: 8,
             backoff_ms: 250,
--- a/system/queue/src/credits.rs
+++ b/system/queue/src/credits.rs
@@ -91,8 +91,12 @@
         }
     }
 
+    pub fn free(&self, dispatcher: DispatcherId) -> u32 {
+        self.dispatchers.get(&dispatcher).map_or(0, Credit::free)
+    }
+
     pub fn has_free(&self, dispatcher: DispatcherId) -> bool {
-        self.dispatchers.get(&dispatcher).is_some_and(|credit| credit.free() > 0)
+        self.free(dispatcher) > 0
     }
 
     /// Of the nearest that have free credit the one with the most; `other` only if there is no other.
--- a/system/queue/src/dispatchers.rs
+++ b/system/queue/src/dispatchers.rs
@@ -8,10 +8,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Dispatchers of a region that speak with one receiver of call-backs: it accepts few connections, and each of them
-/// keeps its own.
-const HOMES: usize = 4;
-
 /// Whether a dispatcher is known to hold a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Hold {
@@ -109,19 +105,19 @@
         self.lives.iter().map(|(dispatcher, life)| (*dispatcher, life))
     }
 
-    /// Those of the store's region, or of all if it has none, that speak with a receiver: the first by a hash of both
+    /// The `count` dispatchers of the store's region, or of all if it has none, that speak with a receiver or a service: the first by a hash of both
     /// names (rendezvous hashing), so that all stores of a region choose the same without a word, and a dispatcher that
     /// comes or goes changes little.
-    pub fn homes(&self, receiver: &str) -> Vec<DispatcherId> {
+    pub fn homes(&self, name: &str, count: usize) -> Vec<DispatcherId> {
         let open = || self.iter().filter(|(_, life)| life.is_open());
         let is_far = |life: &Life| life.distance == Distance::OtherRegion;
         let all_far = open().all(|(_, life)| is_far(life));
         let near = open().filter(|(_, life)| all_far || !is_far(life));
         let mut ranked: Vec<(u64, DispatcherId)> = near
-            .map(|(dispatcher, _)| (xxh3_64_with_seed(receiver.as_bytes(), dispatcher.0), dispatcher))
+            .map(|(dispatcher, _)| (xxh3_64_with_seed(name.as_bytes(), dispatcher.0), dispatcher))
             .collect();
         ranked.sort_unstable();
-        ranked.truncate(HOMES);
+        ranked.truncate(count);
         ranked.into_iter().map(|(_, dispatcher)| dispatcher).collect()
     }
 
--- a/system/queue/src/grants.rs
+++ b/system/queue/src/grants.rs
@@ -153,9 +153,9 @@
         let acceptor = lead.and_then(|lead| lead.accepted_by).map(|acceptor| acceptor.dispatcher);
         let acceptor = acceptor.filter(|dispatcher| Some(*dispatcher) != given_back_by);
         let preferred = acceptor.filter(|dispatcher| service.credits.has_free(*dispatcher));
-        let Some(dispatcher) = preferred.or_else(|| service.credits.best_but(given_back_by)) else {
-            return false;
-        };
+        let home = self.home_for(key.id, index, acceptor, given_back_by);
+        let others = || self.services.get(index).credits.best_but(given_back_by);
+        let Some(dispatcher) = home.or(preferred).or_else(others) else { return false };
         if !self.take_permit(index) {
             return false;
         }
@@ -172,6 +172,32 @@
         true
     }
 
+    /// The dispatcher that a message should go to which only this shard's primary grants: one of its service's home
+    /// dispatchers with room, the acceptor if it is one. So few of them keep connections to a worker that accepts few, and
+    /// the next message of a key waits for no far dispatcher. `None` where any may have it, or none has room.
+    fn home_for(
+        &self,
+        id: MessageId,
+        index: ServiceIndex,
+        acceptor: Option<DispatcherId>,
+        given_back_by: Option<DispatcherId>,
+    ) -> Option<DispatcherId> {
+        let message = self.table.get(id)?.message.as_ref()?;
+        let service = self.services.get(index);
+        if message.order_key.is_none() && service.ceiling.is_none() {
+            return None;
+        }
+        let has_room = |home: &DispatcherId| Some(*home) != given_back_by && service.credits.has_free(*home);
+        let homes: Vec<DispatcherId> = self
+            .dispatchers
+            .homes(&message.service, self.config.homes_per_service)
+            .into_iter()
+            .filter(has_room)
+            .collect();
+        let own = acceptor.filter(|acceptor| homes.contains(acceptor));
+        own.or_else(|| homes.into_iter().max_by_key(|home| service.credits.free(*home)))
+    }
+
     pub(crate) fn token(&mut self, id: MessageId) -> Option<LeaseToken> {
         self.reigns.get_mut(&id.shard).map(|reign| reign.token())
     }
@@ -202,27 +228,30 @@
         self.services.wanted.insert(index);
     }
 
-    /// Grants a message to the dispatcher that sends it to be accepted, if nothing speaks against it.
+    /// Grants a message to the dispatcher that sends it to be accepted, or to a home dispatcher of its service, if nothing
+    /// speaks against it.
     pub(crate) fn grant_at_accept(&mut self, id: MessageId, dispatcher: DispatcherId) {
         let Some(entry) = self.table.get(id) else { return };
         let is_due = entry.due() <= self.now;
         let Some(message) = entry.message.as_ref().filter(|_| is_due) else { return };
         let (name, key) = (message.service.clone(), message.order_key.clone());
+        let is_ordered = key.is_some();
         if key.is_some_and(|key| !self.keys.activate(&key, id)) {
             return;
         }
         let index = self.service(&name);
         let service = self.services.get(index);
-        // Without a ceiling the one that accepts it delivers it, also beyond its credit: it has the body, and a
-        // dispatcher that finds this store slow withdraws the message without anybody else having run it.
-        let may_deliver = if service.ceiling.is_some() {
-            service.ready.is_empty() && service.credits.has_free(dispatcher)
-        } else {
-            service.credits.is_open(dispatcher)
+        // Where any shard may take it, the one that accepts it delivers it, also beyond its credit: it has the body, and
+        // a dispatcher that finds this store slow withdraws the message without anybody else having run it.
+        let is_bound = service.ceiling.is_some() || is_ordered;
+        let dispatcher = match is_bound {
+            false => Some(dispatcher).filter(|dispatcher| service.credits.is_open(*dispatcher)),
+            true if !service.ready.is_empty() => None,
+            true => self
+                .home_for(id, index, Some(dispatcher), None)
+                .or_else(|| Some(dispatcher).filter(|dispatcher| service.credits.has_free(*dispatcher))),
         };
-        if !may_deliver || !self.take_permit(index) {
-            return;
-        }
+        let Some(dispatcher) = dispatcher.filter(|_| self.take_permit(index)) else { return };
         let Some(token) = self.token(id) else { return };
         self.take_lease(id, Lease { dispatcher, token, told: false, granted_at: self.now }, Hold::Confirmed);
         if let Some(entry) = self.table.get_mut(id) {
