--- a/system/node/src/cli.rs
+++ b/system/node/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use crate::error::UsageError;
+use crate::mechanisms::Mechanisms;
 use lexopt::prelude::*;
 use std::ffi::OsString;
 use std::path::PathBuf;
@@ -16,6 +17,8 @@
   core      keep the configuration, the placement of shards and the list of workers
   check     read and check the settings, then exit
 
+  --without NAME   switch a mechanism off, for a trial; may be repeated
+                   (regions, receiver-homes, service-homes)
   --settings FILE  settings of this process; else MILLRUDDER_SETTINGS names the file
   --version        print the version
   --help           print this
@@ -36,7 +39,7 @@
     Help,
     Version,
     Check { settings: Option<PathBuf> },
-    Serve { role: Role, settings: Option<PathBuf> },
+    Serve { role: Role, settings: Option<PathBuf>, mechanisms: Mechanisms },
 }
 
 enum Verb {
@@ -52,10 +55,12 @@
     let mut parser = lexopt::Parser::from_iter(arguments);
     let mut settings = None;
     let mut verb = None;
+    let mut mechanisms = Mechanisms::default();
     while let Some(argument) = parser.next()? {
         match argument {
             Short('h') | Long("help") => return Ok(Command::Help),
             Short('V') | Long("version") => return Ok(Command::Version),
+            Long("without") => mechanisms = mechanisms.without(&parser.value()?.to_string_lossy())?,
             Long("settings") => settings = Some(PathBuf::from(parser.value()?)),
             Value(word) if verb.is_none() => verb = Some(verb_of(&word)?),
             other => return Err(other.unexpected().into()),
@@ -63,7 +68,7 @@
     }
     match verb {
         Some(Verb::Check) => Ok(Command::Check { settings }),
-        Some(Verb::Serve(role)) => Ok(Command::Serve { role, settings }),
+        Some(Verb::Serve(role)) => Ok(Command::Serve { role, settings, mechanisms }),
         None => Err(UsageError::NoCommand),
     }
 }
--- a/system/node/src/error.rs
+++ b/system/node/src/error.rs
@@ -1,5 +1,6 @@
 //! Why a process does not start or does not go on.
 
+use crate::mechanisms::UnknownMechanism;
 use miette::Diagnostic;
 use millrudder_settings::SettingsError;
 use std::io;
@@ -16,6 +17,9 @@
     #[diagnostic(help("one of edge, storage, core, check; see --help"))]
     UnknownCommand { word: String },
     #[error(transparent)]
+    #[diagnostic(help("see --help"))]
+    Mechanism(#[from] UnknownMechanism),
+    #[error(transparent)]
     Argument(#[from] lexopt::Error),
 }
 
--- a/system/node/src/main.rs
+++ b/system/node/src/main.rs
@@ -10,6 +10,7 @@
 mod listen;
 mod locate;
 mod logging;
+mod mechanisms;
 mod place;
 mod role;
 mod signals;
@@ -46,9 +47,9 @@
             println!("{}: settings can be used", checked.node_name);
             Ok(())
         }
-        cli::Command::Serve { role, settings } => {
+        cli::Command::Serve { role, settings, mechanisms } => {
             logging::start();
-            role::serve(role, settings)
+            role::serve(role, settings, mechanisms)
         }
     }
 }
--- a/system/node/src/role.rs
+++ b/system/node/src/role.rs
@@ -2,6 +2,7 @@
 
 use crate::cli::Role;
 use crate::error::RoleError;
+use crate::mechanisms::Mechanisms;
 use crate::{core, edge, storage};
 use millrudder_settings::{Settings, VARIABLE};
 use std::path::{Path, PathBuf};
@@ -26,17 +27,18 @@
 ///
 /// # Errors
 /// The process cannot start, or cannot go on.
-pub fn serve(role: Role, file: Option<PathBuf>) -> miette::Result<()> {
+pub fn serve(role: Role, file: Option<PathBuf>, mechanisms: Mechanisms) -> miette::Result<()> {
     let file = settings_file(file.as_deref())?;
-    let settings = load_settings(Some(&file))?;
+    let mut settings = load_settings(Some(&file))?;
+    mechanisms.apply(&mut settings);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(RoleError::Runtime)?;
     let local = LocalSet::new();
-    log::info!("{} starts as {role:?}", settings.node_name);
+    log::info!("{} starts as {role:?}, {mechanisms}", settings.node_name);
     local.block_on(&runtime, async {
         match role {
             Role::Edge => edge::run(settings, file).await,
-            Role::Storage => storage::run(settings, file).await,
+            Role::Storage => storage::run(settings, file, mechanisms).await,
             Role::Core => core::run(settings, file).await,
         }
     })?;
--- a/system/node/src/storage/host.rs
+++ b/system/node/src/storage/host.rs
@@ -3,6 +3,7 @@
 use crate::clock::SteadyClock;
 use crate::control_link::{report_freshness, ControlLink, Held};
 use crate::error::RoleError;
+use crate::mechanisms::Mechanisms;
 use crate::storage::disk::{Disk, Opened, Report};
 use crate::storage::filled::Filled;
 use crate::storage::links::StoreLinks;
@@ -93,6 +94,7 @@
     pub fn new(
         mut opened: Opened,
         settings: &Settings,
+        mechanisms: Mechanisms,
         internal: SocketAddr,
         events: UnboundedSender<Event>,
         reports: UnboundedSender<Report>,
@@ -103,7 +105,7 @@
         let clock = SteadyClock::start();
         let records = std::mem::take(&mut opened.records);
         let zone = settings.zone.to_string();
-        let config = config(settings, seed);
+        let config = config(settings, mechanisms, seed);
         let full_retry_after_ms = config.full_retry_after_ms;
         let node = StoreNode::new(config, me, crate::place::location(settings), 0, records.into_iter());
         let registrant = Registrant::Store {
@@ -386,15 +388,26 @@
     u32::try_from(placement.shards.iter().filter(leaves).count()).unwrap_or(u32::MAX)
 }
 
-fn config(settings: &Settings, seed: u64) -> Config {
+fn config(settings: &Settings, mechanisms: Mechanisms, seed: u64) -> Config {
     let memory = settings.limits.memory_bytes as f64 * MEMORY_SHARE;
     let disk = settings.limits.disk_bytes as f64 * DISK_SHARE;
+    let defaults = Config::default();
     Config {
         memory_bytes: memory as u64,
         disk_bytes: disk as u64,
         status_ttl_ms: settings.bounds.status_ttl.as_millis() as u64,
         seed,
-        ..Config::default()
+        homes_per_receiver: homes(mechanisms.receiver_homes, defaults.homes_per_receiver),
+        homes_per_service: homes(mechanisms.service_homes, defaults.homes_per_service),
+        ..defaults
+    }
+}
+
+/// Without the mechanism every dispatcher is a home.
+fn homes(is_on: bool, homes: usize) -> usize {
+    match is_on {
+        true => homes,
+        false => usize::MAX,
     }
 }
 
--- a/system/node/src/storage/mod.rs
+++ b/system/node/src/storage/mod.rs
@@ -8,6 +8,7 @@
 use crate::clock;
 use crate::error::RoleError;
 use crate::listen::{internal_address, listen, InternalPort};
+use crate::mechanisms::Mechanisms;
 use crate::signals::{Notice, Signals};
 use host::{Event, StoreHost};
 use millrudder_protocol::store::ToStore;
@@ -38,7 +39,7 @@
 ///
 /// # Errors
 /// It cannot start.
-pub async fn run(settings: Settings, file: PathBuf) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, file: PathBuf, mechanisms: Mechanisms) -> Result<(), RoleError> {
     let folder = settings.data_dir.clone().ok_or(RoleError::MissingKey { key: "dataDir" })?;
     let internal = internal_address(&settings, InternalPort::Storage);
     let mut signals = Signals::new()?;
@@ -47,7 +48,14 @@
     accept(listen(internal)?, events.clone());
     let grace = settings.bounds.grace;
     let needed = Rc::new(Cell::new(u32::MAX));
-    let machine = Machine { settings, folder, internal, events: events.clone(), needed: Rc::clone(&needed) };
+    let machine = Machine {
+        settings,
+        mechanisms,
+        folder,
+        internal,
+        events: events.clone(),
+        needed: Rc::clone(&needed),
+    };
 
     let watched = async {
         loop {
@@ -79,6 +87,7 @@
 /// What stays the same while the disk is opened anew after a failure.
 struct Machine {
     settings: Settings,
+    mechanisms: Mechanisms,
     folder: PathBuf,
     internal: SocketAddr,
     events: UnboundedSender<Event>,
@@ -93,8 +102,15 @@
         loop {
             let (reports, mut reported) = unbounded_channel();
             let needed = Rc::clone(&self.needed);
-            let mut host =
-                StoreHost::new(opened, &self.settings, self.internal, self.events.clone(), reports, needed);
+            let mut host = StoreHost::new(
+                opened,
+                &self.settings,
+                self.mechanisms,
+                self.internal,
+                self.events.clone(),
+                reports,
+                needed,
+            );
             let ended = host.run(&mut queue, &mut reported).await;
             host.disconnect();
             drop(host);
--- a/system/node/tests/system/command_line.rs
+++ b/system/node/tests/system/command_line.rs
@@ -40,7 +40,7 @@
 fn help_and_version_are_told() {
     let help = run(&["--help"], None);
     assert!(help.status.success());
-    for word in ["edge", "storage", "core", "check", "--settings", "MILLRUDDER_SETTINGS"] {
+    for word in ["edge", "storage", "core", "check", "--settings", "--without", "MILLRUDDER_SETTINGS"] {
         assert!(stdout(&help).contains(word), "--help says nothing of {word}");
     }
     let version = run(&["--version"], None);
@@ -56,6 +56,7 @@
         (&["edge", "core"][..], "core"),
         (&["--loud", "edge"][..], "--loud"),
         (&["check", "--settings"][..], "--settings"),
+        (&["--without", "luck", "edge"][..], "luck"),
     ] {
         let output = run(arguments, None);
         assert_eq!(output.status.code(), Some(CANNOT_SERVE), "{arguments:?}");
