--- a/system/node/src/edge/host.rs
+++ b/system/node/src/edge/host.rs
@@ -111,7 +111,7 @@
             clock,
             standstill: StandstillWatch::new(clock.millis(), clock::time_of_day_ms()),
             me: DispatcherId(seed),
-            intake: Intake::new(zone.clone(), seed),
+            intake: Intake::new(crate::place::location(settings), seed),
             delivery: Delivery::new(configuration),
             stores: StoreLinks::new(events.clone()),
             control: ControlLink::start(clock, CORE_LINKS, registrant, settings.seeds.clone(), seed, deliver),
@@ -263,7 +263,7 @@
             in_doubt: self.intake.in_doubt(mine),
         };
         self.stores.send(store, hello);
-        let credits = self.delivery.credits().to_vec();
+        let credits = self.delivery.credits();
         self.stores.send(store, FromDispatcher::Credits { credits });
         if self.leaving {
             self.stores.send(store, FromDispatcher::Leaving);
--- a/system/queue/src/connections.rs
+++ b/system/queue/src/connections.rs
@@ -3,7 +3,6 @@
 use crate::api::{ConnectionId, Output};
 use crate::dispatchers::Hold;
 use crate::node::StoreNode;
-use crate::schedule::ServiceIndex;
 use crate::timers::Timer;
 use millrudder_protocol::store::{HeldLease, ServiceCredit, ToDispatcher};
 use millrudder_protocol::{DispatcherId, Epoch, LeaseToken, MessageId};
@@ -27,11 +26,11 @@
         if let Some(former) = former.filter(|former| *former != connection) {
             self.close_dispatcher(former);
         }
-        let near = zone == self.zone;
+        let distance = self.location.distance_to(zone);
         let held: BTreeMap<MessageId, LeaseToken> =
             held.iter().map(|lease| (lease.id, lease.token)).collect();
         let life = self.dispatchers.connect(connection, dispatcher, self.now);
-        life.near = near;
+        life.distance = distance;
         life.epoch = epoch;
         life.held = held;
         life.in_doubt = in_doubt.into_iter().collect();
@@ -49,7 +48,7 @@
         let Some(life) = self.dispatchers.get(dispatcher).filter(|life| life.is_open()) else { return };
         for index in self.services.indexes() {
             let limit = life.limits.get(&index).copied().unwrap_or(self.config.default_credit);
-            self.services.get_mut(index).credits.open(dispatcher, limit, life.near);
+            self.services.get_mut(index).credits.open(dispatcher, limit, life.distance);
             self.services.wanted.insert(index);
         }
     }
@@ -159,15 +158,13 @@
     /// How much a dispatcher can take; what it does not name has the limit that holds without.
     pub(crate) fn set_credits(&mut self, connection: ConnectionId, credits: &[ServiceCredit]) {
         let Some(dispatcher) = self.dispatchers.of(connection) else { return };
-        let limits: BTreeMap<ServiceIndex, u32> =
-            credits.iter().map(|credit| (self.service(&credit.service), credit.limit)).collect();
-        let Some(life) = self.dispatchers.get_mut(dispatcher) else { return };
-        let former = std::mem::replace(&mut life.limits, limits.clone());
-        let default = self.config.default_credit;
-        for index in former.keys().chain(limits.keys()) {
-            let limit = limits.get(index).copied().unwrap_or(default);
-            self.services.get_mut(*index).credits.set_limit(dispatcher, limit);
-            self.services.wanted.insert(*index);
+        for ServiceCredit { service, limit } in credits {
+            let index = self.service(service);
+            if let Some(life) = self.dispatchers.get_mut(dispatcher) {
+                life.limits.insert(index, *limit);
+            }
+            self.services.get_mut(index).credits.set_limit(dispatcher, *limit);
+            self.services.wanted.insert(index);
         }
     }
 
--- a/system/queue/src/dispatchers.rs
+++ b/system/queue/src/dispatchers.rs
@@ -4,7 +4,9 @@
 use crate::schedule::ServiceIndex;
 use crate::time::Time;
 use millrudder_protocol::{DispatcherId, Epoch, LeaseToken, MessageId};
+use millrudder_topology::Distance;
 use std::collections::{BTreeMap, BTreeSet};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Whether a dispatcher is known to hold a lease.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,8 +29,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Life {
     pub connection: Option<ConnectionId>,
-    /// It is in this store's zone.
-    pub near: bool,
+    /// From this store.
+    pub distance: Distance,
     /// It stops; nothing more is granted to it.
     pub leaving: bool,
     pub heard_at: Time,
@@ -47,7 +49,7 @@
     fn new(now: Time) -> Self {
         Life {
             connection: None,
-            near: false,
+            distance: Distance::default(),
             leaving: false,
             heard_at: now,
             epoch: Epoch::default(),
@@ -103,6 +105,22 @@
         self.lives.iter().map(|(dispatcher, life)| (*dispatcher, life))
     }
 
+    /// The `count` dispatchers of the store's region, or of all if it has none, that speak with a receiver or a service: the first by a hash of both
+    /// names (rendezvous hashing), so that all stores of a region choose the same without a word, and a dispatcher that
+    /// comes or goes changes little.
+    pub fn homes(&self, name: &str, count: usize) -> Vec<DispatcherId> {
+        let open = || self.iter().filter(|(_, life)| life.is_open());
+        let is_far = |life: &Life| life.distance == Distance::OtherRegion;
+        let all_far = open().all(|(_, life)| is_far(life));
+        let near = open().filter(|(_, life)| all_far || !is_far(life));
+        let mut ranked: Vec<(u64, DispatcherId)> = near
+            .map(|(dispatcher, _)| (xxh3_64_with_seed(name.as_bytes(), dispatcher.0), dispatcher))
+            .collect();
+        ranked.sort_unstable();
+        ranked.truncate(count);
+        ranked.into_iter().map(|(_, dispatcher)| dispatcher).collect()
+    }
+
     pub fn connection_of(&self, dispatcher: DispatcherId) -> Option<ConnectionId> {
         self.lives.get(&dispatcher)?.connection
     }
