Test writes and grants where there are regions

The nearest followers are written to, a far one helps while a near one is away and is left again, ordered messages are granted in the region of their home.

--- a/system/queue/tests/replicas/main.rs
+++ b/system/queue/tests/replicas/main.rs
@@ -2,6 +2,7 @@
 //! leaves.
 
 mod membership;
+mod regions;
 mod support;
 mod takeovers;
 #[path = "../wired/mod.rs"]
--- a/system/queue/tests/wired/mod.rs
+++ b/system/queue/tests/wired/mod.rs
@@ -15,6 +15,7 @@
 use millrudder_queue::{
     Config, ConnectionId, DiskRecord, Input, Output, Recovered, StoreNode, StrayCause, Ticket,
 };
+use millrudder_topology::{Location, Topology};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 
@@ -58,6 +59,7 @@
 pub struct Wired {
     pub now_ms: u64,
     pub config: Config,
+    topology: Topology,
     pub places: Vec<Place>,
     pub placement: Placement,
     /// Since the last look.
@@ -102,6 +104,17 @@
     }
 
     pub fn with(stores: usize, tolerated_losses: u32, config: Config) -> Self {
+        Wired::with_topology(stores, tolerated_losses, config, Topology::default())
+    }
+
+    /// A store in each zone; the zones' regions in their order.
+    pub fn in_regions(tolerated_losses: u32, regions: &[&str]) -> Self {
+        let zones: Vec<String> = (0..regions.len()).map(zone).collect();
+        let pairs = zones.iter().map(String::as_str).zip(regions.iter().copied());
+        Wired::with_topology(regions.len(), tolerated_losses, Config::default(), Topology::new(pairs))
+    }
+
+    fn with_topology(stores: usize, tolerated_losses: u32, config: Config, topology: Topology) -> Self {
         let entry = |index: usize| StoreEntry {
             id: store_id(index),
             name: format!("store-{index}"),
@@ -120,6 +133,7 @@
         let mut wired = Wired {
             now_ms: 1_000,
             config,
+            topology,
             places: Vec::new(),
             placement,
             told: Vec::new(),
@@ -164,8 +178,9 @@
             .iter()
             .map(|(at_ms, record)| Recovered { record: record.clone(), age_ms: now_ms - at_ms })
             .collect();
-        let node =
-            StoreNode::new(self.config.clone(), store_id(index), zone(index), now_ms, recovered.into_iter());
+        let location = Location::new(&zone(index), self.topology.clone());
+        let (config, me) = (self.config.clone(), store_id(index));
+        let node = StoreNode::new(config, me, location, now_ms, recovered.into_iter());
         self.places[index].node = Some(node);
         self.input(index, Input::Placement(self.placement.clone()));
         for other in 0..self.places.len() {
