--- a/coordination/lease/tests/model.rs
+++ b/coordination/lease/tests/model.rs
@@ -7,7 +7,8 @@
 
 use millrudder_clock::Instant;
 use millrudder_lease::{
-    FencingToken, Holder, HolderEvent, HolderId, LeaseAnswer, LeaseConfig, LeaseRequest, Role, Voter, VoterId,
+    FencingToken, Holder, HolderEvent, HolderId, LeaseAnswer, LeaseConfig, LeaseRelease, LeaseRequest, Role,
+    Voter, VoterId,
 };
 
 const VOTERS: usize = 3;
@@ -15,9 +16,12 @@
 /// The clock advances in steps of this many microseconds.
 const STEP: u64 = 100;
 /// Bounds of the exhaustive exploration.
-const LIMITS: Limits = Limits { polls: [2, 1], restarts: 1, last_step: 5 };
+const LIMITS: Limits = Limits { polls: [2, 1], restarts: 1, releases: 0, last_step: 5 };
 /// Bounds of the long histories.
-const LIMITS_OF_WALKS: Limits = Limits { polls: [1_000, 1_000], restarts: 100, last_step: 1_000 };
+const LIMITS_OF_WALKS: Limits =
+    Limits { polls: [1_000, 1_000], restarts: 100, releases: 0, last_step: 1_000 };
+/// Bounds of the long histories in which holders also shut down: they release the role, and start again.
+const LIMITS_OF_WALKS_WITH_RELEASES: Limits = Limits { releases: 100, ..LIMITS_OF_WALKS };
 /// Number of long histories, and their actions.
 const WALKS: u64 = 1_500;
 const WALK_ACTIONS: usize = 250;
@@ -30,15 +34,28 @@
 enum InFlight {
     Request { holder: usize, voter: usize, attempt: u64, fencing_token: FencingToken, is_renewal: bool },
     Granted { holder: usize, voter: usize, attempt: u64, bound_micros: u64 },
+    Released { holder: usize, voter: usize, fencing_token: FencingToken },
 }
 
 #[derive(Clone, Copy, Debug)]
 enum Action {
     Advance,
-    Poll { holder: usize },
-    Deliver { index: usize },
-    RestartVoter { voter: usize },
-    RestartHolder { holder: usize },
+    Poll {
+        holder: usize,
+    },
+    Deliver {
+        index: usize,
+    },
+    RestartVoter {
+        voter: usize,
+    },
+    RestartHolder {
+        holder: usize,
+    },
+    /// The holder releases the role, and its process is followed by another.
+    ShutDownHolder {
+        holder: usize,
+    },
 }
 
 impl Action {
@@ -53,6 +70,8 @@
     /// Requests of each holder.
     polls: [usize; HOLDERS],
     restarts: usize,
+    /// Restarts of a holder that releases the role first.
+    releases: usize,
     last_step: u64,
 }
 
@@ -65,6 +84,7 @@
     in_flight: BTreeSet<InFlight>,
     highest: FencingToken,
     restarts: usize,
+    releases: usize,
     polls: [usize; HOLDERS],
     /// Within one step of the clock the parts act in a fixed order, since what different parts do commutes: holders
     /// ask, voters receive, holders count. Whatever comes out of this order comes in a later step.
@@ -122,6 +142,7 @@
             in_flight: BTreeSet::new(),
             highest: FencingToken::default(),
             restarts: 0,
+            releases: 0,
             polls: [0; HOLDERS],
             acting: 0,
         }
@@ -136,10 +157,12 @@
     /// Position of an action's actor in the fixed order within one step.
     fn actor(&self, action: Action) -> usize {
         match action {
-            Action::Poll { holder } | Action::RestartHolder { holder } => holder,
+            Action::Poll { holder }
+            | Action::RestartHolder { holder }
+            | Action::ShutDownHolder { holder } => holder,
             Action::RestartVoter { voter } => HOLDERS + voter,
             Action::Deliver { index } => match self.in_flight.iter().nth(index) {
-                Some(InFlight::Request { voter, .. }) => HOLDERS + voter,
+                Some(InFlight::Request { voter, .. } | InFlight::Released { voter, .. }) => HOLDERS + voter,
                 Some(InFlight::Granted { holder, .. }) => HOLDERS + VOTERS + holder,
                 None => 0,
             },
@@ -162,6 +185,10 @@
             actions.extend((0..VOTERS).map(|voter| Action::RestartVoter { voter }));
             actions.push(Action::RestartHolder { holder: 0 });
         }
+        if self.releases < self.limits.releases {
+            let held = (0..HOLDERS).filter(|holder| self.holders[*holder].is_held(at(self.now)));
+            actions.extend(held.map(|holder| Action::ShutDownHolder { holder }));
+        }
         actions.retain(|action| self.actor(*action) >= self.acting);
         actions
     }
@@ -185,6 +212,7 @@
                 // Each process draws from another seed, as a holder asks for.
                 next.holders[holder] = candidate(99 + next.restarts as u64);
             }
+            Action::ShutDownHolder { holder } => next.shut_down(holder),
         }
         next
     }
@@ -202,6 +230,15 @@
         }
     }
 
+    fn shut_down(&mut self, holder: usize) {
+        self.releases += 1;
+        let release = self.holders[holder].release(at(self.now)).expect("the role is held");
+        let fencing_token = release.fencing_token;
+        let released = (0..VOTERS).map(|voter| InFlight::Released { holder, voter, fencing_token });
+        self.in_flight.extend(released);
+        self.holders[holder] = candidate(9_999 + self.releases as u64);
+    }
+
     fn deliver(&mut self, index: usize) {
         let message = self.in_flight.iter().nth(index).cloned().expect("the index is in range");
         self.in_flight.remove(&message);
@@ -219,6 +256,10 @@
             InFlight::Granted { holder, voter, attempt, bound_micros } => {
                 self.answer(holder, voter, &LeaseAnswer::Granted { role: role(), attempt, bound_micros });
             }
+            InFlight::Released { holder, voter, fencing_token } => {
+                let release = LeaseRelease { role: role(), fencing_token };
+                self.voters[voter].handle_release(HolderId(holder as u64), &release);
+            }
         }
     }
 
@@ -281,10 +322,20 @@
 
 #[test]
 fn long_histories_never_grant_the_role_to_two_holders() {
+    walk(LIMITS_OF_WALKS);
+}
+
+#[test]
+fn long_histories_with_releases_never_grant_the_role_to_two_holders() {
+    walk(LIMITS_OF_WALKS_WITH_RELEASES);
+}
+
+/// Plays long random histories; messages may overtake each other, and arrive after their sender was restarted.
+fn walk(limits: Limits) {
     let mut grants = 0;
     for seed in 0..WALKS {
         let mut random = fastrand::Rng::with_seed(seed);
-        let mut world = World::new(LIMITS_OF_WALKS);
+        let mut world = World::new(limits);
         for _ in 0..WALK_ACTIONS {
             let mut actions = world.actions();
             if random.f64() > RESTARTING {
