--- a/coordination/chain/tests/node/cluster.rs
+++ b/coordination/chain/tests/node/cluster.rs
@@ -31,6 +31,8 @@
     pub installs: usize,
     /// No commands are delivered to these nodes.
     pub without_appends: BTreeSet<NodeId>,
+    /// Each message of the agreement on views is lost when it is sent for the first time; none if messages are not lost.
+    pub lost_once: Option<BTreeSet<String>>,
 }
 
 /// Configuration of the node at `index` of a bootstrap of `size` nodes.
@@ -111,13 +113,22 @@
                     self.hosts.iter().find(|(_, host)| host.node.id() == to).map(|(name, _)| name.clone());
                 let is_delivered =
                     !(matches!(message, CoreMessage::Append(_)) && self.without_appends.contains(&to));
-                if let Some(name) = name.filter(|_| is_delivered) {
+                let is_lost = self.is_lost(from, to, &message);
+                if let Some(name) = name.filter(|_| is_delivered && !is_lost) {
                     self.input(&name, Input::Message { from, message });
                 }
             }
         }
     }
 
+    fn is_lost(&mut self, from: NodeId, to: NodeId, message: &CoreMessage) -> bool {
+        let Some(lost_once) = self.lost_once.as_mut().filter(|_| matches!(message, CoreMessage::View(_)))
+        else {
+            return false;
+        };
+        lost_once.insert(format!("{from:?} {to:?} {message:?}"))
+    }
+
     pub fn run(&mut self, span: Duration) {
         let end = self.now + span;
         while self.now < end {
--- /dev/null
+++ b/coordination/chain/tests/node/lost_messages.rs
@@ -0,0 +1,52 @@
+//! A machine was not a member of the core again six seconds after the last fault, on networks that lose one message in
+//! twenty (`CORE_SEEDS` 4319, 2733 and 936 of the simulation).
+//!
+//! The node that admits it proposes the next view. The trace of seed 4319 shows three attempts in a row of which one
+//! message each was lost: the proposer waited for the answer of that voter until its backoff was over, began anew with a
+//! higher ballot, and waited twice as long each time. A command or a snapshot that is not answered is sent again after
+//! 200 ms; a message of the agreement on views was not.
+//!
+//! ```text
+//! 15.0958 Prepare round 2 to 0 (that to 1 lost)      15.0985 Promise of 0
+//! 15.4604 Prepare round 3 to 0 (that to 1 lost)      15.4647 Promise of 0
+//! 16.1639 Prepare round 4 to 0 and 1                 16.1734 Promise of 0 (that of 1 lost)
+//! 17.6047 Prepare round 5 to 0 and 1                 17.6100 Promise of 0
+//! ```
+
+use std::collections::BTreeSet;
+
+use crate::cluster::{config, Cluster, SECOND};
+use crate::concat_machine::address;
+
+/// A core of three without its third node, which starts again with its disk.
+fn with_a_returning_voter() -> Cluster {
+    let mut cluster = Cluster::bootstrapped(3);
+    let third = cluster.hosts.remove(&address(3)).expect("the third host");
+    cluster.run(2 * SECOND);
+    cluster.start(config(3, 3), Some(third.disk));
+    cluster
+}
+
+#[test]
+fn a_view_is_decided_although_each_message_of_an_attempt_is_lost_once() {
+    let mut cluster = with_a_returning_voter();
+    cluster.lost_once = Some(BTreeSet::new());
+    cluster.run(6 * SECOND);
+    for index in 1..=3 {
+        let host = cluster.host(index);
+        let view = host.node.view().expect("a view");
+        assert_eq!(view.members.len(), 3, "machine {index}: {view:?}");
+        assert!(host.node.is_caught_up(), "machine {index}");
+    }
+}
+
+#[test]
+fn messages_of_a_decided_attempt_are_not_sent_again() {
+    let mut cluster = with_a_returning_voter();
+    cluster.run(4 * SECOND);
+    assert!(cluster.host(3).node.is_caught_up());
+    cluster.lost_once = Some(BTreeSet::new());
+    cluster.run(4 * SECOND);
+    let sent = cluster.lost_once.take().expect("messages are noted");
+    assert!(sent.is_empty(), "{sent:?}");
+}
--- a/coordination/chain/tests/node/main.rs
+++ b/coordination/chain/tests/node/main.rs
@@ -4,5 +4,6 @@
 mod cluster;
 #[path = "../concat_machine/mod.rs"]
 mod concat_machine;
+mod lost_messages;
 mod serving;
 mod voters;
