Show that a log after the last number takes an entry after itself

The test tells of the overflow of Log::get (a_damaged_state_is_rejected_or_started_from) without a drawn case, and found that Log::append takes an entry numbered u64::MAX as the one that follows u64::MAX, in debug and optimized builds: the number that follows saturates.

--- a/coordination/chain/tests/log.rs
+++ b/coordination/chain/tests/log.rs
@@ -74,3 +74,19 @@
     assert!(!log.contains(Position { sequence: Sequence(1), epoch: Epoch(2) }));
     assert_eq!(log.position_at(Sequence(9)), None);
 }
+
+/// The log of a node whose disk is damaged may say that it starts after the last number there is. `Log::get` added one to that
+/// number: a debug build panicked at the node's start ("attempt to add with overflow", `a_damaged_state_is_rejected_or_started_from`
+/// with the pinned case `Large { number: 18446744073709551615 }`), an optimized one went on with zero and took any entry for
+/// the one that was asked for.
+#[test]
+fn a_log_after_the_last_number_has_no_entries() {
+    let mut log = Log::after(Position { sequence: Sequence(u64::MAX), epoch: Epoch(1) });
+    assert!(!log.append(entry(u64::MAX, 1)), "nothing follows the last number");
+    assert!(!log.append(entry(0, 1)));
+    for sequence in [0, 1, 7, u64::MAX - 1, u64::MAX] {
+        assert_eq!(log.get(Sequence(sequence)), None);
+    }
+    assert_eq!(log.position_at(Sequence(u64::MAX)), Some(log.base()));
+    assert!(log.is_empty());
+}
