Let a log with the last number as its base have no entries

Symptom: a debug build panics when it starts from a damaged state whose log has u64::MAX as its base; README's make test fails on a fresh clone. An optimized build takes any entry for the one that was asked for. Cause: Log::get computed sequence - (base + 1); Log::append took an entry numbered u64::MAX as the one after u64::MAX, as the number that follows saturates.

--- a/coordination/chain/src/log.rs
+++ b/coordination/chain/src/log.rs
@@ -41,7 +41,9 @@
 
     /// The entry at `sequence`.
     pub fn get(&self, sequence: Sequence) -> Option<&Entry> {
-        let index = sequence.0.checked_sub(self.base.sequence.0 + 1)?;
+        // A damaged state may have the last number there is as its base, so that nothing is added to it.
+        let after_base = sequence.0.checked_sub(self.base.sequence.0)?;
+        let index = after_base.checked_sub(1)?;
         self.entries.get(usize::try_from(index).ok()?)
     }
 
@@ -66,7 +68,9 @@
 
     /// Appends an entry that follows the end, and returns whether it does; any other is ignored.
     pub fn append(&mut self, entry: Entry) -> bool {
-        let follows = entry.position.sequence == self.end().sequence.next();
+        let end = self.end().sequence;
+        // Nothing follows the last number: `next` saturates there.
+        let follows = entry.position.sequence > end && entry.position.sequence == end.next();
         if follows {
             self.entries.push(entry);
         }
