Show what core machines and stores keep while a failed disk is reopened

Cause: the supervisor of the core keeps the host until the disk is back; neither supervisor empties the queue of events. The tests fail a process's disk by the limit of file sizes, set from outside while it runs, and mend it again.

--- a/system/runtime/node/tests/system/cluster/log.rs
+++ b/system/runtime/node/tests/system/cluster/log.rs
@@ -3,8 +3,10 @@
 use super::{Cluster, ClusterProcess, BOUND};
 use millrudder_protocol::StoreId;
 use millrudder_system_standins::{eventually, Machine, Role};
+use std::net::SocketAddr;
 
-/// Internal port of core machines, counted from the first free one of the machine.
+/// Internal ports of storage and core machines, counted from the first free one of the machine.
+const STORAGE_PORT: u16 = 1;
 const CORE_PORT: u16 = 2;
 
 /// The value of a key in a log line with this message; `None` on other lines.
@@ -68,7 +70,8 @@
     pub async fn core_is_complete(&self) {
         let machines =
             self.processes_of(Role::Core).into_iter().map(|process| &self.machines[process.machine]);
-        let addresses: Vec<String> = machines.map(internal_address).collect();
+        let addresses: Vec<String> =
+            machines.map(|machine| internal_address(machine, CORE_PORT).to_string()).collect();
         let complete = eventually(BOUND, || {
             let views = self.core_lines(ViewLine::read);
             let newest = views.iter().max_by_key(|view| view.epoch);
@@ -91,6 +94,12 @@
         StoreId(id.unwrap_or_else(|| panic!("{} does not log its identity", self.name_of(process))))
     }
 
+    /// Where a storage or core process listens for other processes of the system.
+    pub fn internal_address_of(&self, process: ClusterProcess) -> SocketAddr {
+        let port = if process.role == Role::Core { CORE_PORT } else { STORAGE_PORT };
+        internal_address(&self.machines[process.machine], port)
+    }
+
     /// Lines with a text that the dispatchers have written.
     pub fn edge_lines(&self, text: &str) -> usize {
         let logs = self.processes_of(Role::Edge).into_iter().map(|process| self.log_of(process));
@@ -103,6 +112,8 @@
     }
 }
 
-fn internal_address(machine: &Machine) -> String {
-    format!("{}:{}", machine.settings.ip, machine.settings.ephemeral_ports.first + CORE_PORT)
+fn internal_address(machine: &Machine, port: u16) -> SocketAddr {
+    let Machine { settings, .. } = machine;
+    let ip = settings.ip.to_string().parse().expect("an address");
+    SocketAddr::new(ip, settings.ephemeral_ports.first + port)
 }
--- a/system/runtime/node/tests/system/cluster/mod.rs
+++ b/system/runtime/node/tests/system/cluster/mod.rs
@@ -1,10 +1,12 @@
 //! A complete system on loopback: the built program in all its roles, and stand-ins for everything outside it.
 
+mod disks;
 mod load;
 mod log;
 mod messages;
 mod permits;
 mod scenarios;
+mod sockets;
 
 pub use load::{Load, LoadPlan};
 pub use messages::Sent;
@@ -87,7 +89,8 @@
         let writer = SettingsWriter::new(folder.path(), platform.address());
         let mut writer = writer.with_fault_tolerance(tolerance);
         let machines = writer.write(&size.plans()).unwrap();
-        let processes = ProcessGroup::new(PROGRAM).with_variable("RUST_LOG", LOG_LEVELS);
+        let program = disks::program_that_survives_the_file_limit(folder.path());
+        let processes = ProcessGroup::new(program).with_variable("RUST_LOG", LOG_LEVELS);
         let operator = operator_of(&machines);
         let (client, ledger) = (Client::new(), Ledger::new());
         let mut cluster = Cluster {
--- a/system/runtime/node/tests/system/main.rs
+++ b/system/runtime/node/tests/system/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod command_line;
 mod configuration;
+mod disk_failures;
 mod forwarding;
 mod hostile;
 mod log_lines;
