Close all connections and dismiss events while a failed disk is reopened

Symptoms: a core machine whose disk failed kept the connections that it had opened; it and a store grew by 307 and 295 MiB when sent 256 MiB while their disks were reopened. Cause: the core's supervisor kept the host until the disk was back; neither supervisor emptied the queue of events; the disk was opened on the process's only thread. Change: the host goes at once; events are dismissed (connections closed, requests unanswered) but for signals; the disk is opened beside the process's thread, which a stop does not wait for.

--- a/system/runtime/node/src/core/event.rs
+++ b/system/runtime/node/src/core/event.rs
@@ -3,6 +3,7 @@
 use crate::core::messages::ToCorePort;
 use crate::core::operator::request::{OperatorRequest, OperatorResponse};
 use crate::listen::InboundEvent;
+use crate::reopening::UnhostedEvent;
 use millrudder_discovery::CallResult;
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -42,3 +43,23 @@
         done: oneshot::Sender<()>,
     },
 }
+
+impl UnhostedEvent for Event {
+    fn dismiss(self) -> Option<Event> {
+        match self {
+            Event::Inbound(inbound) => {
+                inbound.outbox.close();
+                None
+            }
+            // The caller gets no clear answer, and asks another machine.
+            Event::Operator { reply, .. } => {
+                drop(reply);
+                None
+            }
+            // Of the host that is gone: its connections and its calls.
+            Event::PeerOpened { .. } | Event::SeedFound { .. } | Event::WorkerListCall(_) => None,
+            // One for each signal.
+            Event::Reload { .. } | Event::ShutdownRequested { .. } => Some(self),
+        }
+    }
+}
--- a/system/runtime/node/src/core/mod.rs
+++ b/system/runtime/node/src/core/mod.rs
@@ -7,7 +7,7 @@
 //!
 //! **Order.** Nothing is sent or answered before the records that it rests on are reported as persisted; the state machine
 //! sees to that. Registrants and operators get no part of the state before a linearizable read has confirmed it. After a
-//! failure of its disk the machine closes the connections that others have opened and starts again from what the disk holds.
+//! failure of its disk the machine closes all its connections and starts again from what the disk holds.
 
 mod bootstrap;
 mod confirmation;
--- a/system/runtime/node/src/core/supervisor.rs
+++ b/system/runtime/node/src/core/supervisor.rs
@@ -4,8 +4,8 @@
 use crate::core::event::Event;
 use crate::core::host::{CoreHost, CoreHostConfig};
 use crate::core::journal::{JournalReport, OpenedJournal};
-use crate::disk_thread::reopen;
 use crate::error::RoleError;
+use crate::reopening::reopen;
 use millrudder_settings::Settings;
 use millrudder_system_http::client::{Client, ClientLimits};
 use std::net::SocketAddr;
@@ -32,8 +32,8 @@
         Supervisor { settings, folder, internal, events, client: Client::new(ClientLimits::default()) }
     }
 
-    /// Serves the state on the disk. When the disk fails, this machine ends the connections that others have opened, and
-    /// starts again from what the disk holds as soon as it takes writes again.
+    /// Serves the state on the disk. When the disk fails, this machine ends all its connections, and starts again from what
+    /// the disk holds as soon as it takes writes again.
     ///
     /// # Errors
     /// The state on the disk cannot be used.
@@ -50,10 +50,13 @@
             let ended = host.run(&mut queue, &mut reported).await;
             drop(seed_watch);
             host.disconnect();
+            // With it go the connections that this machine has opened: others must not take it for one that takes part.
+            drop(host);
             let Err(error) = ended else { return Ok(()) };
             log::error!(error:%; "core machine fenced itself: disk error");
-            // The connections that this machine has opened itself stay open until then.
-            opened = reopen(|| OpenedJournal::open(&self.folder)?.verify_writable()).await;
+            let folder = self.folder.clone();
+            let open = move || OpenedJournal::open(&folder)?.verify_writable();
+            opened = reopen(open, &mut queue, &self.events).await;
         }
     }
 
--- a/system/runtime/node/src/disk_thread.rs
+++ b/system/runtime/node/src/disk_thread.rs
@@ -3,17 +3,9 @@
 //! Writes and syncs block, so that they cannot run on the process's runtime. The state machine that asks for them learns
 //! by reports what has become durable, and acknowledges nothing before.
 
-use crate::error::RoleError;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::thread::JoinHandle;
-use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::time::sleep;
-
-/// Backoff between attempts to use a disk that has failed.
-const INITIAL_REOPEN_BACKOFF: Duration = Duration::from_millis(500);
-/// The same after it has doubled a few times.
-const MAX_REOPEN_BACKOFF: Duration = Duration::from_secs(4);
 
 /// A store on disk that [`DiskThread`] works on.
 pub trait DiskWriter: Send + 'static {
@@ -95,19 +87,3 @@
         }
     }
 }
-
-/// Opens a disk that has failed, as soon as it can be read and takes writes again.
-pub async fn reopen<T, F>(mut open: F) -> T
-where
-    F: FnMut() -> Result<T, RoleError>,
-{
-    let mut backoff = INITIAL_REOPEN_BACKOFF;
-    loop {
-        sleep(backoff).await;
-        backoff = (backoff * 2).min(MAX_REOPEN_BACKOFF);
-        match open() {
-            Ok(opened) => return opened,
-            Err(error) => log::warn!(error:%; "disk not usable yet, retrying"),
-        }
-    }
-}
--- a/system/runtime/node/src/listen.rs
+++ b/system/runtime/node/src/listen.rs
@@ -55,8 +55,8 @@
 /// state's owner.
 ///
 /// The queue is unbounded. While the owner runs, a connection is read no faster than the one thread of the process works,
-/// and the owner empties the queue in each turn. While a failed disk is reopened there is no owner: what other processes
-/// send on connections that they open meanwhile waits for the next one.
+/// and the owner empties the queue in each turn. While a failed disk is reopened there is no owner:
+/// [`reopen`](crate::reopening::reopen) closes the connections that other processes open meanwhile.
 pub fn accept_internal<M, E>(
     listener: TcpListener,
     events: UnboundedSender<E>,
--- a/system/runtime/node/src/main.rs
+++ b/system/runtime/node/src/main.rs
@@ -19,6 +19,7 @@
 mod location;
 mod logging;
 mod mechanisms;
+mod reopening;
 mod role;
 mod seeds;
 mod signals;
--- a/system/runtime/node/src/role.rs
+++ b/system/runtime/node/src/role.rs
@@ -35,13 +35,17 @@
     let runtime = runtime.map_err(RoleError::Runtime)?;
     let local = LocalSet::new();
     log::info!(node_name = &*settings.node_name, role:%, mechanisms:%; "starting");
-    local.block_on(&runtime, async {
+    let ended = local.block_on(&runtime, async {
         match role {
             Role::Edge => edge::run(settings, file).await,
             Role::Storage => storage::run(settings, file, mechanisms).await,
             Role::Core => core::run(settings, file).await,
         }
-    })?;
+    });
+    drop(local);
+    // An attempt to open a disk that stalls may never return; the process ends nevertheless.
+    runtime.shutdown_background();
+    ended?;
     log::info!("stopped");
     Ok(())
 }
--- a/system/runtime/node/src/storage/event.rs
+++ b/system/runtime/node/src/storage/event.rs
@@ -1,6 +1,7 @@
 //! Events of a store, in the queue of the [`StoreHost`](super::host::StoreHost).
 
 use crate::listen::InboundEvent;
+use crate::reopening::UnhostedEvent;
 use millrudder_protocol::control::FromCore;
 use millrudder_protocol::store::{BetweenStores, ToStore};
 use millrudder_protocol::StoreId;
@@ -28,3 +29,18 @@
     /// The process is asked to stop: shards are to go to other stores.
     ShutdownRequested,
 }
+
+impl UnhostedEvent for Event {
+    fn dismiss(self) -> Option<Event> {
+        match self {
+            Event::Inbound(inbound) => {
+                inbound.outbox.close();
+                None
+            }
+            // Of the host that is gone: connections that it opened.
+            Event::StoreLink { .. } | Event::Core(_) => None,
+            // One for each signal.
+            Event::Reload { .. } | Event::ShutdownRequested => Some(self),
+        }
+    }
+}
--- a/system/runtime/node/src/storage/mod.rs
+++ b/system/runtime/node/src/storage/mod.rs
@@ -50,7 +50,7 @@
     let mut signals = Signals::install()?;
     // Its bounds are those of `accept_internal`.
     let (events, queue) = unbounded_channel();
-    let opened = open_disk(&folder, &settings)?;
+    let opened = open_disk(&folder, settings.limits.disk_bytes)?;
     let _acceptor = accept_internal(listen(internal)?, events.clone(), Event::Inbound);
     let grace = settings.bounds.grace;
     let drain = DrainProgress::unknown();
--- a/system/runtime/node/src/storage/supervisor.rs
+++ b/system/runtime/node/src/storage/supervisor.rs
@@ -1,10 +1,10 @@
 //! Keeps a store's state served, also after failures of its disk.
 
 use crate::clock;
-use crate::disk_thread::reopen;
 use crate::error::RoleError;
 use crate::logging::LoggedStoreId;
 use crate::mechanisms::Mechanisms;
+use crate::reopening::reopen;
 use crate::storage::disk::OpenedDisk;
 use crate::storage::drain::DrainProgress;
 use crate::storage::event::Event;
@@ -52,19 +52,21 @@
             drop(host);
             let Err(error) = ended else { return };
             log::error!(error:%; "store fenced itself: disk error");
-            opened = reopen(|| open_disk(&self.folder, &self.settings)?.verify_writable()).await;
+            let (folder, disk_bytes) = (self.folder.clone(), self.settings.limits.disk_bytes);
+            let open = move || open_disk(&folder, disk_bytes)?.verify_writable();
+            opened = reopen(open, &mut queue, &self.events).await;
         }
     }
 }
 
-/// Opens the disk of a store; an empty one gets an identity.
+/// Opens the disk of a store, of which it uses `disk_bytes` at most; an empty one gets an identity.
 ///
 /// # Errors
 /// The folder cannot be used, or holds something else.
-pub fn open_disk(folder: &Path, settings: &Settings) -> Result<OpenedDisk, RoleError> {
+pub fn open_disk(folder: &Path, disk_bytes: u64) -> Result<OpenedDisk, RoleError> {
     // An identity is never zero.
     let new_id = StoreId(clock::random_seed() | 1);
-    let opened = OpenedDisk::open(folder, settings.limits.disk_bytes, new_id)?;
+    let opened = OpenedDisk::open(folder, disk_bytes, new_id)?;
     log::info!(store_id:% = LoggedStoreId(opened.id), records = opened.records.len(); "store opened");
     Ok(opened)
 }
