Show what waits for a disk that stalls

Measured: 94 MiB of commands in 30 s, each given up by its caller after a second, leave 4,468 MiB waiting at the head: each mebibyte of records issues another checkpoint, which holds the whole log. With a command each second 105 records and 705 effects wait after 100 s. CoreNode::disk_backlog tells both.

--- a/coordination/chain/src/lib.rs
+++ b/coordination/chain/src/lib.rs
@@ -94,7 +94,7 @@
 pub use message::{AppendBatch, CoreMessage, Heartbeat, InstallSnapshotChunk, MessageError};
 pub use millrudder_lease::{FencingToken, LeaseConfig, Role};
 pub use millrudder_view::{DetectorConfig, Epoch, Member, NodeId, View};
-pub use node::{CoreNode, Input, Output, PersistToken, StartError};
+pub use node::{CoreNode, DiskBacklog, Input, Output, PersistToken, StartError};
 pub use quorum_contact::{ProcessTimestamp, TimestampEcho};
 pub use simulated_disk::{DiskWrite, SimulatedDisk};
 pub use transfer::{SnapshotChunk, SnapshotId, MAX_SNAPSHOT_BYTES};
--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -45,6 +45,15 @@
     Restore(#[from] RestoreError),
 }
 
+/// What waits for a node's disk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DiskBacklog {
+    /// Records that were issued and are not durable.
+    pub records: u64,
+    /// Messages and other effects that rest on records.
+    pub effects: usize,
+}
+
 /// A member of the core, or a node that wants to be one. See the [crate documentation](crate).
 ///
 /// Instants are readings of the node's steady clock, in whole microseconds: messages carry nothing finer.
@@ -177,6 +186,12 @@
         self.leases.fencing_token(now, role)
     }
 
+    /// What waits for this node's disk.
+    pub fn disk_backlog(&self) -> DiskBacklog {
+        let records = self.outbox.issued().0 - self.outbox.durable().0;
+        DiskBacklog { records, effects: self.outbox.deferred() }
+    }
+
     /// When [`Input::Tick`] is due.
     pub fn next_deadline(&self) -> Instant {
         let deadlines = [
--- a/coordination/chain/src/node/outbox.rs
+++ b/coordination/chain/src/node/outbox.rs
@@ -92,6 +92,11 @@
         self.durable
     }
 
+    /// Effects that wait for the disk.
+    pub(super) fn deferred(&self) -> usize {
+        self.deferred.len()
+    }
+
     pub(super) fn bytes_since_checkpoint(&self) -> usize {
         self.bytes_since_checkpoint
     }
--- a/coordination/chain/tests/node/cluster.rs
+++ b/coordination/chain/tests/node/cluster.rs
@@ -3,8 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use millrudder_chain::{CoreConfig, CoreMessage, CoreNode, DurableState, Input, NodeId, Output, RequestId};
+use millrudder_chain::{
+    CoreConfig, CoreMessage, CoreNode, DurableState, Input, NodeId, Output, PersistToken, RequestId,
+};
 use millrudder_clock::Instant;
+use speedy::Writable;
 
 use crate::concat_machine::{address, Text};
 
@@ -21,6 +24,12 @@
     pub ready: Vec<RequestId>,
     pub committed: Vec<String>,
     pub snapshots_installed: usize,
+    /// Its disk takes nothing for now.
+    pub is_stalled: bool,
+    /// Bytes that wait for the disk.
+    pub waiting_bytes: usize,
+    /// The newest record that waits for the disk.
+    pub waiting: Option<PersistToken>,
 }
 
 #[derive(Default)]
@@ -67,6 +76,9 @@
             ready: Vec::new(),
             committed: Vec::new(),
             snapshots_installed: 0,
+            is_stalled: false,
+            waiting_bytes: 0,
+            waiting: None,
         };
         self.hosts.insert(name.clone(), host);
         self.take_outputs(&name);
@@ -94,9 +106,19 @@
                 }
                 Output::Persist { token, record } => {
                     host.disk.apply(&record);
-                    host.node.handle(self.now, Input::Persisted { token });
+                    if host.is_stalled {
+                        host.waiting_bytes += record.write_to_vec().expect("it is encoded").len();
+                        host.waiting = Some(token);
+                    } else {
+                        host.node.handle(self.now, Input::Persisted { token });
+                    }
+                }
+                Output::Checkpoint { state, .. } => {
+                    if host.is_stalled {
+                        host.waiting_bytes += state.write_to_vec().expect("it is encoded").len();
+                    }
+                    host.checkpoint = Some(*state);
                 }
-                Output::Checkpoint { state, .. } => host.checkpoint = Some(*state),
                 Output::Committed { command, .. } => host.committed.push(command),
                 Output::SnapshotInstalled { .. } => host.snapshots_installed += 1,
                 Output::Reply { request_id, reply } => host.replies.push((request_id, reply)),
@@ -106,6 +128,21 @@
         }
     }
 
+    /// From now on the disk of a host takes nothing.
+    pub fn stall(&mut self, index: usize) {
+        self.hosts.get_mut(&address(index)).expect("the host is there").is_stalled = true;
+    }
+
+    /// The disk goes on, with what has waited for it.
+    pub fn resume(&mut self, index: usize) {
+        let host = self.hosts.get_mut(&address(index)).expect("the host is there");
+        host.is_stalled = false;
+        host.waiting_bytes = 0;
+        if let Some(token) = host.waiting.take() {
+            self.input(&address(index), Input::Persisted { token });
+        }
+    }
+
     pub fn deliver(&mut self) {
         for _ in 0..100 {
             for (from, to, message) in std::mem::take(&mut self.in_flight) {
--- a/coordination/chain/tests/node/main.rs
+++ b/coordination/chain/tests/node/main.rs
@@ -6,4 +6,5 @@
 mod concat_machine;
 mod lost_messages;
 mod serving;
+mod stalled_disk;
 mod voters;
--- /dev/null
+++ b/coordination/chain/tests/node/stalled_disk.rs
@@ -0,0 +1,78 @@
+//! A disk that takes nothing for minutes: what waits for it must be bounded, or the process is killed for its memory, and with
+//! it what others wait for.
+//!
+//! Known by reading (`docs/ROADMAP.md`): the journal's queue has no bound, as the state machine that fills it had none. Where
+//! no other node can take the place of the stalled ones, the head went on to append what it was asked for; each command that
+//! its caller had long given up stayed in its log and in the queue. And every answer that rests on records was kept, also
+//! where a newer one to the same node had made it useless.
+
+use millrudder_chain::{Input, RequestId};
+
+use crate::cluster::{Cluster, SECOND, STEP};
+use crate::concat_machine::address;
+
+/// Bytes of one command.
+const COMMAND_BYTES: usize = 64 << 10;
+/// How long a caller waits for an answer, in steps of the cluster.
+const PATIENCE_STEPS: usize = 50;
+/// A core holds a configuration in force, the next one, and their copies under way: four bodies of the largest size that is
+/// accepted (4 MiB, `docs/design/control/catchup.md`).
+const MAX_WAITING_BYTES: usize = 16 << 20;
+/// Each record, of which a peer has at most one mebibyte under way, may have its own effect on the log and one answer.
+const EFFECTS_OF_A_RECORD: u64 = 2;
+/// Effects beyond these: for each of two peers a handful of kinds of answers.
+const MAX_OTHER_EFFECTS: u64 = 100;
+
+/// Submits a command at each step, and abandons it when its caller's patience ends.
+fn submit_for(cluster: &mut Cluster, index: usize, steps: usize) {
+    let first = 1_000;
+    for step in 0..steps {
+        let command = "a".repeat(COMMAND_BYTES);
+        let request_id = RequestId((first + step) as u128);
+        cluster.input(&address(index), Input::Submit { request_id, command });
+        if let Some(abandoned) = step.checked_sub(PATIENCE_STEPS) {
+            let request_id = RequestId((first + abandoned) as u128);
+            cluster.input(&address(index), Input::Abandon { request_id });
+        }
+        cluster.run(STEP);
+    }
+}
+
+#[test]
+fn commands_that_wait_for_stalled_disks_are_bounded() {
+    let mut cluster = Cluster::bootstrapped(3);
+    (1..=3).for_each(|index| cluster.stall(index));
+    let head = cluster.host(1).node.view().and_then(|view| view.head()).expect("a head");
+    let index = (1..=3).find(|index| cluster.host(*index).node.id() == head).expect("the head's host");
+    // 94 MiB in 30 s.
+    submit_for(&mut cluster, index, 1_500);
+    for index in 1..=3 {
+        let waiting = cluster.host(index).waiting_bytes;
+        assert!(waiting <= MAX_WAITING_BYTES, "machine {index} has {} MiB waiting", waiting >> 20);
+    }
+    (1..=3).for_each(|index| cluster.resume(index));
+    cluster.run(3 * SECOND);
+    cluster.submit(1, 7, "b");
+    cluster.run(3 * SECOND);
+    for index in 1..=3 {
+        assert!(cluster.host(index).node.machine().0.ends_with('b'), "machine {index}");
+    }
+}
+
+#[test]
+fn effects_that_wait_for_a_stalled_disk_are_bounded() {
+    let mut cluster = Cluster::bootstrapped(3);
+    for index in 1..=3 {
+        cluster.stall(index);
+        for number in 0..100 {
+            cluster.submit(index % 3 + 1, 100 * index as u128 + number, "a");
+            cluster.input(&address(index), Input::Read { request_id: RequestId(10_000 + number) });
+            cluster.run(SECOND);
+        }
+        let backlog = cluster.host(index).node.disk_backlog();
+        let bound = backlog.records * EFFECTS_OF_A_RECORD + MAX_OTHER_EFFECTS;
+        assert!(backlog.effects as u64 <= bound, "machine {index}: {backlog:?}");
+        cluster.resume(index);
+        cluster.run(5 * SECOND);
+    }
+}
