Bound what waits in a core machine for a disk that stalls

Symptom: 94 MiB of commands in 30 s leave 4,468 MiB waiting for a stalled disk, and answers pile up. Cause: a checkpoint, with the whole uncommitted log, was issued for each mebibyte of records although the disk had not taken the one before; the head appended without a bound; superseded and repeated answers were kept; each granted token is a record. Change: one checkpoint at a time, 8 MiB uncommitted at most, superseded and equal answers are not kept, and with 32,768 records waiting a message that would add one is dropped as if lost.

--- a/coordination/chain/src/config.rs
+++ b/coordination/chain/src/config.rs
@@ -39,6 +39,9 @@
     pub retained_bytes: usize,
     /// Bytes of entries or of a snapshot in one message; a single larger entry is sent alone.
     pub batch_bytes: usize,
+    /// The head appends no further command while so many bytes of commands are not committed; one always fits. It bounds what
+    /// waits in memory for disks that take nothing. Lower values refuse bursts that a healthy core would soon commit.
+    pub uncommitted_bytes: usize,
 }
 
 impl CoreConfig {
@@ -59,6 +62,7 @@
             retained_entries: 1024,
             retained_bytes: 1 << 20,
             batch_bytes: 64 << 10,
+            uncommitted_bytes: 8 << 20,
         }
     }
 
--- a/coordination/chain/src/node/messages.rs
+++ b/coordination/chain/src/node/messages.rs
@@ -9,6 +9,10 @@
 
 impl<M: Machine> CoreNode<M> {
     pub(super) fn handle_message(&mut self, now: Instant, from: NodeId, message: CoreMessage) {
+        // As if it were lost: it is sent again.
+        if self.outbox.is_full() && adds_records(&message) {
+            return;
+        }
         match message {
             CoreMessage::Heartbeat(heartbeat) => self.handle_heartbeat(now, from, heartbeat),
             CoreMessage::View(ViewMessage::BootstrapAgreed { members }) => {
@@ -61,3 +65,15 @@
         self.take_step(now, step);
     }
 }
+
+/// Whether handling a message may issue records.
+fn adds_records(message: &CoreMessage) -> bool {
+    matches!(
+        message,
+        CoreMessage::View(_)
+            | CoreMessage::Submit { .. }
+            | CoreMessage::Append(_)
+            | CoreMessage::InstallSnapshot(_)
+            | CoreMessage::LeaseRequest { .. }
+    )
+}
--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -118,7 +118,11 @@
         let local = Member { id, address: config.address.clone() };
         let retention = LogRetention { entries: config.retained_entries, bytes: config.retained_bytes };
         let store = Store::new(&state.snapshot, &state.log, state.committed, retention)?;
-        let limits = ReplicaLimits { batch_bytes: config.batch_bytes, retry_after: config.retry_after };
+        let limits = ReplicaLimits {
+            batch_bytes: config.batch_bytes,
+            uncommitted_bytes: config.uncommitted_bytes,
+            retry_after: config.retry_after,
+        };
         let bootstrap_addresses = config.bootstrap_addresses.clone();
         Ok(CoreNode {
             id,
@@ -290,13 +294,15 @@
         }
     }
 
+    /// One checkpoint at a time: further ones would wait for the same disk, and each holds the whole state.
     fn checkpoint_if_due(&mut self) {
-        if self.outbox.bytes_since_checkpoint() < self.config.checkpoint_bytes {
+        let is_due = self.outbox.bytes_since_checkpoint() >= self.config.checkpoint_bytes;
+        if !is_due || self.outbox.is_checkpoint_pending() {
             return;
         }
-        self.outbox.reset_bytes_since_checkpoint();
         let state = Box::new(self.durable_state());
-        self.outbox.push(Output::Checkpoint { token: self.outbox.issued(), state });
+        let token = self.outbox.start_checkpoint();
+        self.outbox.push(Output::Checkpoint { token, state });
     }
 
     /// The durable state once every issued record is durable.
--- a/coordination/chain/src/node/outbox.rs
+++ b/coordination/chain/src/node/outbox.rs
@@ -9,8 +9,12 @@
 use crate::replica::DurableWatermark;
 use crate::{CoreMessage, Machine, Record};
 
+/// A disk behind which so many records wait has stalled. What a peer may have under way to this node, one mebibyte, makes
+/// fewer, however small its commands are.
+const MAX_PENDING_RECORDS: u64 = 1 << 15;
+
 /// What happens once earlier records are durable.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub(super) enum Effect {
     /// A message leaves.
     Send { to: NodeId, message: CoreMessage },
@@ -19,11 +23,22 @@
 }
 
 impl Effect {
-    fn heartbeat_to(&self) -> Option<NodeId> {
-        match self {
-            Effect::Send { to, message: CoreMessage::Heartbeat(_) } => Some(*to),
-            _ => None,
-        }
+    /// Whether an earlier effect is of no use any more. A heartbeat says all that an earlier one to the same peer said. An
+    /// answer to a candidate or holder counts only for its newest request, which this one answers.
+    fn supersedes(&self, earlier: &Effect) -> bool {
+        let (Effect::Send { to, message }, Effect::Send { to: earlier_to, message: earlier }) =
+            (self, earlier)
+        else {
+            return false;
+        };
+        let is_superseded = match (message, earlier) {
+            (CoreMessage::Heartbeat(_), CoreMessage::Heartbeat(_)) => true,
+            (CoreMessage::LeaseAnswer { answer, .. }, CoreMessage::LeaseAnswer { answer: earlier, .. }) => {
+                answer.role() == earlier.role()
+            }
+            _ => false,
+        };
+        to == earlier_to && is_superseded
     }
 }
 
@@ -45,6 +60,8 @@
     issued: PersistToken,
     durable: PersistToken,
     bytes_since_checkpoint: usize,
+    /// The newest record when the last checkpoint was issued.
+    last_checkpoint: PersistToken,
 }
 
 impl<M: Machine> Outbox<M> {
@@ -57,6 +74,7 @@
             issued: PersistToken(0),
             durable: PersistToken(0),
             bytes_since_checkpoint: 0,
+            last_checkpoint: PersistToken(0),
         }
     }
 
@@ -92,6 +110,11 @@
         self.durable
     }
 
+    /// Whether so many records wait for the disk that no message may add another.
+    pub(super) fn is_full(&self) -> bool {
+        self.issued.0 - self.durable.0 >= MAX_PENDING_RECORDS
+    }
+
     /// Effects that wait for the disk.
     pub(super) fn deferred(&self) -> usize {
         self.deferred.len()
@@ -101,16 +124,26 @@
         self.bytes_since_checkpoint
     }
 
-    pub(super) fn reset_bytes_since_checkpoint(&mut self) {
+    /// Whether the disk has not taken the records before the last checkpoint yet.
+    pub(super) fn is_checkpoint_pending(&self) -> bool {
+        self.last_checkpoint > self.durable
+    }
+
+    /// A checkpoint of all that was issued follows. Returns the newest record that it contains.
+    pub(super) fn start_checkpoint(&mut self) -> PersistToken {
         self.bytes_since_checkpoint = 0;
+        self.last_checkpoint = self.issued;
+        self.issued
     }
 
     /// Defers `effect` until everything issued so far is durable.
     ///
-    /// A heartbeat replaces an earlier one to the same peer, so that a hanging disk does not pile up stale heartbeats.
+    /// Effects that a later one makes useless are dropped, and a message that waits already is not added again, so that a
+    /// stalled disk piles up neither stale answers nor repeated messages.
     pub(super) fn defer(&mut self, effect: Effect) {
-        if let Some(to) = effect.heartbeat_to() {
-            self.deferred.retain(|deferred| deferred.effect.heartbeat_to() != Some(to));
+        self.deferred.retain(|deferred| !effect.supersedes(&deferred.effect));
+        if self.deferred.iter().any(|deferred| deferred.effect == effect) {
+            return;
         }
         self.deferred.push_back(DeferredEffect { after: self.issued, effect });
     }
--- a/coordination/chain/src/node/requests.rs
+++ b/coordination/chain/src/node/requests.rs
@@ -143,7 +143,9 @@
     fn route_submit(&mut self, now: Instant, request_id: RequestId, command: Vec<u8>) {
         match self.agreement.view().and_then(|view| view.head()) {
             Some(head) if head == self.id => {
-                self.replica.submit(now, self.id, request_id, command);
+                if !self.outbox.is_full() {
+                    self.replica.submit(now, self.id, request_id, command);
+                }
             }
             Some(head) => self.send_immediately(head, CoreMessage::Submit { request_id, command }),
             None => {}
--- a/coordination/chain/src/replica/mod.rs
+++ b/coordination/chain/src/replica/mod.rs
@@ -45,6 +45,8 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct ReplicaLimits {
     pub(crate) batch_bytes: usize,
+    /// No further command is appended at the head while so many bytes are not committed.
+    pub(crate) uncommitted_bytes: usize,
     /// What was not acknowledged is sent again after so long.
     pub(crate) retry_after: Duration,
 }
@@ -196,7 +198,8 @@
         self.persist(Record::UncommittedDropped { committed: self.committed() });
     }
 
-    /// Appends a command at the head. Returns false at any other node.
+    /// Appends a command at the head, or leaves it to be submitted again where too much is uncommitted. Returns false at any
+    /// other node.
     pub(crate) fn submit(
         &mut self,
         now: Instant,
@@ -214,6 +217,9 @@
         if self.pending.contains(&request_id) || M::Command::read_from_buffer(&command).is_err() {
             return true;
         }
+        if !self.has_room_for(&command) {
+            return true;
+        }
         let position = Position { sequence: self.end().sequence.next(), epoch: self.epoch() };
         let entry = Entry { position, request_id, origin, command };
         self.pending.insert(request_id);
@@ -223,6 +229,13 @@
         true
     }
 
+    /// Whether a command can be appended now. While disks take nothing, what callers have long given up would else stay in
+    /// memory; a caller that still waits submits its command again. One command always fits.
+    fn has_room_for(&self, command: &[u8]) -> bool {
+        let uncommitted = self.store.uncommitted_bytes();
+        uncommitted == 0 || uncommitted + command.len() <= self.limits.uncommitted_bytes
+    }
+
     /// Appends commands from the node before this one.
     pub(crate) fn handle_append(&mut self, now: Instant, from: NodeId, batch: AppendBatch) {
         if !self.accepts_from(from, batch.sealed) {
--- a/coordination/chain/src/store.rs
+++ b/coordination/chain/src/store.rs
@@ -113,6 +113,11 @@
         log
     }
 
+    /// Bytes of the commands after the committed state.
+    pub(crate) fn uncommitted_bytes(&self) -> usize {
+        self.log.entries_after(self.applied.sequence).map(Entry::encoded_bytes).sum()
+    }
+
     /// Replaces everything by a snapshot.
     pub(crate) fn install(&mut self, snapshot: &Snapshot) -> Result<(), RestoreError> {
         self.machine = restore_machine(snapshot)?;
--- a/coordination/chain/tests/node/stalled_disk.rs
+++ b/coordination/chain/tests/node/stalled_disk.rs
@@ -6,7 +6,8 @@
 //! its caller had long given up stayed in its log and in the queue. And every answer that rests on records was kept, also
 //! where a newer one to the same node had made it useless.
 
-use millrudder_chain::{Input, RequestId};
+use millrudder_chain::{CoreMessage, Epoch, FencingToken, Input, RequestId, Role};
+use millrudder_lease::LeaseRequest;
 
 use crate::cluster::{Cluster, SECOND, STEP};
 use crate::concat_machine::address;
@@ -23,6 +24,9 @@
 /// Effects beyond these: for each of two peers a handful of kinds of answers.
 const MAX_OTHER_EFFECTS: u64 = 100;
 
+/// Records that may wait: somewhat more than the smallest commands that a peer may have under way.
+const MAX_WAITING_RECORDS: u64 = 40_000;
+
 /// Submits a command at each step, and abandons it when its caller's patience ends.
 fn submit_for(cluster: &mut Cluster, index: usize, steps: usize) {
     let first = 1_000;
@@ -76,3 +80,29 @@
         cluster.run(5 * SECOND);
     }
 }
+
+/// A voter writes down each token that it grants. Candidates that never win ask for higher and higher ones.
+#[test]
+fn records_that_wait_for_a_stalled_disk_are_bounded() {
+    let mut cluster = Cluster::bootstrapped(3);
+    cluster.stall(1);
+    let from = cluster.host(2).node.id();
+    let epoch = cluster.host(1).node.epoch();
+    for number in 0..2 * MAX_WAITING_RECORDS {
+        let request = LeaseRequest {
+            role: Role("reader".to_owned()),
+            attempt: number,
+            fencing_token: FencingToken(FencingToken::floor(Epoch::FIRST.0).0 + 1 + number),
+            is_renewal: false,
+        };
+        let message = CoreMessage::LeaseRequest { epoch, request };
+        cluster.input(&address(1), Input::Message { from, message });
+    }
+    let backlog = cluster.host(1).node.disk_backlog();
+    assert!(backlog.records > 0 && backlog.records <= MAX_WAITING_RECORDS, "{backlog:?}");
+    cluster.resume(1);
+    cluster.run(3 * SECOND);
+    cluster.submit(1, 7, "b");
+    cluster.run(3 * SECOND);
+    assert!(cluster.hosts.values().all(|host| host.node.machine().0 == "b"));
+}
