Keep the cause of an unreadable state, and name the messages that are passed over

Symptom: a process that cannot decode its disk did not say why; messages that intake or a control link do not handle were passed over by a wildcard. Cause: decoder errors were mapped to variants without a source; matches ended with a wildcard arm. Change: RoleError::Unreadable and RecordLogError::Unreadable carry the decoder's error, also in their text; the matches name each message and why it is passed over.

--- a/coordination/chain/src/node/messages.rs
+++ b/coordination/chain/src/node/messages.rs
@@ -55,7 +55,13 @@
                 self.handle_lease_request(now, from, epoch, &request)
             }
             CoreMessage::LeaseAnswer { answer, .. } => self.handle_lease_answer(now, from, &answer),
-            _ => {}
+            // Handled by `handle_message`, as they count in any epoch.
+            CoreMessage::Heartbeat(_)
+            | CoreMessage::View(_)
+            | CoreMessage::Submit { .. }
+            | CoreMessage::Reply { .. }
+            | CoreMessage::ReadIndexed { .. }
+            | CoreMessage::LeaseReleased { .. } => {}
         }
     }
 
--- a/coordination/chain/src/node/requests.rs
+++ b/coordination/chain/src/node/requests.rs
@@ -142,10 +142,10 @@
 
     fn route_submit(&mut self, now: Instant, request_id: RequestId, command: Vec<u8>) {
         match self.agreement.view().and_then(|view| view.head()) {
+            // It is submitted again once the disk goes on.
+            Some(head) if head == self.id && self.outbox.is_full() => {}
             Some(head) if head == self.id => {
-                if !self.outbox.is_full() {
-                    self.replica.submit(now, self.id, request_id, command);
-                }
+                self.replica.submit(now, self.id, request_id, command);
             }
             Some(head) => self.send_immediately(head, CoreMessage::Submit { request_id, command }),
             None => {}
--- a/system/runtime/node/src/control_link/connections.rs
+++ b/system/runtime/node/src/control_link/connections.rs
@@ -193,7 +193,12 @@
                 self.avoid(address);
                 outbox.close();
             }
-            _ => {}
+            // They say nothing of the core machine itself.
+            FromCore::Configuration { .. }
+            | FromCore::Placement { .. }
+            | FromCore::Workers { .. }
+            | FromCore::CoreAddresses { .. }
+            | FromCore::DispatcherCount { .. } => {}
         }
     }
 
--- a/system/runtime/node/src/core/journal.rs
+++ b/system/runtime/node/src/core/journal.rs
@@ -48,11 +48,10 @@
     pub fn open(folder: &Path) -> Result<Self, RoleError> {
         std::fs::create_dir_all(folder).map_err(RoleError::Folder)?;
         let (store, recovered) = CheckpointStore::open(RealFolder::open(folder)?)?;
-        let unreadable = |_| RoleError::Unreadable;
         let checkpoint = recovered.checkpoint.as_deref().map(DurableState::read_from_buffer);
-        let mut state = checkpoint.transpose().map_err(unreadable)?;
+        let mut state = checkpoint.transpose().map_err(RoleError::Unreadable)?;
         for bytes in &recovered.records {
-            let record = Record::read_from_buffer(bytes).map_err(unreadable)?;
+            let record = Record::read_from_buffer(bytes).map_err(RoleError::Unreadable)?;
             state.get_or_insert_with(DurableState::default).apply(&record);
         }
         Ok(OpenedJournal { store, state })
@@ -64,7 +63,7 @@
     /// The disk does not take writes.
     pub fn verify_writable(mut self) -> Result<Self, RoleError> {
         if let Some(state) = &self.state {
-            let state = state.write_to_vec().map_err(|_| RoleError::Unreadable)?;
+            let state = state.write_to_vec().map_err(RoleError::Unreadable)?;
             self.store.checkpoint(&state)?;
         }
         Ok(self)
--- a/system/runtime/node/src/error.rs
+++ b/system/runtime/node/src/error.rs
@@ -65,8 +65,8 @@
     #[error("the data folder cannot be made: {0}")]
     Folder(#[source] io::Error),
     /// What was read from the disk passed its checksums, but cannot be decoded or encoded again.
-    #[error("the state on disk cannot be read")]
-    Unreadable,
+    #[error("the state on disk cannot be read: {0}")]
+    Unreadable(#[source] speedy::Error),
     /// The core's state machine does not accept the state on the disk or its configuration.
     #[error("the core's state cannot be used: {0}")]
     Core(#[from] millrudder_chain::StartError),
--- a/system/runtime/node/src/storage/disk.rs
+++ b/system/runtime/node/src/storage/disk.rs
@@ -101,9 +101,9 @@
 fn read_identity(folder: &Path, new_id: StoreId) -> Result<StoreId, RoleError> {
     let (mut checkpoints, recovered) = CheckpointStore::open(RealFolder::open(folder)?)?;
     if let Some(bytes) = recovered.checkpoint {
-        return StoreId::read_from_buffer(&bytes).map_err(|_| RoleError::Unreadable);
+        return StoreId::read_from_buffer(&bytes).map_err(RoleError::Unreadable);
     }
-    let bytes = new_id.write_to_vec().map_err(|_| RoleError::Unreadable)?;
+    let bytes = new_id.write_to_vec().map_err(RoleError::Unreadable)?;
     checkpoints.checkpoint(&bytes)?;
     Ok(new_id)
 }
--- a/system/state/intake/src/intake.rs
+++ b/system/state/intake/src/intake.rs
@@ -119,7 +119,14 @@
             ToDispatcher::State { request, answer } => {
                 self.queries.handle_state(now, store, request, answer, &self.stores, outputs);
             }
-            _ => {}
+            // They answer no request of intake: the embedder reports them as `Input::StoreActive`.
+            ToDispatcher::Welcome { .. }
+            | ToDispatcher::Deliver { .. }
+            | ToDispatcher::CallBack { .. }
+            | ToDispatcher::Revoke { .. }
+            | ToDispatcher::Recorded { .. }
+            | ToDispatcher::Pong
+            | ToDispatcher::BarrierReached { .. } => {}
         }
     }
 }
--- a/system/state/record-log/src/error.rs
+++ b/system/state/record-log/src/error.rs
@@ -18,8 +18,8 @@
     #[error(transparent)]
     Segments(SegmentError),
     /// A complete record cannot be decoded, or a record cannot be encoded.
-    #[error("a record on the disk cannot be read")]
-    Unreadable,
+    #[error("a record on the disk cannot be read: {0}")]
+    Unreadable(#[source] speedy::Error),
 }
 
 impl RecordLogError {
--- a/system/state/record-log/src/log.rs
+++ b/system/state/record-log/src/log.rs
@@ -58,20 +58,23 @@
     /// [`RecordLogError::Unreadable`] if a record cannot be decoded.
     pub fn open(folder: F, config: SegmentConfig, now_ms: u64) -> Result<Opened<F>, RecordLogError> {
         let (mut records, mut live) = (Vec::new(), LiveRecords::default());
-        let mut has_unreadable = false;
+        let mut unreadable = None;
         let compact_below_percent = config.compact_below_percent.max(COMPACT_BELOW_PERCENT_WHEN_NEARLY_FULL);
         let eager_config = SegmentConfig { compact_below_percent, ..config };
         let log = SegmentLog::open(folder, eager_config, |position, bytes| {
-            let Ok(timestamped) = TimestampedRecord::read_from_buffer(bytes) else {
-                has_unreadable = true;
-                return;
+            let timestamped = match TimestampedRecord::read_from_buffer(bytes) {
+                Ok(timestamped) => timestamped,
+                Err(error) => {
+                    unreadable.get_or_insert(error);
+                    return;
+                }
             };
             live.insert_recovered(position, &timestamped.record);
             let age = Duration::from_millis(now_ms.saturating_sub(timestamped.written_ms));
             records.push(Recovered { record: timestamped.record, age });
         })?;
-        if has_unreadable {
-            return Err(RecordLogError::Unreadable);
+        if let Some(error) = unreadable {
+            return Err(RecordLogError::Unreadable(error));
         }
         live.finish_recovery();
         records.retain(|recovered| live.is_live(RecordKey::of(&recovered.record)));
@@ -87,7 +90,7 @@
     pub fn append(&mut self, now_ms: u64, record: &DiskRecord) -> Result<(), RecordLogError> {
         let bytes = TimestampedRecordRef { written_ms: now_ms, record }
             .write_to_vec()
-            .map_err(|_| RecordLogError::Unreadable)?;
+            .map_err(RecordLogError::Unreadable)?;
         let position = match self.write(&bytes, record) {
             Err(RecordLogError::Full { .. }) => {
                 self.free_capacity()?;
