--- a/system/runtime/node/tests/system/cluster/mod.rs
+++ b/system/runtime/node/tests/system/cluster/mod.rs
@@ -269,7 +269,7 @@
     }
 
     /// Prints what all processes have written.
-    fn print_logs(&self) {
+    pub fn print_logs(&self) {
         for process in self.all_processes() {
             println!("--- {}", self.name_of(process));
             for line in self.log_of(process) {
