--- a/balancer/dispatcher/tests/upgrade/mod.rs
+++ b/balancer/dispatcher/tests/upgrade/mod.rs
@@ -206,6 +206,30 @@
     drop(process);
 }
 
+/// With an open load of 60 calls a second and six to eight test programs at once, one call of some 470 hung for its 5 s in 4 of
+/// 8 runs, and now and then some were answered as failed (`docs/ROADMAP.md`, "Not yet done of days at size"). Not traced. It did
+/// not come in 40 runs of this test, four to eight at once beside a bench and a soak.
+#[test]
+fn grpc_calls_at_a_rate_find_the_new_process_and_lose_nothing() {
+    let (fleet, mut platform, http) = loaded("h");
+    let address = SocketAddr::from((platform.host, 29_000));
+    std::fs::write(platform.settings(), format!("fronts: {{grpc: {{listen: '{address}'}}}}\n")).unwrap();
+    let (mut process, _) = platform.start_ready();
+    let grpc = {
+        let runtime = fleet.handle();
+        let _entered = runtime.enter();
+        Load::open(&Kind::new(Protocol::Grpc, address, "g"), 60.0, 1)
+    };
+    served(&grpc, 60);
+    for _ in 0..4 {
+        (process, _) = platform.upgrade(process);
+        served(&grpc, 60);
+    }
+    lost_nothing(&fleet, &grpc);
+    lost_nothing(&fleet, &http);
+    drop(process);
+}
+
 /// Descriptors that a process holds; none once it has ended, nor before it is the program: until then its descriptors are
 /// copies of this test's own.
 fn descriptors(process: u32) -> usize {
