--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Everything a developer does with this repository. CI calls `make lint`, `make test` and `make build`.
 
-.PHONY: build test lint run demo system-demo bench regression
+.PHONY: build test lint soak run demo system-demo bench regression
 
 build:
 	cargo build --release --locked
@@ -15,6 +15,12 @@
 	cargo clippy --workspace --all-targets --locked -- -D warnings
 	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
 
+# Real processes under series of overlapping faults, for each seed and kind of faults some 25 s, three kinds at once.
+# SIZE=large: ninety processes.
+SEEDS ?= 0..50
+soak:
+	SOAK_SEEDS=$(SEEDS) $(if $(SIZE),SOAK_SIZE=$(SIZE)) cargo test --locked -p millrudder-system --test soak -- --nocapture
+
 # Needs NODE_CONFIG (and may take NODE_LISTEN, NODE_DISCOVERY, NODE_NAME): see docs/operators/balancer.md.
 run: build
 	exec target/release/millrudder
