Let disks fail in the soak

Fault kind added: a process's disk refuses each write for a while, and takes writes again, among kills, losses of power, freezes and stops.

--- a/system/runtime/node/tests/soak/main.rs
+++ b/system/runtime/node/tests/soak/main.rs
@@ -1,7 +1,7 @@
 //! Soak: real processes under series of faults that overlap, with clients that keep using their open connections.
 //!
 //! `SOAK_SEEDS=FROM..TO` plays other seeds, one after the other; `SOAK_SIZE=large` plays them with as many processes as a
-//! machine of eight cores bears. What is not played here: losses of disks and of what was not synced, which the simulations
+//! machine of eight cores bears. What is not played here: lost disks and the loss of what was not synced, which the simulations
 //! cover, as a real file system does not lose it with a process.
 
 #[path = "../system/cluster/mod.rs"]
@@ -58,7 +58,7 @@
     play(FaultKind::PlannedWork).await;
 }
 
-/// Kills, losses of power and freezes of one or many processes, beside planned work: nothing accepted is lost.
+/// Kills, losses of power, freezes and failing disks of one or many processes, beside planned work: nothing accepted is lost.
 #[tokio::test]
 async fn overlapping_losses_lose_nothing_that_was_accepted() {
     play(FaultKind::OverlappingLosses).await;
--- a/system/runtime/node/tests/soak/plan.rs
+++ b/system/runtime/node/tests/soak/plan.rs
@@ -13,7 +13,8 @@
 const PAUSE_MILLIS: Range<u64> = 100..1_200;
 /// How long a process stays away after it has ended, in milliseconds.
 const DOWN_MILLIS: Range<u64> = 50..1_500;
-/// How long a frozen process, or one without power, says nothing before it goes on or is killed, in milliseconds.
+/// How long a frozen process, or one without power, says nothing before it goes on or is killed, and how long a disk refuses
+/// writes, in milliseconds.
 const SILENT_MILLIS: Range<u64> = 50..2_500;
 /// Processes of a series that are stopped or killed one right after the other.
 const SERIES: Range<usize> = 1..4;
@@ -61,6 +62,8 @@
     PowerLoss { silent: Duration, down: Duration },
     /// They do not run for a while.
     Freeze { silent: Duration },
+    /// Their disks refuse each write for a while.
+    FailDisk { broken: Duration },
 }
 
 /// A fault that begins at a time after the start of the clients.
@@ -129,15 +132,16 @@
     let silent = draw(random, SILENT_MILLIS);
     let choice = match kind {
         FaultKind::PlannedWork => random.u32(0..4),
-        FaultKind::OverlappingLosses => random.u32(0..8),
-        FaultKind::MassLosses => random.u32(4..8),
+        FaultKind::OverlappingLosses => random.u32(0..9),
+        FaultKind::MassLosses => random.u32(4..9),
     };
     match choice {
         0..3 => Fault::Stop { down },
         3 => Fault::Reload,
         4 | 5 => Fault::Kill { down },
         6 => Fault::PowerLoss { silent, down },
-        _ => Fault::Freeze { silent },
+        7 => Fault::Freeze { silent },
+        _ => Fault::FailDisk { broken: silent },
     }
 }
 
@@ -149,6 +153,8 @@
     Kill,
     Freeze,
     Thaw,
+    FailDisk,
+    MendDisk,
     Start,
 }
 
@@ -191,6 +197,7 @@
                 vec![(Duration::ZERO, Act::Freeze), (silent, Act::Kill), (silent + down, Act::Start)]
             }
             Fault::Freeze { silent } => vec![(Duration::ZERO, Act::Freeze), (silent, Act::Thaw)],
+            Fault::FailDisk { broken } => vec![(Duration::ZERO, Act::FailDisk), (broken, Act::MendDisk)],
         }
     }
 }
--- a/system/runtime/node/tests/soak/run.rs
+++ b/system/runtime/node/tests/soak/run.rs
@@ -5,7 +5,7 @@
 use crate::clients::Clients;
 use crate::cluster::{Cluster, ClusterProcess};
 use crate::plan::{Act, FaultKind, Plan, TimedAct};
-use millrudder_system_standins::{ProcessSignal, PutOutcome, WorkerPlan};
+use millrudder_system_standins::{ProcessSignal, PutOutcome, Role, WorkerPlan};
 use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
@@ -162,6 +162,11 @@
             (Act::Thaw, Expected::Running | Expected::Stopping { .. }) => {
                 self.signal_as_expected(process, ProcessSignal::Continue, expected)
             }
+            // A process that was started again meanwhile has a disk that works.
+            (Act::FailDisk | Act::MendDisk, Expected::Running | Expected::Stopping { .. }) => {
+                self.switch_disk(process, act);
+                expected
+            }
             // Another fault has been there before.
             (_, expected) => expected,
         };
@@ -178,6 +183,17 @@
         then
     }
 
+    /// Dispatchers have no disk.
+    fn switch_disk(&mut self, process: ClusterProcess, act: Act) {
+        if process.role == Role::Edge || !self.cluster.is_running(process) {
+            return;
+        }
+        match act {
+            Act::FailDisk => self.cluster.fail_disk(process),
+            _ => self.cluster.mend_disk(process),
+        }
+    }
+
     fn expect(&mut self, name: &str, next: Expected) {
         self.expected.get_mut(name).expect("the process is known").1 = next;
     }
