--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 	RUSTDOCFLAGS="-D warnings" cargo doc --workspace --no-deps --locked
 
 # Real processes under series of overlapping faults, for each seed and kind of faults some 25 s, three kinds at once.
-# SIZE=large: ninety processes.
+# SIZE=large: two hundred processes.
 SEEDS ?= 0..50
 soak:
 	SOAK_SEEDS=$(SEEDS) $(if $(SIZE),SOAK_SIZE=$(SIZE)) cargo test --locked -p millrudder-system --test soak -- --nocapture
--- a/system/runtime/node/tests/soak/plan.rs
+++ b/system/runtime/node/tests/soak/plan.rs
@@ -35,7 +35,7 @@
 pub enum SoakSize {
     /// Nine processes.
     Ordinary,
-    /// As many as a machine of eight cores bears, unoptimized.
+    /// Two hundred: as many as a machine of eight cores and the limits of the workplace bear.
     Large,
 }
 
@@ -44,7 +44,7 @@
     pub fn cluster(self) -> ClusterSize {
         match self {
             SoakSize::Ordinary => ClusterSize::FULL,
-            SoakSize::Large => ClusterSize { core: 5, storage: 24, edge: 60, tolerated_losses: 2 },
+            SoakSize::Large => ClusterSize { core: 5, storage: 45, edge: 150, tolerated_losses: 2 },
         }
     }
 }
