Name the soak's parts by the field's terms

A rename: restore in place of mend, unresponsive in place of silent, interval in place of pause, record in place of note.

--- a/coordination/chain/tests/node/stalled_disk.rs
+++ b/coordination/chain/tests/node/stalled_disk.rs
@@ -15,7 +15,7 @@
 /// Bytes of one command.
 const COMMAND_BYTES: usize = 64 << 10;
 /// How long a caller waits for an answer, in steps of the cluster.
-const PATIENCE_STEPS: usize = 50;
+const TIMEOUT_STEPS: usize = 50;
 /// A core holds a configuration in force, the next one, and their copies under way: four bodies of the largest size that is
 /// accepted (4 MiB, `docs/design/control/catchup.md`).
 const MAX_WAITING_BYTES: usize = 16 << 20;
@@ -27,14 +27,14 @@
 /// Records that may wait: somewhat more than the smallest commands that a peer may have under way.
 const MAX_WAITING_RECORDS: u64 = 40_000;
 
-/// Submits a command at each step, and abandons it when its caller's patience ends.
+/// Submits a command at each step, and abandons it after the time-out of its caller.
 fn submit_for(cluster: &mut Cluster, index: usize, steps: usize) {
     let first = 1_000;
     for step in 0..steps {
         let command = "a".repeat(COMMAND_BYTES);
         let request_id = RequestId((first + step) as u128);
         cluster.input(&address(index), Input::Submit { request_id, command });
-        if let Some(abandoned) = step.checked_sub(PATIENCE_STEPS) {
+        if let Some(abandoned) = step.checked_sub(TIMEOUT_STEPS) {
             let request_id = RequestId((first + abandoned) as u128);
             cluster.input(&address(index), Input::Abandon { request_id });
         }
--- a/system/runtime/node/tests/soak/changes.rs
+++ b/system/runtime/node/tests/soak/changes.rs
@@ -13,8 +13,8 @@
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
-/// Pause between two changes.
-const PAUSE: Duration = Duration::from_millis(400);
+/// Time between two changes.
+const INTERVAL: Duration = Duration::from_millis(400);
 
 /// The configuration of a version.
 pub fn configuration(version: u64) -> Configuration {
@@ -73,6 +73,6 @@
                 return;
             }
         }
-        sleep(PAUSE).await;
+        sleep(INTERVAL).await;
     }
 }
--- a/system/runtime/node/tests/soak/clients.rs
+++ b/system/runtime/node/tests/soak/clients.rs
@@ -21,8 +21,8 @@
 const CLIENTS_OF_A_FRONT: usize = 2;
 /// More clients would only wait for each other on one machine.
 const MAX_CLIENTS: usize = 24;
-/// Pause between two messages of one client, and before a connection is opened anew.
-const PAUSE: Duration = Duration::from_millis(40);
+/// Time between two messages of one client, and before a connection is opened anew.
+const INTERVAL: Duration = Duration::from_millis(40);
 /// Order keys of one client.
 const KEYS: usize = 3;
 /// A connection that ends later than this after a whole request was sent, without an answer, has lost the request
@@ -111,7 +111,7 @@
         after: Duration,
     },
     /// Neither an answer nor the end of the connection came.
-    Silent,
+    Unanswered,
 }
 
 struct Answer {
@@ -129,7 +129,7 @@
             if let Ok(connection) = RawConnection::open(front).await {
                 self.use_until_it_ends(connection, front, &mut sent).await;
             }
-            sleep(PAUSE).await;
+            sleep(INTERVAL).await;
         }
     }
 
@@ -139,14 +139,14 @@
             *sent += 1;
             let message = self.message(*sent);
             match exchange(&mut connection, &message).await {
-                Exchange::Answered(answer) => self.note_answer(message, front, answer),
-                Exchange::Ended { after } => return self.note_end(&message, front, after),
-                Exchange::Silent => {
+                Exchange::Answered(answer) => self.record_answer(message, front, answer),
+                Exchange::Ended { after } => return self.record_end(&message, front, after),
+                Exchange::Unanswered => {
                     let id = &message.request_id;
-                    return self.note_violation(format!("{id} at {front}: no answer within {BOUND:?}"));
+                    return self.record_violation(format!("{id} at {front}: no answer within {BOUND:?}"));
                 }
             }
-            sleep(PAUSE).await;
+            sleep(INTERVAL).await;
         }
     }
 
@@ -161,26 +161,26 @@
         }
     }
 
-    fn note_answer(&self, message: Message, front: SocketAddr, answer: Answer) {
+    fn record_answer(&self, message: Message, front: SocketAddr, answer: Answer) {
         match answer.status {
             202 => self.seen.accepted.borrow_mut().push(Sent::new(message, answer.message_id, front)),
             408 | 429 | 500..600 => self.seen.refused.set(self.seen.refused.get() + 1),
-            status => self.note_violation(format!("{} is answered with {status}", message.request_id)),
+            status => self.record_violation(format!("{} is answered with {status}", message.request_id)),
         }
     }
 
-    fn note_end(&self, message: &Message, front: SocketAddr, after: Duration) {
+    fn record_end(&self, message: &Message, front: SocketAddr, after: Duration) {
         self.seen.broken.set(self.seen.broken.get() + 1);
         self.seen.longest_end.set(self.seen.longest_end.get().max(after));
         if self.kind == FaultKind::PlannedWork && after > LOSS_SLACK {
             let id = &message.request_id;
-            self.note_violation(format!(
+            self.record_violation(format!(
                 "{id} at {front}: cut {after:?} after it was sent, without an answer"
             ));
         }
     }
 
-    fn note_violation(&self, violation: String) {
+    fn record_violation(&self, violation: String) {
         self.seen.violations.borrow_mut().push(violation);
     }
 }
@@ -207,7 +207,7 @@
             Some(answer) => Exchange::Answered(answer),
             None => Exchange::Ended { after: sent_at.elapsed() },
         },
-        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Exchange::Silent,
+        Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Exchange::Unanswered,
         Err(_) => Exchange::Ended { after: sent_at.elapsed() },
     }
 }
--- a/system/runtime/node/tests/soak/plan.rs
+++ b/system/runtime/node/tests/soak/plan.rs
@@ -9,13 +9,13 @@
 const FIRST_FAULT: Duration = Duration::from_secs(1);
 /// How long faults begin to happen.
 const FAULTS_FOR: Duration = Duration::from_secs(12);
-/// Pause between the beginnings of two faults, in milliseconds: shorter than most faults last.
-const PAUSE_MILLIS: Range<u64> = 100..1_200;
+/// Time between the beginnings of two faults, in milliseconds: shorter than most faults last.
+const INTERVAL_MILLIS: Range<u64> = 100..1_200;
 /// How long a process stays away after it has ended, in milliseconds.
 const DOWN_MILLIS: Range<u64> = 50..1_500;
 /// How long a frozen process, or one without power, says nothing before it goes on or is killed, and how long a disk refuses
 /// writes, in milliseconds.
-const SILENT_MILLIS: Range<u64> = 50..2_500;
+const UNRESPONSIVE_MILLIS: Range<u64> = 50..2_500;
 /// Processes of a series that are stopped or killed one right after the other.
 const SERIES: Range<usize> = 1..4;
 
@@ -59,9 +59,9 @@
     /// SIGKILL; each starts again after `down`.
     Kill { down: Duration },
     /// They say nothing for a while, with their connections open, then end without a word.
-    PowerLoss { silent: Duration, down: Duration },
+    PowerLoss { unresponsive_for: Duration, down: Duration },
     /// They do not run for a while.
-    Freeze { silent: Duration },
+    Freeze { unresponsive_for: Duration },
     /// Their disks refuse each write for a while.
     FailDisk { broken: Duration },
 }
@@ -97,8 +97,8 @@
             let processes = draw_processes(&mut random, processes, many);
             let fault = draw_fault(&mut random, kind);
             steps.push(Step { at, processes, fault });
-            let pauses = if many { 4 } else { 1 };
-            at += draw(&mut random, PAUSE_MILLIS) * pauses;
+            let intervals = if many { 4 } else { 1 };
+            at += draw(&mut random, INTERVAL_MILLIS) * intervals;
         }
         Plan { seed, kind, size, steps }
     }
@@ -129,7 +129,7 @@
 
 fn draw_fault(random: &mut fastrand::Rng, kind: FaultKind) -> Fault {
     let down = draw(random, DOWN_MILLIS);
-    let silent = draw(random, SILENT_MILLIS);
+    let unresponsive_for = draw(random, UNRESPONSIVE_MILLIS);
     let choice = match kind {
         FaultKind::PlannedWork => random.u32(0..4),
         FaultKind::OverlappingLosses => random.u32(0..9),
@@ -139,9 +139,9 @@
         0..3 => Fault::Stop { down },
         3 => Fault::Reload,
         4 | 5 => Fault::Kill { down },
-        6 => Fault::PowerLoss { silent, down },
-        7 => Fault::Freeze { silent },
-        _ => Fault::FailDisk { broken: silent },
+        6 => Fault::PowerLoss { unresponsive_for, down },
+        7 => Fault::Freeze { unresponsive_for },
+        _ => Fault::FailDisk { broken: unresponsive_for },
     }
 }
 
@@ -154,7 +154,7 @@
     Freeze,
     Thaw,
     FailDisk,
-    MendDisk,
+    RestoreDisk,
     Start,
 }
 
@@ -193,11 +193,17 @@
             Fault::Stop { down } => vec![(Duration::ZERO, Act::Terminate { down })],
             Fault::Reload => vec![(Duration::ZERO, Act::Reload)],
             Fault::Kill { down } => vec![(Duration::ZERO, Act::Kill), (down, Act::Start)],
-            Fault::PowerLoss { silent, down } => {
-                vec![(Duration::ZERO, Act::Freeze), (silent, Act::Kill), (silent + down, Act::Start)]
+            Fault::PowerLoss { unresponsive_for, down } => {
+                vec![
+                    (Duration::ZERO, Act::Freeze),
+                    (unresponsive_for, Act::Kill),
+                    (unresponsive_for + down, Act::Start),
+                ]
             }
-            Fault::Freeze { silent } => vec![(Duration::ZERO, Act::Freeze), (silent, Act::Thaw)],
-            Fault::FailDisk { broken } => vec![(Duration::ZERO, Act::FailDisk), (broken, Act::MendDisk)],
+            Fault::Freeze { unresponsive_for } => {
+                vec![(Duration::ZERO, Act::Freeze), (unresponsive_for, Act::Thaw)]
+            }
+            Fault::FailDisk { broken } => vec![(Duration::ZERO, Act::FailDisk), (broken, Act::RestoreDisk)],
         }
     }
 }
--- a/system/runtime/node/tests/soak/run.rs
+++ b/system/runtime/node/tests/soak/run.rs
@@ -163,7 +163,7 @@
                 self.signal_as_expected(process, ProcessSignal::Continue, expected)
             }
             // A process that was started again meanwhile has a disk that works.
-            (Act::FailDisk | Act::MendDisk, Expected::Running | Expected::Stopping { .. }) => {
+            (Act::FailDisk | Act::RestoreDisk, Expected::Running | Expected::Stopping { .. }) => {
                 self.switch_disk(process, act);
                 expected
             }
@@ -190,7 +190,7 @@
         }
         match act {
             Act::FailDisk => self.cluster.fail_disk(process),
-            _ => self.cluster.mend_disk(process),
+            _ => self.cluster.restore_disk(process),
         }
     }
 
--- a/system/runtime/node/tests/system/cluster/disks.rs
+++ b/system/runtime/node/tests/system/cluster/disks.rs
@@ -1,4 +1,4 @@
-//! Disks that fail: a process's writes to files are refused until the disk is mended.
+//! Disks that fail: a process's writes to files are refused until the disk is restored.
 
 use super::{Cluster, ClusterProcess, PROGRAM};
 use std::fs;
@@ -23,7 +23,7 @@
     }
 
     /// Writes succeed again.
-    pub fn mend_disk(&mut self, process: ClusterProcess) {
+    pub fn restore_disk(&mut self, process: ClusterProcess) {
         self.limit_file_size(process, "unlimited");
     }
 
--- a/system/runtime/node/tests/system/disk_failures.rs
+++ b/system/runtime/node/tests/system/disk_failures.rs
@@ -77,7 +77,7 @@
         let closed = eventually(BOUND, || cluster.connections_to(failed, address) == 0).await;
         assert!(closed.is_ok(), "connections to {address} are still open");
     }
-    cluster.mend_disk(failed);
+    cluster.restore_disk(failed);
     cluster.core_is_complete().await;
     cluster.core_agrees(&configuration(2).build().unwrap()).await;
 }
@@ -91,7 +91,7 @@
     let mut bytes = Vec::new();
     frame::encode(&(CLIENT_VARIANT, register), &mut bytes).expect("a frame");
     keeps_nothing_of_a_flood(&mut cluster, failed, &bytes).await;
-    cluster.mend_disk(failed);
+    cluster.restore_disk(failed);
     cluster.core_is_complete().await;
     cluster.core_agrees(&configuration(2).build().unwrap()).await;
 }
@@ -119,7 +119,7 @@
     let mut bytes = Vec::new();
     frame::encode(&ToStore::Dispatcher { message: hello }, &mut bytes).expect("a frame");
     keeps_nothing_of_a_flood(&mut cluster, failed, &bytes).await;
-    cluster.mend_disk(failed);
+    cluster.restore_disk(failed);
     let opened = |log: &[String]| log.iter().filter(|line| line.contains("store opened")).count() >= 2;
     assert!(eventually(BOUND, || opened(&cluster.log_of(failed))).await.is_ok(), "the store is not back");
     cluster.accept(front, &Message::new(HOST, "/births/", "after")).await;
