Show that SIGHUP during a process's start ends it without a word

Cause, from the plan and the log: the store started again 418 ms after a stop at 11.97 s, and SIGHUP came at 12.77 s, before its handlers were installed. The test has the process read its settings from a pipe when the signal comes; it fails each time.

--- a/system/runtime/node/tests/system/main.rs
+++ b/system/runtime/node/tests/system/main.rs
@@ -5,6 +5,7 @@
 mod command_line;
 mod configuration;
 mod disk_failures;
+mod early_signals;
 mod forwarding;
 mod hostile;
 mod log_lines;
