Install the handlers of signals first of all

Cause: each role installed its handlers after the settings were read and the addresses checked. Change: the handlers come before everything else; a signal during the start is acted on once the role runs.

--- a/system/runtime/node/src/core/mod.rs
+++ b/system/runtime/node/src/core/mod.rs
@@ -58,12 +58,11 @@
 ///
 /// # Errors
 /// It cannot start.
-pub async fn run(settings: Settings, file: PathBuf) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, file: PathBuf, mut signals: Signals) -> Result<(), RoleError> {
     let folder = settings.data_dir.clone().ok_or(RoleError::MissingKey { key: "dataDir" })?;
     let control =
         settings.bind.control_plane.ok_or(RoleError::MissingKey { key: "bindAddrs.controlPlane" })?;
     let internal = internal_address(&settings, InternalPort::Core);
-    let mut signals = Signals::install()?;
     // Its bounds are those of `accept_internal` and of the operator's connections, each with one request.
     let (events, queue) = unbounded_channel();
     let opened = OpenedJournal::open(&folder)?;
--- a/system/runtime/node/src/edge/mod.rs
+++ b/system/runtime/node/src/edge/mod.rs
@@ -52,11 +52,10 @@
 ///
 /// # Errors
 /// It cannot start.
-pub async fn run(settings: Settings, file: PathBuf) -> Result<(), RoleError> {
+pub async fn run(settings: Settings, file: PathBuf, mut signals: Signals) -> Result<(), RoleError> {
     let front_address = settings.bind.front.ok_or(RoleError::MissingKey { key: "bindAddrs.front" })?;
     let readiness_address =
         settings.bind.readiness.ok_or(RoleError::MissingKey { key: "bindAddrs.readiness" })?;
-    let mut signals = Signals::install()?;
     // Bounded by the connections of clients, each with one request, and by the credits and leases of stores.
     let (events, queue) = unbounded_channel();
     let configuration = SharedConfiguration::empty();
--- a/system/runtime/node/src/role.rs
+++ b/system/runtime/node/src/role.rs
@@ -3,6 +3,7 @@
 use crate::cli::Role;
 use crate::error::RoleError;
 use crate::mechanisms::Mechanisms;
+use crate::signals::Signals;
 use crate::{core, edge, storage};
 use millrudder_settings::{Settings, VARIABLE};
 use std::path::{Path, PathBuf};
@@ -28,18 +29,20 @@
 /// # Errors
 /// The process cannot start, or cannot go on serving.
 pub fn serve(role: Role, file: Option<PathBuf>, mechanisms: Mechanisms) -> miette::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(RoleError::Runtime)?;
+    // First of all: until then the default action of a signal ends the process without a word.
+    let signals = runtime.block_on(async { Signals::install() })?;
     let file = settings_file(file.as_deref())?;
     let mut settings = load_settings(Some(&file))?;
     mechanisms.apply(&mut settings);
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(RoleError::Runtime)?;
     let local = LocalSet::new();
     log::info!(node_name = &*settings.node_name, role:%, mechanisms:%; "starting");
     let ended = local.block_on(&runtime, async {
         match role {
-            Role::Edge => edge::run(settings, file).await,
-            Role::Storage => storage::run(settings, file, mechanisms).await,
-            Role::Core => core::run(settings, file).await,
+            Role::Edge => edge::run(settings, file, signals).await,
+            Role::Storage => storage::run(settings, file, signals, mechanisms).await,
+            Role::Core => core::run(settings, file, signals).await,
         }
     });
     drop(local);
--- a/system/runtime/node/src/storage/mod.rs
+++ b/system/runtime/node/src/storage/mod.rs
@@ -44,10 +44,14 @@
 ///
 /// # Errors
 /// It cannot start.
-pub async fn run(settings: Settings, file: PathBuf, mechanisms: Mechanisms) -> Result<(), RoleError> {
+pub async fn run(
+    settings: Settings,
+    file: PathBuf,
+    mut signals: Signals,
+    mechanisms: Mechanisms,
+) -> Result<(), RoleError> {
     let folder = settings.data_dir.clone().ok_or(RoleError::MissingKey { key: "dataDir" })?;
     let internal = internal_address(&settings, InternalPort::Storage);
-    let mut signals = Signals::install()?;
     // Its bounds are those of `accept_internal`.
     let (events, queue) = unbounded_channel();
     let opened = open_disk(&folder, settings.limits.disk_bytes)?;
