--- a/review/second/rig.rs
+++ b/review/second/rig.rs
@@ -7,6 +7,7 @@
 use std::fs::{self, File};
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -16,7 +17,10 @@
 
 extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, argument: u64) -> i32;
 }
+/// Linux: the signal that a process gets when the one that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
 pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
@@ -549,7 +553,15 @@
         };
         let settings = self.folder.join(format!("{name}.yaml"));
         let log = File::options().create(true).append(true).open(self.folder.join(format!("{name}.log"))).unwrap_or_else(|e| cannot(&e.to_string()));
-        let child = Command::new(&self.program)
+        let mut command = Command::new(&self.program);
+        // However this script ends, its processes end with it.
+        unsafe {
+            command.pre_exec(|| match prctl(PR_SET_PDEATHSIG, SIGKILL as u64) {
+                0 => Ok(()),
+                _ => Err(io::Error::last_os_error()),
+            });
+        }
+        let child = command
             .arg(role)
             .env("MILLRUDDER_SETTINGS", &settings)
             .env("RUST_LOG", std::env::var("RIG_LOG").unwrap_or_else(|_| "info".into()))
