Store a message's retention, target start time and delay whole above 49.7 days

A configuration with such a retention is accepted: the check allows ten years.

Cause: the edge wrote `route.retention.as_millis() as u32` into the message, which keeps the number modulo 2^32 ms, and the target start time in the same way. In the store, `Entry::placeholder_message` cut the retention of an ended message to 49.7 days (saturating), so that its end could be forgotten before a replica that missed it had expired the message.

Change: the three durations are 64-bit numbers in the program. Their fields on the wire and on disk stay 32-bit numbers; one that does not fit is written as the largest number of its field, and whole in a further header with a reserved name. Processes of the version before read 49.7 days, store the header and pass it on with the others, so that nothing is cut while both versions run. Clients' headers with the reserved names are dropped.

--- a/coordination/clock/src/lib.rs
+++ b/coordination/clock/src/lib.rs
@@ -64,7 +64,7 @@
     /// Whole milliseconds since the origin; the largest number for readings beyond it.
     #[must_use]
     pub fn as_millis(self) -> u64 {
-        u64::try_from(self.since_origin.as_millis()).unwrap_or(u64::MAX)
+        whole_millis(self.since_origin)
     }
 
     /// The reading `span` earlier; `None` before the origin.
@@ -74,6 +74,12 @@
     }
 }
 
+/// A span in whole milliseconds, as messages between processes carry it; the largest number for longer ones.
+#[must_use]
+pub fn whole_millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
+
 impl Add<Duration> for Instant {
     type Output = Instant;
 
--- a/system/runtime/node/src/edge/front/submission.rs
+++ b/system/runtime/node/src/edge/front/submission.rs
@@ -3,15 +3,19 @@
 use crate::edge::active_configuration::ActiveConfiguration;
 use http::header::HOST;
 use http::{HeaderMap, HeaderName};
+use millrudder_clock::whole_millis;
 use millrudder_configuration::Route;
 use millrudder_intake::TargetShard;
-use millrudder_protocol::message::{Header, Message};
+use millrudder_protocol::message::{is_reserved_header, Header, Message};
 use millrudder_system_http::client::CallbackUrl;
 use millrudder_system_http::front::Request;
 use millrudder_system_http::headers;
 use std::time::Duration;
 use thiserror::Error;
 
+#[cfg(test)]
+mod tests;
+
 /// A client that names no deadline is assumed to wait this long.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(5);
 /// No client is assumed to wait longer.
@@ -100,9 +104,9 @@
         host: requested_host(&request).to_owned(),
         service: route.service.to_string(),
         priority: route.priority,
-        target_start_ms: route.target_start.as_millis() as u32,
+        target_start_ms: whole_millis(route.target_start),
         max_attempts: route.max_attempts().get(),
-        retention_ms: route.retention.as_millis() as u32,
+        retention_ms: whole_millis(route.retention),
         headers: forwarded_headers(&request.headers),
         body: request.body.to_vec(),
     };
@@ -162,6 +166,7 @@
     }
     let pairs = forwarded
         .iter()
+        .filter(|(name, _)| !is_reserved_header(name.as_str()))
         .map(|(name, value)| Header { name: name.as_str().to_owned(), value: value.as_bytes().to_vec() });
     pairs.collect()
 }
--- a/system/runtime/node/tests/system/messages.rs
+++ b/system/runtime/node/tests/system/messages.rs
@@ -11,13 +11,15 @@
 
 const HOST: &str = "boye61.example";
 const MAX_RETRIES: u32 = 4;
+/// A retention one millisecond above 32 bits of milliseconds: 49.7 days.
+const LONG_RETENTION: Duration = Duration::from_millis((1 << 32) + 1);
 /// Messages a second at the endpoint with a ceiling, from all dispatchers together.
 const CEILING: f64 = 8.0;
 
 /// The services are apart, so that what a scenario scripts at its worker meets no other scenario's messages.
 fn configuration(endpoint: &Worker) -> ConfigurationBuilder {
     let mut configuration = ConfigurationBuilder::new(1);
-    for service in ["plain", "ordered", "failing", "called", "queued", "shared"] {
+    for service in ["plain", "ordered", "failing", "called", "queued", "patient", "shared"] {
         configuration = configuration.service(Service::listed(service));
     }
     configuration
@@ -28,6 +30,7 @@
         .route(route("failing").with_max_retries(MAX_RETRIES))
         .route(route("called").callback())
         .route(route("queued").with_timeout(BOUND))
+        .route(route("patient").with_retention(LONG_RETENTION))
         .route(route("shared"))
         .route(route("endpoint"))
         .route(Route {
@@ -68,6 +71,7 @@
         Scenario::new("failed attempts and dead letters", fail(cluster.clone())),
         Scenario::new("call-backs", call_back(cluster.clone())),
         Scenario::new("bytes of a queued message", bytes_of_queued(cluster.clone())),
+        Scenario::new("retention above 49 days", outlast_an_outage(cluster.clone())),
         Scenario::new("idempotent service", run_once_by_table(cluster.clone())),
         Scenario::new("ceiling of an endpoint", keep_ceiling(cluster.clone())),
         Scenario::new("what is no message", refuse(cluster.clone())),
@@ -264,6 +268,16 @@
     assert_eq!(reply, BodyReply::Unknown);
 }
 
+// Guards against a retention that is cut off to 32 bits of milliseconds: messages were dead-lettered at once (review/5).
+async fn outlast_an_outage(cluster: Rc<Cluster>) {
+    let sent = cluster.accept(cluster.fronts()[0], &message("/patient/", "without-worker")).await;
+    for front in cluster.fronts() {
+        cluster.body_is_stored(front, &sent).await;
+    }
+    let _worker = cluster.worker(WorkerPlan::new("patient", "i-patient")).await;
+    cluster.completed(&sent).await;
+}
+
 async fn run_once_by_table(cluster: Rc<Cluster>) {
     let table = IdempotentTable::new();
     let mut workers = Vec::new();
--- a/system/state/protocol/src/message.rs
+++ b/system/state/protocol/src/message.rs
@@ -3,6 +3,10 @@
 //! The state only grows, so that the states of several replicas can be merged in any order: a body once present stays,
 //! counts take the larger value, an end once known stays.
 
+mod encoding;
+
+pub use encoding::is_reserved_header;
+
 use crate::identifiers::{DispatcherId, LeaseToken, MessageId, Sequence};
 use speedy::{Readable, Writable};
 
@@ -16,7 +20,7 @@
 }
 
 /// What a client sent; never changed afterwards.
-#[derive(Clone, Debug, PartialEq, Eq, Readable, Writable)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Message {
     /// `X-Request-Id` of the client's request.
     pub request_id: String,
@@ -39,13 +43,13 @@
     /// Priority; the lowest number goes first.
     pub priority: u32,
     /// Time after it was first received before which it must not run, in milliseconds.
-    pub delay_ms: u32,
+    pub delay_ms: u64,
     /// Time after it became due within which a start earns its full value, in milliseconds.
-    pub target_start_ms: u32,
+    pub target_start_ms: u64,
     /// Failed attempts (answers that say so) after which the message is dead-lettered.
     pub max_attempts: u32,
     /// Time after it was received after which it has ended in any case, in milliseconds.
-    pub retention_ms: u32,
+    pub retention_ms: u64,
 }
 
 /// How a message ended.
--- a/system/state/protocol/tests/golden.rs
+++ b/system/state/protocol/tests/golden.rs
@@ -66,6 +66,16 @@
     Message { order_key: None, callback_url: None, headers: Vec::new(), ..message() }
 }
 
+/// Durations beyond 32 bits of milliseconds.
+fn long_lived_message() -> Message {
+    Message {
+        delay_ms: 0x0001_0000_0002,
+        target_start_ms: 0x0003_0000_0004,
+        retention_ms: 0x0005_0000_0006,
+        ..message()
+    }
+}
+
 fn state() -> MessageState {
     MessageState {
         id: ID,
@@ -147,6 +157,15 @@
                 wants_lease: false,
             },
         ),
+        (
+            "accept_long_lived",
+            FromDispatcher::Accept {
+                request: REQUEST,
+                id: ID,
+                message: Box::new(long_lived_message()),
+                wants_lease: true,
+            },
+        ),
         ("withdraw", FromDispatcher::Withdraw { id: ID }),
         ("attempted_succeeded", attempted(AttemptOutcome::Succeeded { signature: "5a".into() })),
         ("attempted_refused", attempted(AttemptOutcome::Refused)),
--- a/system/state/queue/src/entry.rs
+++ b/system/state/queue/src/entry.rs
@@ -2,8 +2,8 @@
 //! to the state and never undo anything, so copies can be merged in any order.
 
 use crate::primary_entry::PrimaryEntry;
+use crate::time::millis;
 use crate::time::Instant;
-use crate::time::{millis, millis_u32};
 use millrudder_protocol::message::{End, Grant, Message, MessageState};
 use millrudder_protocol::store::Record;
 use millrudder_protocol::{LeaseToken, MessageId, Sequence};
@@ -152,7 +152,7 @@
     }
 
     fn merge_message(&mut self, message: Box<Message>) {
-        self.retention = self.retention.max(Duration::from_millis(u64::from(message.retention_ms)));
+        self.retention = self.retention.max(Duration::from_millis(message.retention_ms));
         match &self.message {
             Some(known) if known.body.len() >= message.body.len() => {}
             _ => self.message = Some(message),
@@ -228,7 +228,7 @@
             delay_ms: 0,
             target_start_ms: 0,
             max_attempts: 0,
-            retention_ms: millis_u32(self.retention),
+            retention_ms: millis(self.retention),
         }
     }
 
@@ -240,13 +240,13 @@
     /// Time before which the message must not be run.
     pub fn due(&self) -> Instant {
         let delay_ms = self.message.as_ref().map_or(0, |message| message.delay_ms);
-        self.received_at + Duration::from_millis(u64::from(delay_ms))
+        self.received_at + Duration::from_millis(delay_ms)
     }
 
     /// Latest time at which a start earns the message's full value.
     pub fn start_by(&self) -> Instant {
         let target_start_ms = self.message.as_ref().map_or(0, |message| message.target_start_ms);
-        self.due() + Duration::from_millis(u64::from(target_start_ms))
+        self.due() + Duration::from_millis(target_start_ms)
     }
 
     /// End of the retention: the message has ended by then at the latest.
--- a/system/state/queue/src/node/accept.rs
+++ b/system/state/queue/src/node/accept.rs
@@ -87,7 +87,7 @@
         primary.set_accepted_by(Acceptor { dispatcher, at: now });
         self.table.change(id, now, |entry| {
             entry.sequence = sequence;
-            entry.retention = Duration::from_millis(u64::from(message.retention_ms));
+            entry.retention = Duration::from_millis(message.retention_ms);
             entry.message = Some(message);
             entry.primary = Some(Box::new(primary));
         });
--- a/system/state/queue/src/time.rs
+++ b/system/state/queue/src/time.rs
@@ -58,10 +58,7 @@
     }
 }
 
-/// A duration in whole milliseconds, as used in messages between processes.
-pub(crate) fn millis(span: Duration) -> u64 {
-    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
-}
+pub(crate) use millrudder_clock::whole_millis as millis;
 
 fn signed_millis(span: Duration) -> i64 {
     i64::try_from(span.as_millis()).unwrap_or(i64::MAX)
--- a/system/state/queue/tests/cluster/mod.rs
+++ b/system/state/queue/tests/cluster/mod.rs
@@ -395,7 +395,7 @@
         match random.u8(0..10) {
             0..4 => message.order_key = Some(format!("key-{}", random.u8(0..4))),
             4..6 if self.options.rate_limit.is_some() => message.service = RATE_LIMITED_SERVICE.to_owned(),
-            _ => message.delay_ms = if random.u8(0..4) == 0 { random.u32(0..1_500) } else { 0 },
+            _ => message.delay_ms = if random.u8(0..4) == 0 { u64::from(random.u32(0..1_500)) } else { 0 },
         }
         if random.u8(0..4) == 0 {
             message.callback_url = Some(format!("http://receiver-{}/done", random.u8(0..2)));
--- a/system/state/queue/tests/cluster/request_log.rs
+++ b/system/state/queue/tests/cluster/request_log.rs
@@ -36,7 +36,7 @@
 
 impl ActualState {
     pub fn has_ended(&self, now_ms: u64) -> bool {
-        self.ended_ms.is_some() || now_ms >= self.sent_ms + u64::from(self.message.retention_ms)
+        self.ended_ms.is_some() || now_ms >= self.sent_ms + self.message.retention_ms
     }
 }
 
@@ -92,7 +92,7 @@
         self.check_order(id, now_ms);
         let actual = self.messages.get_mut(&id).expect("a message that was never sent has run");
         assert!(!actual.withdrawn, "{id} ran after it was withdrawn");
-        let due_ms = actual.sent_ms + u64::from(actual.message.delay_ms);
+        let due_ms = actual.sent_ms + actual.message.delay_ms;
         assert!(now_ms >= due_ms, "{id} ran {} ms early", due_ms - now_ms);
         assert!(!actual.success_recorded, "{id} ran again after its success was recorded");
         if is_fault_free {
--- a/system/state/record-log/examples/recovery.rs
+++ b/system/state/record-log/examples/recovery.rs
@@ -23,7 +23,7 @@
 /// Time of day of all records (ms).
 const NOW_MS: u64 = 1_000_000;
 /// Time in which messages end (ms).
-const RETENTION_MS: u32 = 600_000;
+const RETENTION_MS: u64 = 600_000;
 /// Room for millions of records.
 const CONFIG: SegmentConfig = SegmentConfig {
     segment_bytes: 4 << 20,
--- a/system/state/record-log/tests/support/mod.rs
+++ b/system/state/record-log/tests/support/mod.rs
@@ -31,7 +31,7 @@
 /// Time of day of all operations, in milliseconds since 1970.
 pub const NOW_MS: u64 = 1_000_000;
 /// Long enough that no message expires (ms).
-const RETENTION_MS: u32 = 1 << 30;
+const RETENTION_MS: u64 = 1 << 30;
 pub const SHARD: ShardId = ShardId(0);
 
 pub fn id(unique: u64) -> MessageId {
