Keep a route's time-out whole above 49.7 days

What callers saw: with a timeoutMs above, which the check accepts up to ten years, each attempt got the time-out modulo 2^32 ms.

The time that an answer took was cast in `Calls` in the same way, which such a time-out makes possible.

Change: time-outs and elapsed times of attempts are 64-bit numbers of milliseconds in delivery; none of them is stored or sent to other processes of the system. Sums with the clock saturate.

--- a/system/runtime/node/src/edge/active_configuration.rs
+++ b/system/runtime/node/src/edge/active_configuration.rs
@@ -1,6 +1,7 @@
 //! The active configuration, as intake, delivery and the front need it.
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use millrudder_clock::whole_millis;
 use millrudder_configuration::{Configuration, ConfigurationError, Route, RouteKind, RouteTable};
 use millrudder_delivery::{Resolve, ResolvedRoute, Service};
 use millrudder_protocol::Address;
@@ -8,6 +9,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+#[cfg(test)]
+mod tests;
+
 /// Time-out of a request's body, beyond that of its headers.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -74,7 +78,7 @@
     fn resolve(&self, host: &str, path: &str) -> Option<ResolvedRoute> {
         let path = path.split('?').next().unwrap_or(path);
         let route = self.route(host, path)?;
-        let timeout_ms = route.timeout.as_millis() as u32;
+        let timeout_ms = whole_millis(route.timeout);
         Some(ResolvedRoute { service: Arc::from(&*route.service), timeout_ms })
     }
 }
--- a/system/runtime/node/src/edge/calls.rs
+++ b/system/runtime/node/src/edge/calls.rs
@@ -5,6 +5,7 @@
 use http::header::{HeaderName, HOST};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method};
+use millrudder_clock::whole_millis;
 use millrudder_delivery::{
     Answer, AttemptId, AttemptResult, CallBackBody, CallBackResult, CallBackState, CallBackUrl, Load, Target,
 };
@@ -135,7 +136,7 @@
         let name = HeaderName::from_bytes(header.name.as_bytes()).ok()?;
         all.append(name, HeaderValue::from_bytes(&header.value).ok()?);
     }
-    all.insert(headers::DEADLINE_MS, HeaderValue::from(timeout.as_millis() as u64));
+    all.insert(headers::DEADLINE_MS, HeaderValue::from(whole_millis(timeout)));
     if let Some(instance) = &worker.instance_id {
         all.insert(headers::EXPECT_INSTANCE, HeaderValue::from_str(instance).ok()?);
     }
@@ -160,7 +161,7 @@
                 slots: load.slots,
             }),
             complete: answer.complete,
-            elapsed_ms: answer.elapsed.as_millis() as u32,
+            elapsed_ms: whole_millis(answer.elapsed),
         }),
         Err(SendError::NotConnected(_) | SendError::NoConnectionLeft) => AttemptResult::NotConnected,
         Err(SendError::ResetBeforeSent) => AttemptResult::ResetBeforeSent,
--- a/system/runtime/node/src/edge/host/deliveries.rs
+++ b/system/runtime/node/src/edge/host/deliveries.rs
@@ -19,8 +19,8 @@
     fn carry_out_delivery(&mut self, output: Output) {
         match output {
             Output::Send { attempt, message, worker, timeout_ms, answer_timeout_ms, .. } => {
-                let timeout = Duration::from_millis(timeout_ms.into());
-                let wait = Duration::from_millis(answer_timeout_ms.into());
+                let timeout = Duration::from_millis(timeout_ms);
+                let wait = Duration::from_millis(answer_timeout_ms);
                 self.calls.send(WorkerCall { attempt, message, worker, timeout, wait });
             }
             Output::SendCallBack { attempt, url, body, timeout_ms } => {
--- a/system/runtime/node/tests/system/main.rs
+++ b/system/runtime/node/tests/system/main.rs
@@ -8,6 +8,7 @@
 mod early_signals;
 mod forwarding;
 mod hostile;
+mod largest_values;
 mod log_lines;
 mod messages;
 mod quorum;
--- a/system/state/delivery/src/attempts.rs
+++ b/system/state/delivery/src/attempts.rs
@@ -53,9 +53,9 @@
         id: AttemptId,
         key: LeaseKey,
         service: Arc<str>,
-        answer_timeout_ms: u32,
+        answer_timeout_ms: u64,
     ) {
-        let overdue_at_ms = now + u64::from(answer_timeout_ms) + OVERDUE_AFTER_MS;
+        let overdue_at_ms = now.saturating_add(answer_timeout_ms).saturating_add(OVERDUE_AFTER_MS);
         self.by_overdue.insert((overdue_at_ms, id));
         self.in_flight.insert(id, Attempt { key, service, sent_at_ms: now, overdue_at_ms });
     }
--- a/system/state/delivery/src/delivery/leases.rs
+++ b/system/state/delivery/src/delivery/leases.rs
@@ -14,10 +14,10 @@
 
 /// Time-out (ms) of a connection to a worker: several round trips between zones, and some scheduling delay on a busy
 /// machine.
-const CONNECT_TIMEOUT_MS: u32 = 300;
+const CONNECT_TIMEOUT_MS: u64 = 300;
 /// How long (ms) an answer is still awaited after the worker's time-out: the worker may have finished just in time, and
 /// a message whose success was answered in full 50 ms before the time-out must never run again.
-const ANSWER_SLACK_MS: u32 = 100;
+const ANSWER_SLACK_MS: u64 = 100;
 /// Age (ms) from which a message without a known route is reported as [`AttemptOutcome::RouteGone`]. Until then this
 /// dispatcher's configuration may be older than the route (by `configApplyMs` and `maxSkewMs`, with a margin).
 const ROUTE_PROPAGATION_MS: u64 = 20_000;
@@ -153,7 +153,7 @@
         self.by_attempt.remove(&id);
         let Some(lease) = self.leases.remove(&attempt.key.id) else { return };
         let latency_ms = match &result {
-            AttemptResult::Answer(answer) => f64::from(answer.elapsed_ms),
+            AttemptResult::Answer(answer) => answer.elapsed_ms as f64,
             _ => (now - attempt.sent_at_ms) as f64,
         };
         let interpretation = outcome::interpret(result, lease.failed_attempts);
--- a/system/state/delivery/src/interface.rs
+++ b/system/state/delivery/src/interface.rs
@@ -67,7 +67,7 @@
     /// Name of the service.
     pub service: Arc<str>,
     /// Time-out of one attempt to deliver, in milliseconds.
-    pub timeout_ms: u32,
+    pub timeout_ms: u64,
 }
 
 /// The routes of the active configuration.
@@ -101,7 +101,7 @@
     /// The whole body arrived.
     pub complete: bool,
     /// Time from the send to the end of the answer, in milliseconds.
-    pub elapsed_ms: u32,
+    pub elapsed_ms: u64,
 }
 
 /// Result of an attempt to deliver.
@@ -239,12 +239,12 @@
         message: Arc<Message>,
         worker: Target,
         /// Time-out for opening a connection, in milliseconds.
-        connect_timeout_ms: u32,
+        connect_timeout_ms: u64,
         /// Time-out for the worker, in milliseconds: the value of `X-Deadline-Ms`.
-        timeout_ms: u32,
+        timeout_ms: u64,
         /// Time-out from now to the end of the answer, in milliseconds. A little longer than the worker's, so that
         /// answers that are sent just in time are still read.
-        answer_timeout_ms: u32,
+        answer_timeout_ms: u64,
     },
     /// Send the call-back to the receiver now, and only once. The result is passed in as [`Input::CallBackResult`].
     SendCallBack {
--- a/system/state/delivery/tests/common/mod.rs
+++ b/system/state/delivery/tests/common/mod.rs
@@ -13,8 +13,8 @@
 pub const OTHER_STORE: StoreId = StoreId(2);
 pub const LISTED: &str = "annotate";
 pub const STATIC: &str = "pay";
-pub const TIMEOUT_MS: u32 = 2000;
-pub const ANSWER_SLACK_MS: u32 = 100;
+pub const TIMEOUT_MS: u64 = 2000;
+pub const ANSWER_SLACK_MS: u64 = 100;
 pub const STATIC_ADDRESS: &str = "172.20.0.3:8066";
 
 /// A route that sends paths with a prefix to a service.
@@ -22,7 +22,7 @@
 pub struct Route {
     pub prefix: &'static str,
     pub service: &'static str,
-    pub timeout_ms: u32,
+    pub timeout_ms: u64,
 }
 
 pub struct Routes(pub Vec<Route>);
@@ -107,8 +107,8 @@
 pub struct Sent {
     pub attempt: AttemptId,
     pub worker: Target,
-    pub timeout_ms: u32,
-    pub answer_timeout_ms: u32,
+    pub timeout_ms: u64,
+    pub answer_timeout_ms: u64,
     pub path: String,
 }
 
--- a/system/state/delivery/tests/index.rs
+++ b/system/state/delivery/tests/index.rs
@@ -127,7 +127,7 @@
                 Step::Finish(worker) => {
                     let number = u32::from(worker) - 1;
                     let Some(attempt) = out.get_mut(&number).and_then(VecDeque::pop_front) else { continue };
-                    let elapsed_ms = 40 * slowness[usize::from(worker) - 1];
+                    let elapsed_ms = u64::from(40 * slowness[usize::from(worker) - 1]);
                     let complete = Answer { signature: Some("s".into()), elapsed_ms, ..answer(200) };
                     fixture.end(attempt, AttemptResult::Answer(complete));
                 }
--- a/system/state/delivery/tests/leases.rs
+++ b/system/state/delivery/tests/leases.rs
@@ -233,7 +233,7 @@
 fn an_attempt_without_a_result_is_given_up() {
     let mut fixture = Fixture::new(1);
     let sent = fixture.send(1, 1, "/a");
-    let out = fixture.pass(u64::from(sent.answer_timeout_ms) + 1000);
+    let out = fixture.pass(sent.answer_timeout_ms + 1000);
     assert!(out.contains(&Output::CancelAttempt { attempt: sent.attempt }));
     assert!(matches!(reported(&out)[0].outcome, AttemptOutcome::Unknown { .. }));
 }
@@ -242,7 +242,7 @@
 fn a_success_after_an_attempt_was_given_up_counts() {
     let mut fixture = Fixture::new(1);
     let sent = fixture.send(1, 1, "/a");
-    fixture.pass(u64::from(sent.answer_timeout_ms) + 1000);
+    fixture.pass(sent.answer_timeout_ms + 1000);
     fixture.recorded(1, 1);
     fixture.end(sent.attempt, success());
     assert_eq!(fixture.outcome(), succeeded());
@@ -254,7 +254,7 @@
 fn a_success_after_an_attempt_was_given_up_answers_the_next_lease_before_it_is_sent() {
     let mut fixture = Fixture::new(1);
     let sent = fixture.send(1, 1, "/a");
-    fixture.pass(u64::from(sent.answer_timeout_ms) + 1000);
+    fixture.pass(sent.answer_timeout_ms + 1000);
     fixture.recorded(1, 1);
     fixture.workers(Vec::new());
     fixture.deliver(1, 2, "/a");
@@ -268,7 +268,7 @@
 fn a_late_result_other_than_success_is_ignored() {
     let mut fixture = Fixture::new(1);
     let sent = fixture.send(1, 1, "/a");
-    fixture.pass(u64::from(sent.answer_timeout_ms) + 1000);
+    fixture.pass(sent.answer_timeout_ms + 1000);
     fixture.end(sent.attempt, AttemptResult::Reset);
     assert!(fixture.reported().is_empty());
 }
--- a/system/state/delivery/tests/load.rs
+++ b/system/state/delivery/tests/load.rs
@@ -174,7 +174,7 @@
             for (end, run) in done {
                 let arrived = self.messages[&run.unique].0;
                 self.waits.push((arrived, end - work_ms - arrived));
-                let elapsed_ms = (now - run.arrived) as u32;
+                let elapsed_ms = now - run.arrived;
                 let signature = Some("s".into());
                 let complete = Answer { signature, elapsed_ms, load: Some(load), ..answer(200) };
                 let result = AttemptResult::Answer(complete);
--- a/system/state/delivery/tests/random.rs
+++ b/system/state/delivery/tests/random.rs
@@ -242,7 +242,7 @@
         if removed < in_force.len() {
             in_force.remove(removed);
         }
-        in_force.iter_mut().for_each(|route| route.timeout_ms = 500 + 500 * self.rng.u32(0..4));
+        in_force.iter_mut().for_each(|route| route.timeout_ms = 500 + 500 * u64::from(self.rng.u32(0..4)));
         let mut services = vec![listed_service(), static_service()];
         if self.rng.u32(0..4) == 0 {
             services.remove(self.rng.usize(0..2));
--- a/system/state/delivery/tests/results.rs
+++ b/system/state/delivery/tests/results.rs
@@ -142,3 +142,15 @@
     assert!(delays_ms[0] <= 40, "another worker may take it at once: {delays_ms:?}");
     assert!(delays_ms[7] >= 4 * delays_ms[0] && delays_ms[7] <= 3000, "{delays_ms:?}");
 }
+
+// Guards against a time-out above 49.7 days that wraps or overflows in the sum with the slack or with the clock.
+#[test]
+fn the_longest_timeout_is_passed_on_whole() {
+    let mut fixture = Fixture::new(1);
+    let timeout_ms = 10 * 365 * 24 * 60 * 60 * 1_000;
+    fixture.routes(vec![Route { prefix: "/a", service: LISTED, timeout_ms }]);
+    let sent = fixture.send(1, 1, "/a");
+    assert_eq!((sent.timeout_ms, sent.answer_timeout_ms), (timeout_ms, timeout_ms + ANSWER_SLACK_MS));
+    fixture.pass(60_000);
+    assert!(fixture.reported().is_empty(), "nearly all of its time is left");
+}
