Round a configuration's durations up to whole milliseconds

What callers saw: a route with a timeoutMs between 0 and 1, such as 0.4, is accepted, since it is above 0, and each attempt then had a time-out of 0 ms and X-Deadline-Ms 0: no message of it could complete.

Cause: the check works on the whole duration, what uses it on whole milliseconds, cut off. Evidence: the test of the conversion below has 400 microseconds where 1 ms is the least that can be used.

Change: the one place that converts a configuration's durations rounds up to whole milliseconds, so that what is above 0 stays above 0 and no message ends before its retention. Whole numbers of milliseconds stay as they are.

Tests in configuration/tests/reading.rs: the first fails before ("left: (400µs, 0ns), right: (1ms, 1ms)"); a second holds the check's limit, ten years, to the millisecond.

--- a/system/state/configuration/src/check.rs
+++ b/system/state/configuration/src/check.rs
@@ -6,6 +6,8 @@
 /// Maximum duration that is accepted, so that sums with a clock's reading stay within its range.
 const MAX_DURATION: Duration = Duration::from_secs(10 * 365 * 24 * 60 * 60);
 
+const MILLISECOND: Duration = Duration::from_millis(1);
+
 /// Milliseconds per second.
 pub(crate) const MILLISECONDS: f64 = 1_000.0;
 
@@ -30,7 +32,8 @@
         Ok(value)
     }
 
-    /// A duration of `value` units, of which `per_second` make a second.
+    /// A duration of `value` units, of which `per_second` make a second, rounded up to whole milliseconds: those are what
+    /// messages and timers count in.
     pub(crate) fn duration(
         &self,
         key: &'static str,
@@ -40,6 +43,10 @@
         let units = self.non_negative(key, value)?;
         Duration::try_from_secs_f64(units / per_second)
             .ok()
+            .map(|duration| match duration.is_zero() && units > 0.0 {
+                true => MILLISECOND,
+                false => rounded_up(duration),
+            })
             .filter(|duration| *duration <= MAX_DURATION)
             .ok_or_else(|| ConfigurationError::OutOfRange { item: self.item.clone(), key, value })
     }
@@ -86,3 +93,12 @@
         Ok(name)
     }
 }
+
+/// The next whole millisecond, if the duration is none.
+fn rounded_up(duration: Duration) -> Duration {
+    let rest = Duration::from_nanos(u64::from(duration.subsec_nanos() % 1_000_000));
+    match rest.is_zero() {
+        true => duration,
+        false => duration - rest + MILLISECOND,
+    }
+}
--- a/system/state/configuration/tests/reading.rs
+++ b/system/state/configuration/tests/reading.rs
@@ -34,6 +34,37 @@
     assert_eq!(configuration.routes().len(), 2);
 }
 
+// Guards against a time-out below 1 ms that is accepted, as it is above 0, and then used as 0: no attempt could succeed.
+#[test]
+fn durations_are_rounded_up_to_whole_milliseconds() {
+    let mut fractions = complete();
+    fractions["routes"][0]["timeoutMs"] = json!(0.4);
+    fractions["routes"][0]["targetStartMs"] = json!(1e-10);
+    fractions["routes"][0]["targetLatencyMs"] = json!(0);
+    fractions["routes"][0]["retentionS"] = json!(2.0001);
+    let configuration = read(&fractions).unwrap();
+    let route = configuration.route(&RouteName::from("r-post")).unwrap();
+    assert_eq!((route.timeout, route.target_start), (Duration::from_millis(1), Duration::from_millis(1)));
+    assert_eq!((route.target_latency, route.retention), (Duration::ZERO, Duration::from_millis(2_001)));
+}
+
+// Guards against a check of the longest duration that differs from what is accepted: ten years are, whole.
+#[test]
+fn ten_years_are_the_longest_duration() {
+    let ten_years_s = 10_u64 * 365 * 24 * 60 * 60;
+    let mut longest = complete();
+    longest["routes"][0]["timeoutMs"] = json!(ten_years_s * 1_000);
+    longest["routes"][0]["retentionS"] = json!(ten_years_s);
+    let configuration = read(&longest).unwrap();
+    let route = configuration.route(&RouteName::from("r-post")).unwrap();
+    assert_eq!(
+        (route.timeout, route.retention),
+        (Duration::from_secs(ten_years_s), Duration::from_secs(ten_years_s))
+    );
+    longest["routes"][0]["timeoutMs"] = json!(ten_years_s * 1_000 + 1);
+    assert!(read(&longest).is_err());
+}
+
 #[test]
 fn services_are_converted_to_typed_units() {
     let configuration = read(&complete()).unwrap();
