Write to replicas in frames: split by bytes, and never acknowledged unsent

What callers would see: accepted messages that are on one disk only, and so lost with it.

Cause: all changes of one turn to one shard went into one `Write`, with the whole messages for a replica that lacks them, without a bound. Above 8 MiB, the length of a frame, `Outbox::send` refuses it, `StoreLinks::send` dropped the error, and `Peer::handle_written` counts each write up to the number that is acknowledged next, the dropped one too.

A message to a store that cannot be framed closes the connection, with a line of level error, so that what is in flight on it counts as lost.

--- a/system/runtime/node/src/storage/links.rs
+++ b/system/runtime/node/src/storage/links.rs
@@ -1,11 +1,12 @@
 //! Connections to other stores: one for each pair, opened by the store with the lower identity.
 
+use crate::logging::LoggedStoreId;
 use crate::storage::event::Event;
 use millrudder_protocol::placement::Placement;
 use millrudder_protocol::store::{BetweenStores, ToStore};
 use millrudder_protocol::{Epoch, StoreId};
 use millrudder_transport::dialer::Dialer;
-use millrudder_transport::{LinkEvent, Outbox};
+use millrudder_transport::{LinkEvent, Outbox, SendError};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use tokio::sync::mpsc::UnboundedSender;
@@ -73,11 +74,21 @@
     }
 
     /// Sends to a store. Messages to one that is not connected are lost; the state machine repeats those that matter.
+    ///
+    /// A message that cannot be framed closes the connection: an acknowledgement of a later one would stand for it as well.
     pub fn send(&self, store: StoreId, message: BetweenStores) {
-        if let Some(dialed) = self.dialed.get(&store) {
-            let _ = dialed.dialer.outbox().send(&ToStore::Store { message });
+        let (outbox, sent) = if let Some(dialed) = self.dialed.get(&store) {
+            let outbox = dialed.dialer.outbox();
+            let sent = outbox.send(&ToStore::Store { message });
+            (outbox, sent)
         } else if let Some(outbox) = self.inbound.get(&store) {
-            let _ = outbox.send(&message);
+            (outbox.clone(), outbox.send(&message))
+        } else {
+            return;
+        };
+        if let Err(SendError::Frame(error)) = sent {
+            log::error!(store_id:% = LoggedStoreId(store), error:%; "message to a store not sent, connection closed");
+            outbox.close();
         }
     }
 }
--- a/system/state/queue/src/promises.rs
+++ b/system/state/queue/src/promises.rs
@@ -84,13 +84,14 @@
         }
         let (mut states, mut bytes, mut next) = (Vec::<MessageState>::new(), 0, None);
         for entry in table.of_shard_from(transfer.next) {
-            if bytes >= context.config.snapshot_chunk_bytes {
+            let entry_bytes = entry.message.as_deref().map_or(0, message_bytes) + size_of::<MessageState>();
+            // A larger state is sent alone, so that a chunk fits in a frame.
+            if !states.is_empty() && bytes + entry_bytes > context.config.snapshot_chunk_bytes {
                 next = Some(entry.id);
                 break;
             }
-            let state = entry.state(context.now);
-            bytes += entry.message.as_deref().map_or(0, message_bytes) + size_of::<MessageState>();
-            states.push(state);
+            bytes += entry_bytes;
+            states.push(entry.state(context.now));
         }
         context.send_to_store(store, BetweenStores::Promise { shard, term, states, last: next.is_none() });
         if let Some(next) = next {
--- a/system/state/queue/src/replication/mod.rs
+++ b/system/state/queue/src/replication/mod.rs
@@ -42,6 +42,12 @@
     bytes: usize,
 }
 
+/// The writes of one turn, by store and shard.
+#[derive(Default)]
+struct Batches {
+    by_target: BTreeMap<(StoreId, ShardId), Vec<Batch>>,
+}
+
 /// Sort key of the replicas that a write could be sent to; the lowest one is preferred.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct WritePreference {
@@ -54,6 +60,9 @@
     position: usize,
 }
 
+/// Size in bytes from which a further record goes into the next `Write`. With the largest message, which is sent alone, it
+/// stays far below what a frame carries.
+const MAX_WRITE_BYTES: usize = 1 << 20;
 /// Approximate size in bytes of a record without the message in it.
 const RECORD_BYTES: usize = 100;
 
@@ -110,13 +119,11 @@
         if self.changes.is_empty() {
             return;
         }
-        let mut batches = BTreeMap::new();
+        let mut batches = Batches::default();
         for changed in group_by_message(std::mem::take(&mut self.changes)) {
             self.flush_message(context, table, terms, changed, &mut batches);
         }
-        for ((store, shard), batch) in batches {
-            self.send_batch(context, terms, store, shard, batch, false);
-        }
+        self.send_batches(context, terms, batches, false);
     }
 
     fn flush_message(
@@ -125,7 +132,7 @@
         table: &mut MessageTable,
         terms: &PrimaryTerms,
         changed: ChangedMessage,
-        batches: &mut BTreeMap<(StoreId, ShardId), Batch>,
+        batches: &mut Batches,
     ) {
         let ChangedMessage { id, records } = changed;
         let Some(term) = terms.number_of(id.shard) else { return };
@@ -150,8 +157,7 @@
             if let Some(peer) = self.peers.get_mut(&target) {
                 peer.remove_catch_up(id);
             }
-            let batch = batches.entry((target, id.shard)).or_default();
-            batch.add(records, sent);
+            batches.add(target, id.shard, records, sent);
         }
         self.append_local(context, local, sent);
     }
@@ -174,6 +180,20 @@
         self.disk.append(record, on_synced, context.now, &mut context.outputs);
     }
 
+    fn send_batches(
+        &mut self,
+        context: &mut Context,
+        terms: &PrimaryTerms,
+        batches: Batches,
+        is_repair: bool,
+    ) {
+        for ((store, shard), batches) in batches.by_target {
+            for batch in batches {
+                self.send_batch(context, terms, store, shard, batch, is_repair);
+            }
+        }
+    }
+
     fn send_batch(
         &mut self,
         context: &mut Context,
@@ -387,10 +407,20 @@
     grouped
 }
 
-impl Batch {
-    fn add(&mut self, records: Vec<Record>, sent: SentVersion) {
-        self.bytes += records.iter().map(record_bytes).sum::<usize>();
-        self.records.extend(records);
-        self.versions.push(sent);
+impl Batches {
+    /// Adds the records of one message for a store, and returns their approximate size in bytes. They are in one `Write`,
+    /// whose acknowledgement stands for all of them.
+    fn add(&mut self, store: StoreId, shard: ShardId, records: Vec<Record>, sent: SentVersion) -> usize {
+        let bytes = records.iter().map(record_bytes).sum::<usize>();
+        let batches = self.by_target.entry((store, shard)).or_default();
+        if batches.last().is_none_or(|last| last.bytes + bytes > MAX_WRITE_BYTES) {
+            batches.push(Batch::default());
+        }
+        if let Some(batch) = batches.last_mut() {
+            batch.bytes += bytes;
+            batch.records.extend(records);
+            batch.versions.push(sent);
+        }
+        bytes
     }
 }
--- a/system/state/queue/src/replication/repair.rs
+++ b/system/state/queue/src/replication/repair.rs
@@ -2,7 +2,7 @@
 //! further stores, and learners are brought up to date.
 
 use super::peer::Peer;
-use super::{Batch, Replication, SyncAction};
+use super::{Batches, Replication, SyncAction};
 use crate::api::DiskRecord;
 use crate::context::Context;
 use crate::message_table::MessageTable;
@@ -10,7 +10,6 @@
 use crate::primary_term::PrimaryTerms;
 use millrudder_protocol::store::{BetweenStores, Record};
 use millrudder_protocol::{MessageId, ShardId, StoreId};
-use std::collections::BTreeMap;
 use std::ops::Range;
 
 /// Range from which the number of the first write to a store is drawn, once per incarnation of this process. It
@@ -103,19 +102,14 @@
         terms: &PrimaryTerms,
         store: StoreId,
     ) {
-        let mut batches: BTreeMap<ShardId, Batch> = BTreeMap::new();
+        let mut batches = Batches::default();
         let Some(peer) = self.peers.get_mut(&store) else { return };
         let mut window = peer.repair_window(&context.config);
         while window > 0 {
             let Some(id) = peer.next_catch_up() else { break };
-            let batch = batches.entry(id.shard).or_default();
-            let before = batch.bytes;
-            add_full_state(context, table, terms, store, id, batch);
-            window = window.saturating_sub(batch.bytes - before);
-        }
-        for (shard, batch) in batches.into_iter().filter(|(_, batch)| !batch.records.is_empty()) {
-            self.send_batch(context, terms, store, shard, batch, true);
+            window = window.saturating_sub(add_full_state(context, table, terms, store, id, &mut batches));
         }
+        self.send_batches(context, terms, batches, true);
     }
 
     /// Tells a learner for which shards it has caught up.
@@ -233,24 +227,24 @@
     }
 }
 
-/// Adds the full state of a message to a batch, unless the store was sent the latest version already.
+/// Adds the full state of a message for a store, unless it was sent the latest version already. Returns the bytes added.
 fn add_full_state(
     context: &Context,
     table: &mut MessageTable,
     terms: &PrimaryTerms,
     store: StoreId,
     id: MessageId,
-    batch: &mut Batch,
-) {
-    let Some(term) = terms.number_of(id.shard) else { return };
-    let Some(entry) = table.get_mut(id) else { return };
-    let Some(version) = entry.primary.as_ref().map(|primary| primary.version()) else { return };
+    batches: &mut Batches,
+) -> usize {
+    let Some(term) = terms.number_of(id.shard) else { return 0 };
+    let Some(entry) = table.get_mut(id) else { return 0 };
+    let Some(version) = entry.primary.as_ref().map(|primary| primary.version()) else { return 0 };
     if entry.primary.as_ref().is_some_and(|primary| primary.progress_of(store).sent >= version) {
-        return;
+        return 0;
     }
     let record = Record::State { state: Box::new(entry.state(context.now)) };
     if let Some(primary) = entry.primary.as_mut() {
         primary.mark_sent(store);
     }
-    batch.add(vec![record], SentVersion { id, term, version });
+    batches.add(store, id.shard, vec![record], SentVersion { id, term, version })
 }
--- a/system/state/queue/tests/harness/mod.rs
+++ b/system/state/queue/tests/harness/mod.rs
@@ -22,6 +22,7 @@
     Config, ConnectionId, DiskRecord, Input, OrphanCause, Output, Recovered, StoreNode, Ticket,
 };
 use millrudder_topology::{Location, Topology};
+use speedy::{LittleEndian, Writable};
 use std::collections::{BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -78,6 +79,8 @@
     pub orphans: Vec<Orphan>,
     /// Number of `Write` messages sent between stores so far.
     pub sent_writes: u64,
+    /// Length of the longest message sent between stores so far, in bytes as it is encoded.
+    pub longest_sent_bytes: usize,
     links_down: BTreeSet<(usize, usize)>,
     queue: VecDeque<(usize, StoreId, BetweenStores)>,
     requests: u64,
@@ -150,6 +153,7 @@
             caught_up: Vec::new(),
             orphans: Vec::new(),
             sent_writes: 0,
+            longest_sent_bytes: 0,
             links_down: BTreeSet::new(),
             queue: VecDeque::new(),
             requests: 0,
@@ -300,6 +304,8 @@
             Output::ToDispatcher { connection, message } => self.record_sent(connection, message),
             Output::ToStore { store, message } => {
                 self.sent_writes += u64::from(matches!(message, BetweenStores::Write { .. }));
+                let bytes = Writable::<LittleEndian>::bytes_needed(&message).unwrap();
+                self.longest_sent_bytes = self.longest_sent_bytes.max(bytes);
                 let to = (0..self.processes.len()).find(|other| store_id(*other) == store);
                 if let Some(to) = to.filter(|to| !self.is_down(index, *to)) {
                     self.queue.push_back((to, store_id(index), message));
--- a/system/state/queue/tests/replicas/writes.rs
+++ b/system/state/queue/tests/replicas/writes.rs
@@ -1,12 +1,13 @@
 //! Writes to replicas: how many disks a change is written to, hedging, repair, invalid messages.
 
+use millrudder_protocol::frame::MAX_CONTENT_BYTES;
 use millrudder_protocol::message::Message;
 use millrudder_protocol::store::{BetweenStores, FromDispatcher, QueryAnswer, ToDispatcher};
 use millrudder_protocol::{Epoch, MessageId, RequestNumber};
 use millrudder_queue::{Config, Input, Ticket};
 
 use crate::harness::{message, store_id, StoreHarness, SHARD};
-use crate::support::three_stores;
+use crate::support::{start_replacing_learner, three_stores};
 
 #[test]
 fn a_write_needs_two_disks_of_three() {
@@ -192,3 +193,50 @@
     harness.resume_inbound(1);
     assert_eq!(harness.acceptances(), 1);
 }
+
+/// A message with a body of so many bytes.
+fn with_body(bytes: usize) -> Message {
+    Message { body: vec![b'x'; bytes], ..message() }
+}
+
+/// The body of the largest message that an edge accepts.
+fn largest_body() -> usize {
+    Message::MAX_ENCODED_BYTES - with_body(0).encoded_bytes()
+}
+
+// Guards against a `Write` above the length of a frame, which is dropped, while the acknowledgement of the next one counts
+// for it too: messages that were granted in one turn, to a replica that lacks them, would be on one disk only.
+#[test]
+fn messages_granted_in_one_turn_are_written_in_frames() {
+    let mut harness = three_stores();
+    harness.set_link(0, 2, false);
+    harness.credits(0, 1, "service", 0);
+    let ids: Vec<MessageId> = (0..12).map(|_| harness.accept(0, 1, with_body(1_000_000), false)).collect();
+    harness.set_link(0, 1, false);
+    harness.set_link(0, 2, true);
+    harness.longest_sent_bytes = 0;
+    harness.credits(0, 1, "service", 64);
+    assert_eq!(harness.take_grants().len(), 12);
+    assert!(ids.iter().all(|id| harness.state(2, *id).is_some()));
+    assert!(harness.longest_sent_bytes <= MAX_CONTENT_BYTES, "{} bytes", harness.longest_sent_bytes);
+}
+
+// Guards against a repair or a snapshot above the length of a frame: a large message beside smaller ones.
+#[test]
+fn repairs_and_snapshots_of_the_largest_messages_are_sent_in_frames() {
+    let mut harness = three_stores();
+    harness.set_link(0, 2, false);
+    let bodies = [100_000, 100_000, largest_body(), 100_000, largest_body()];
+    let ids = bodies.map(|bytes| harness.accept(0, 1, with_body(bytes), false));
+    harness.set_link(0, 2, true);
+    harness.longest_sent_bytes = 0;
+    let learner = start_replacing_learner(&mut harness);
+    harness.publish_placement();
+    harness.advance(2_000);
+    assert!(ids.iter().all(|id| harness.state(learner, *id).is_some()));
+    harness.kill(0);
+    harness.move_primary(1);
+    harness.advance(2_000);
+    assert!(ids.iter().all(|id| harness.state(1, *id).is_some()));
+    assert!(harness.longest_sent_bytes <= MAX_CONTENT_BYTES, "{} bytes", harness.longest_sent_bytes);
+}
