Let a worker of any listed capacity get messages

What callers would see: a worker that the platform lists with a capacity of 2^31 gets no message, others of more than that fewer than they take.

Cause: twice the capacity, the most attempts that a dispatcher has at a worker, was a product that wraps in 32 bits (and panics in debug builds). It was found when the numbers of the configuration were followed; the platform's list is read with any 32-bit number.

Change: the product saturates. Test in delivery/tests/room.rs, which fails before ("attempt to multiply with overflow").

--- a/system/state/delivery/src/fleet.rs
+++ b/system/state/delivery/src/fleet.rs
@@ -85,7 +85,7 @@
 impl Worker {
     /// Maximum number of attempts in flight there.
     fn max_attempts(&self, share: ConnectionShare) -> u32 {
-        let queue = self.capacity.map_or(u32::MAX, |slots| slots.max(1) * CAPACITY_MULTIPLE);
+        let queue = self.capacity.map_or(u32::MAX, |slots| slots.max(1).saturating_mul(CAPACITY_MULTIPLE));
         queue.min(share.connections())
     }
 
--- a/system/state/delivery/tests/room.rs
+++ b/system/state/delivery/tests/room.rs
@@ -238,3 +238,13 @@
         fixture.end(sent.attempt, success());
     }
 }
+
+// Guards against a listed capacity of 2^31 or more, whose multiple wraps: to 0, and the worker got no message at all.
+#[test]
+fn a_worker_of_the_largest_capacity_gets_messages() {
+    for capacity in [1 << 31, u32::MAX] {
+        let mut fixture = Fixture::new(0);
+        fixture.workers(vec![WorkerEntry { capacity, ..worker(1) }, WorkerEntry { capacity, ..worker(2) }]);
+        fixture.send(1, 1, "/a");
+    }
+}
