Assign a slow store's queue of repairs once, not with each late write

Cause: filling the first machine's new disk took longer than catchUpS. Replication::hedge assigned all messages that are queued for a late store to other stores with each further write that became overdue there. Evidence (traces on a scratch copy): 108,000 to 257,000 assignments in each half-second took 272 to 463 ms of it, where a machine has half of a core; writes between the two stores left took 0.2 to 2.7 s for want of it, which made more of them overdue.

Change: the queue is assigned anew when the store becomes late. What the assignment depends on does not change with the next late write.

--- a/system/state/queue/src/node/mod.rs
+++ b/system/state/queue/src/node/mod.rs
@@ -268,6 +268,11 @@
         }
     }
 
+    /// How often a message was considered for further replicas since the start of the process: the work of repair.
+    pub fn repair_assignments(&self) -> u64 {
+        self.replication.assignments()
+    }
+
     /// The full state of a message, for the compaction of log segments; `None` after `Released`.
     pub fn state_of(&self, id: MessageId) -> Option<MessageState> {
         self.table.get(id).map(|entry| entry.state(self.context.now))
--- a/system/state/queue/src/replication/mod.rs
+++ b/system/state/queue/src/replication/mod.rs
@@ -82,6 +82,8 @@
     pending: BTreeSet<MessageId>,
     /// Changes since the last flush.
     changes: Vec<Change>,
+    /// See [`Replication::assignments`].
+    assignments: u64,
 }
 
 impl Replication {
@@ -91,9 +93,15 @@
             peers: BTreeMap::new(),
             pending: BTreeSet::new(),
             changes: Vec::new(),
+            assignments: 0,
         }
     }
 
+    /// How often a message was considered for further stores since the start of the process.
+    pub fn assignments(&self) -> u64 {
+        self.assignments
+    }
+
     /// Applies a change to a message of a served shard, and queues it to be written.
     pub fn apply_record(&mut self, now: Instant, table: &mut MessageTable, id: MessageId, record: Record) {
         let change = record.clone();
--- a/system/state/queue/src/replication/repair.rs
+++ b/system/state/queue/src/replication/repair.rs
@@ -25,6 +25,7 @@
         terms: &PrimaryTerms,
         id: MessageId,
     ) {
+        self.assignments += 1;
         let lacks = |primary: &PrimaryEntry| primary.progress_of(context.local_id).sent < primary.version();
         if table.primary(id).is_some_and(lacks) {
             self.write_local_full_state(context, table, terms, id);
@@ -126,12 +127,16 @@
     }
 
     /// Sends writes that are overdue at some stores to further stores (hedged requests).
+    ///
+    /// What is queued for a store is assigned anew when the store becomes slow, and not with each further write that is
+    /// overdue there: a queue may have thousands of messages, and a store that catches up has many writes in flight.
     pub fn hedge(&mut self, context: &mut Context, table: &mut MessageTable, terms: &PrimaryTerms) {
         let mut overdue = self.disk.take_overdue(context.now, context.config.max_write_timeout);
         let mut queued = Vec::new();
         for peer in self.peers.values_mut() {
+            let was_overdue = peer.is_overdue();
             let late = peer.take_overdue(context.now, &context.config);
-            if !late.is_empty() {
+            if peer.is_overdue() && !was_overdue {
                 queued.extend(peer.catch_up());
             }
             overdue.extend(late);
--- a/system/state/queue/tests/replicas/writes.rs
+++ b/system/state/queue/tests/replicas/writes.rs
@@ -240,3 +240,34 @@
     assert!(ids.iter().all(|id| harness.state(1, *id).is_some()));
     assert!(harness.longest_sent_bytes <= MAX_CONTENT_BYTES, "{} bytes", harness.longest_sent_bytes);
 }
+
+// Guards against repair work that grows with the product of what is queued for a slow store and what is in flight there: a
+// replacement under load did not catch up within `catchUpS`, and the next lost disk took messages with it (review/1).
+#[test]
+fn each_further_overdue_write_does_not_assign_the_whole_queue_again() {
+    const QUEUED: u64 = 2_000;
+    const OVERDUE_WRITES: u64 = 300;
+    let mut harness = three_stores();
+    harness.set_link(0, 1, false);
+    harness.processes[2].stalled = true;
+    for _ in 0..QUEUED {
+        harness.accept(0, 1, with_body(2_000), false);
+    }
+    harness.advance(100);
+    harness.processes[1].is_inbound_paused = true;
+    harness.set_link(0, 1, true);
+    let assignments =
+        |harness: &StoreHarness| harness.processes[0].node.as_ref().unwrap().repair_assignments();
+    let before = assignments(&harness);
+    for _ in 0..OVERDUE_WRITES {
+        harness.accept(0, 1, message(), false);
+        harness.advance(1);
+    }
+    let made = assignments(&harness) - before;
+    assert!(made <= 4 * (QUEUED + OVERDUE_WRITES), "{made} assignments of {QUEUED} messages");
+    harness.processes[2].stalled = false;
+    harness.sync(2);
+    harness.resume_inbound(1);
+    harness.advance(2_000);
+    assert_eq!(harness.acceptances() as u64, QUEUED + OVERDUE_WRITES);
+}
