Stop a dispatcher only once its withdrawals are confirmed

Cause: the first store's copy lives on, on a second disk. The dispatcher has to withdraw it at the shard's next primary, which a placement names half a second later, but it took itself for idle whatever withdrawals were pending, and ended. Nobody else knows of them. Evidence: the host test below, in which a host with an unconfirmed withdrawal calls itself idle.

Change: the host is idle only without pending withdrawals, and a stop waits for that as for results, until its deadline within graceS. A withdrawal that a store cannot confirm, since another dispatcher may have run the message, holds a stop up until then.

Test, which fails before: edge/host/tests.rs (time turned by the runtime's paused clock).

--- a/system/runtime/node/src/edge/host/mod.rs
+++ b/system/runtime/node/src/edge/host/mod.rs
@@ -33,6 +33,9 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::time::sleep_until;
 
+#[cfg(test)]
+mod tests;
+
 /// Core machines that a dispatcher is connected to: one may stop responding.
 const MAX_CORE_CONNECTIONS: usize = 2;
 /// Time between two pings to stores, which take a dispatcher for lost after three that they missed.
@@ -161,8 +164,13 @@
     fn update_readiness(&self) {
         let has_state = self.configuration.active.load().is_some() && self.control.was_confirmed();
         let can_accept = has_state && self.stores.any_open();
-        let is_idle = self.delivery.is_idle() && !self.clients.has_submissions();
-        self.readiness.update(can_accept && !self.is_shutting_down, is_idle);
+        self.readiness.update(can_accept && !self.is_shutting_down, self.is_idle());
+    }
+
+    /// Whether nothing is owed that would be lost with this process.
+    fn is_idle(&self) -> bool {
+        let has_clients = self.clients.has_submissions();
+        self.delivery.is_idle() && !has_clients && !self.intake.has_pending_withdrawals()
     }
 
     fn handle_event(&mut self, event: Event) {
--- a/system/runtime/node/src/edge/mod.rs
+++ b/system/runtime/node/src/edge/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! **Order.** A client is answered 202 only after stores have the message on their disks. A dispatcher is ready only after a
 //! core machine has confirmed its control state. One that stops first says so at its readiness probe and to the
-//! stores, then finishes clients' requests and the calls in flight, and waits until their results are recorded.
+//! stores, then finishes clients' requests and the calls in flight, and waits until their results, and the withdrawals of
+//! messages that it sent twice, are recorded.
 
 mod active_configuration;
 mod calls;
@@ -104,7 +105,7 @@
     }))
 }
 
-/// Waits until no call is in flight and all results are recorded, or until the deadline.
+/// Waits until no call is in flight and all results and withdrawals are recorded, or until the deadline.
 async fn wait_until_idle(readiness: &Readiness, deadline: Instant) {
     while !readiness.is_idle() && Instant::now() < deadline {
         sleep(IDLE_POLL_INTERVAL).await;
--- a/system/runtime/node/src/edge/readiness.rs
+++ b/system/runtime/node/src/edge/readiness.rs
@@ -27,7 +27,7 @@
         self.shared.is_ready.get()
     }
 
-    /// No client waits, no call to a worker is in flight, and no result waits to be recorded.
+    /// No client waits, no call to a worker is in flight, and no result or withdrawal waits to be recorded.
     pub fn is_idle(&self) -> bool {
         self.shared.is_idle.get()
     }
--- a/system/state/intake/src/intake.rs
+++ b/system/state/intake/src/intake.rs
@@ -71,6 +71,12 @@
         self.submissions.in_doubt(is_of_shard)
     }
 
+    /// Whether a store has yet to confirm that a message which got no 202 will not run. Nobody else knows of these
+    /// withdrawals, so the process must not stop before.
+    pub fn has_pending_withdrawals(&self) -> bool {
+        self.submissions.has_pending_withdrawals()
+    }
+
     /// When the next [`Input::Tick`] is due.
     pub fn next_deadline(&self) -> Option<Instant> {
         let ping = self.stores.unresponsive().next().map(|_| self.ping_at);
--- a/system/state/intake/src/submissions.rs
+++ b/system/state/intake/src/submissions.rs
@@ -143,6 +143,11 @@
         attempted.chain(self.withdrawals.pending()).filter(|id| is_of_shard(id.shard)).collect()
     }
 
+    /// Whether a store has yet to confirm a withdrawal.
+    pub fn has_pending_withdrawals(&self) -> bool {
+        !self.withdrawals.is_empty()
+    }
+
     /// Timed-out attempts of submissions whose deadline has passed.
     pub fn timed_out_attempts(&self, now: Instant) -> Vec<TimedOutAttempt> {
         let timeout = self.response_time.attempt_timeout();
--- a/system/state/intake/src/withdrawals.rs
+++ b/system/state/intake/src/withdrawals.rs
@@ -33,6 +33,11 @@
         self.pending.iter().copied()
     }
 
+    /// Whether no withdrawal is pending.
+    pub fn is_empty(&self) -> bool {
+        self.pending.is_empty()
+    }
+
     /// Handles a store's confirmation that a withdrawal is durable.
     pub fn handle_confirmed(&mut self, id: MessageId) {
         self.pending.remove(&id);
