Grant a stopping dispatcher what it sends, so that nobody else runs it

Cause: a dispatcher that waits for a slow store sends the message to a second one, and withdraws the first copy. That is sound only while nobody else is granted the first copy, which a store ensures by granting a message to the dispatcher that sends it; but not to one that had said that it stops, though that one takes messages for 2.3 s more.

Change: a message without key or rate limit is granted to the dispatcher that asks for the lease, also while that one stops; it gives the lease back.

--- a/system/state/queue/src/node/grants.rs
+++ b/system/state/queue/src/node/grants.rs
@@ -253,11 +253,12 @@
         let index = self.find_or_add_service(&name);
         let service = self.services.get(index);
         // A message without an order key or rate limit is granted to the dispatcher that sent it, even beyond
-        // its credit. That dispatcher already has the body, and if this store is too slow it can withdraw the
-        // message knowing that no other dispatcher has run it.
+        // its credit and while it shuts down. That dispatcher already has the body, and if this store is too slow it
+        // can withdraw the message knowing that no other dispatcher has run it. One that shuts down gives the
+        // lease back.
         let is_ordered_or_limited = service.has_rate_limit() || is_ordered;
         let dispatcher = match is_ordered_or_limited {
-            false => Some(dispatcher).filter(|dispatcher| service.credits().accepts_grants(*dispatcher)),
+            false => Some(dispatcher),
             true if service.has_ready() => None,
             true => self
                 .choose_home_dispatcher(id, index, Some(dispatcher), None)
--- a/system/state/queue/src/scheduling/credits.rs
+++ b/system/state/queue/src/scheduling/credits.rs
@@ -77,11 +77,6 @@
         }
     }
 
-    /// Whether the dispatcher accepts deliveries of the service, even if it has no free credit at the moment.
-    pub fn accepts_grants(&self, dispatcher: DispatcherId) -> bool {
-        self.dispatchers.get(&dispatcher).is_some_and(|credit| credit.accepts_grants && credit.limit > 0)
-    }
-
     pub fn reserve(&mut self, dispatcher: DispatcherId) {
         self.update(dispatcher, |credit| credit.in_flight += 1);
     }
