Read a call-back's URL with one parser where it is accepted and called

Cause: two parsers of one URL. The edge accepts what the HTTP library's parser can read; delivery read it again with one of its own, and reported what that cannot read as done. Evidence: the delivery test below sees the report in place of the call, for each form.

Stored and sent URLs stay as clients gave them.

--- a/system/runtime/http/src/client/mod.rs
+++ b/system/runtime/http/src/client/mod.rs
@@ -8,7 +8,6 @@
 //! Dropping the future of a request closes its connection.
 
 mod answer;
-mod callback;
 mod connection;
 mod error;
 mod exchange;
@@ -18,8 +17,8 @@
 mod requests;
 
 pub use answer::{Answer, Fetched, HealthAnswer, LoadError, ServerLoad};
-pub use callback::{CallbackUrl, UrlError};
 pub use error::{ConnectFailure, FetchError, SendError};
 pub use limits::ClientLimits;
+pub use millrudder_protocol::callback_url::{CallbackUrl, UrlError};
 pub use request::{Target, WorkerRequest};
 pub use requests::Client;
--- a/system/runtime/node/tests/system/messages.rs
+++ b/system/runtime/node/tests/system/messages.rs
@@ -199,6 +199,11 @@
     let well = CallbackReceiver::start(ReceiverPlan::default()).await.unwrap();
     let completed = send_with_callback(&cluster, "called-well", &well).await;
     is_notified(&cluster, &completed, &well).await;
+    // Guards against a URL without a path, which was accepted and never called (review/6).
+    let bare = message("/called/", "called-bare").with_callback(well.url("?job=7"));
+    let bare = cluster.accept(cluster.fronts()[0], &bare).await;
+    is_notified(&cluster, &bare, &well).await;
+    assert_eq!(well.callbacks_of(&bare.accepted.message.request_id)[0].path, "/");
     let dead = send_with_callback(&cluster, "called-dead", &well).await;
     is_notified(&cluster, &dead, &well).await;
     let callbacks = well.callbacks_of(&dead.accepted.message.request_id);
--- a/system/state/delivery/src/callbacks.rs
+++ b/system/state/delivery/src/callbacks.rs
@@ -5,11 +5,11 @@
 use crate::receiver::{Receiver, ResetCause};
 use crate::reports::LeaseKey;
 use fastrand::Rng;
+use millrudder_protocol::callback_url::CallbackUrl;
 use millrudder_protocol::message::End;
 use millrudder_protocol::store::FromDispatcher;
 use millrudder_protocol::{Address, MessageId, StoreId};
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 
 /// Time-out of one attempt to call back (ms).
 pub(crate) const TIMEOUT_MS: u32 = 2000;
@@ -24,17 +24,11 @@
 const MAX_RECEIVERS: usize = 1024;
 /// Status by which a receiver accepts a call-back.
 const ACCEPTED: u16 = 200;
-const URL_SCHEME: &str = "http://";
-const DEFAULT_PORT: u16 = 80;
 
-/// Parses a call-back URL; `None` if it names no IP address that a call-back can be sent to.
+/// Parses a call-back URL, as the process that accepted it has; `None` if a call-back cannot be sent to it.
 pub(crate) fn parse_url(url: &str) -> Option<CallBackUrl> {
-    let rest = url.strip_prefix(URL_SCHEME)?;
-    let (authority, path) = rest.find('/').map_or((rest, "/"), |slash| rest.split_at(slash));
-    let with_port = authority.parse::<SocketAddr>().ok();
-    let address = with_port.or_else(|| Some(SocketAddr::new(authority.parse().ok()?, DEFAULT_PORT)))?;
-    let path = path.split('#').next().unwrap_or("/").to_owned();
-    Some(CallBackUrl { address: Address(address), path })
+    let url: CallbackUrl = url.parse().ok()?;
+    Some(CallBackUrl { address: Address(url.address), path: url.path_and_query.to_string() })
 }
 
 /// A call-back that a store granted.
--- a/system/state/delivery/tests/callbacks.rs
+++ b/system/state/delivery/tests/callbacks.rs
@@ -63,6 +63,26 @@
     assert_eq!(called_back(&fixture.out), [CalledBack { unique: 1, done: true, retry_after_ms: 0 }]);
 }
 
+// Guards against a URL that is accepted by one parser and cannot be read by another one when it is called: the call-back was
+// reported as done and never made (review/6).
+#[test]
+fn every_url_that_is_accepted_is_called() {
+    for (number, url) in [
+        "http://10.20.0.4:8080?job=7",
+        "HTTP://10.20.0.4:8080/done",
+        "http://u@10.20.0.4:8080/done",
+        "http://10.20.0.4:/done",
+        "http://[::1]/done",
+    ]
+    .into_iter()
+    .enumerate()
+    {
+        let mut fixture = Fixture::new(1);
+        grant(&mut fixture, number as u64, 1, completed(), url);
+        assert_eq!(sends(&fixture.out).len(), 1, "{url}: {:?}", fixture.out);
+    }
+}
+
 #[test]
 fn a_dead_letter_has_no_signature() {
     let mut fixture = Fixture::new(1);
--- a/system/state/protocol/src/lib.rs
+++ b/system/state/protocol/src/lib.rs
@@ -7,6 +7,7 @@
 //! - [`control`]: between any process and a core machine.
 //! - [`placement`]: which stores hold which shard.
 //! - [`message`]: a stored message and its state.
+//! - [`callback_url`]: the URL that the end of a message is reported to.
 //!
 //! The order and the types of fields and variants are the wire format, and that of stored data; names are not. Processes of
 //! the version before and after an update talk to each other, so a change of the format needs a plan for both;
@@ -15,6 +16,7 @@
 #![forbid(unsafe_code)]
 
 pub mod address;
+pub mod callback_url;
 pub mod control;
 pub mod frame;
 pub mod identifiers;
