Honour a connect time-out of any accepted length

What callers would see: with a connect_timeout in the file of NODE_CONFIG above 1.8e22 ms, which is accepted as any number over 0, no worker could be reached: each connect timed out at once. From 1.8e13 ms on the time-out was what is left of it modulo 2^64 ns.

Cause: `span` took what is longer than a `Duration` for zero, and the runtime counts nanoseconds in 64 bits.

Change: what is longer than a hundred years is a hundred years, which both runtimes represent. Test, which fails before: clock/tests.rs.

--- a/balancer/exchange/src/clock.rs
+++ b/balancer/exchange/src/clock.rs
@@ -7,6 +7,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+/// The longest span that [`span`] returns: a hundred years, which the timers of the runtimes still represent.
+const MAX_SPAN: Duration = Duration::from_secs(100 * 365 * 24 * 3600);
+
 /// The dispatcher's clock.
 #[derive(Clone, Copy, Debug)]
 pub struct Clock {
@@ -51,7 +54,12 @@
     }
 }
 
-/// Converts milliseconds to a [`Duration`]; negative numbers, NaN and values out of range become zero.
+/// Converts milliseconds to a [`Duration`]; negative numbers and NaN become zero, and what is longer than a hundred
+/// years becomes a hundred years.
 pub fn span(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms.max(0.0) / 1000.0).unwrap_or(Duration::ZERO)
+    let seconds = ms.max(0.0) / 1000.0;
+    Duration::try_from_secs_f64(seconds).map_or(MAX_SPAN, |span| span.min(MAX_SPAN))
 }
+
+#[cfg(test)]
+mod tests;
