Share memory limits and weights without wrapping

What callers would see: a memory_mb of 2^44 is accepted and left no bytes for requests, so that each one was refused for want of memory; others left what remained of a product modulo 2^64. The shares of two fronts wrapped in the same way in admission.

Cause: the bytes, and the products of capacity and weight, were computed in 64 bits.

Change: the bytes saturate; shares are computed in 128 bits. Tests, which fail before (attempts to multiply with overflow): more_memory_never_means_smaller_buffers and the_largest_capacity_is_shared_by_weight.

--- a/balancer/admission/src/pool.rs
+++ b/balancer/admission/src/pool.rs
@@ -55,7 +55,7 @@
     /// Units that this front can claim by its weight, however much the others ask for.
     pub fn share(&self, front: usize) -> u64 {
         let weights: u64 = self.fronts.iter().map(|s| s.weight).sum();
-        self.capacity * self.fronts[front].weight / weights
+        proportion(self.capacity, self.fronts[front].weight, weights)
     }
 
     /// Whether this front may take `amount` more units now.
@@ -72,7 +72,7 @@
     fn kept_for(&self, other: usize, front: usize, wanted: u64, now: f64) -> u64 {
         let (asker, other_front) = (&self.fronts[front], &self.fronts[other]);
         // As many as bring `other` to the same use per weight that `front` would reach.
-        let behind = (wanted * other_front.weight / asker.weight).saturating_sub(other_front.used);
+        let behind = proportion(wanted, other_front.weight, asker.weight).saturating_sub(other_front.used);
         let claimed = if now < other_front.claimed_until { other_front.claimed.min(behind) } else { 0 };
         // A front within its own share is never refused for what another has not asked for yet.
         let is_borrowing = wanted > self.share(front);
@@ -109,3 +109,9 @@
         self.fronts.iter().filter(|s| now < s.claimed_until).map(|s| s.claimed).sum()
     }
 }
+
+/// `amount * weight / of`, with the product in full; the greatest number if the result does not fit.
+fn proportion(amount: u64, weight: u64, of: u64) -> u64 {
+    let product = u128::from(amount) * u128::from(weight);
+    u64::try_from(product / u128::from(of)).unwrap_or(u64::MAX)
+}
--- a/balancer/admission/tests/model.rs
+++ b/balancer/admission/tests/model.rs
@@ -203,6 +203,20 @@
     assert_eq!(admission.take(1, 600, 0.0).unwrap_err().shortage, Shortage::Bytes);
 }
 
+// Guards against shares that wrap in 64 bits: with the memory and the weights at the largest that the files accept, a front's
+// share of the bytes was what was left of the product.
+#[test]
+fn the_largest_capacity_is_shared_by_weight() {
+    let largest = Capacity { places: 9_000_000_000_000_000, bytes: u64::MAX / 16 };
+    let mut admission = Admission::new(largest, &[1_000, 1]);
+    let usage = admission.usage(0);
+    assert_eq!((usage.places, usage.bytes), (0, 0));
+    assert_eq!(usage.share, largest.places / 1_001 * 1_000 + largest.places % 1_001 * 1_000 / 1_001);
+    let held = admission.take(0, largest.bytes / 2, 0.0).expect("half of the bytes");
+    assert!(admission.take(1, largest.bytes / 2_002, 0.0).is_ok(), "within the share of the other front");
+    admission.give_back(held, 1.0);
+}
+
 #[test]
 fn the_fairness_index_is_jains() {
     assert_eq!(fairness(&[5.0, 5.0], &[1.0, 1.0]), 1.0);
--- a/balancer/config/src/lib.rs
+++ b/balancer/config/src/lib.rs
@@ -91,7 +91,7 @@
         let free = sockets - OWN_DESCRIPTORS;
         let worker_connections = (free / 4).min(256);
         let inbound = free - worker_connections;
-        let buffers = memory_mb * 1024 * 1024 / BUFFERS_DIVISOR;
+        let buffers = memory_mb.saturating_mul(1024 * 1024) / BUFFERS_DIVISOR;
         let reserve = CALL_BACK_RESERVE.min(inbound / 4);
         Budget { inbound, inbound_jobs: inbound - reserve, worker_connections, buffers }
     }
--- a/balancer/config/src/tests.rs
+++ b/balancer/config/src/tests.rs
@@ -63,3 +63,16 @@
         assert!(budget.inbound_jobs < budget.inbound && budget.worker_connections >= 12, "{budget:?}");
     }
 }
+
+// Guards against a memory limit whose bytes do not fit in 64 bits: the product wrapped, so that with 2^44 MiB no request
+// found room in the buffers.
+#[test]
+fn more_memory_never_means_smaller_buffers() {
+    let of = |memory_mb: &str| {
+        let limits = format!("\"limits\":{{\"memory_mb\":{memory_mb},");
+        read(&CONFIG.replace("\"limits\":{", &limits)).unwrap().budget.buffers
+    };
+    let buffers = ["24", "192", "1048576", "17592186044416", "17592186044417", "8999999999999999"].map(of);
+    assert!(buffers.is_sorted(), "{buffers:?}");
+    assert_eq!(buffers[0], 3 * 1024 * 1024);
+}
