Refuse numbers of dispatchers that do not fit in 32 bits

Cause: both are read as numbers up to 9e15 and cut off to 32 bits.

Change: such a number is refused with its key. Test, which fails before: a_number_of_dispatchers_that_cannot_be_kept_whole_is_refused.

--- a/balancer/config/src/lib.rs
+++ b/balancer/config/src/lib.rs
@@ -252,6 +252,15 @@
     }
 }
 
+/// The value as a whole number of 32 bits; `None` if absent.
+fn read_u32(node: &Node) -> Result<Option<u32>, JsonError> {
+    match node.count()?.map(u32::try_from) {
+        None => Ok(None),
+        Some(Ok(number)) => Ok(Some(number)),
+        Some(Err(_)) => node.wrong("a whole number from 0 to 4294967295"),
+    }
+}
+
 /// The number that the decision module uses for a name.
 pub fn position(names: &[String], name: &str) -> Option<u32> {
     names.iter().position(|n| n == name).and_then(|i| u32::try_from(i).ok())
@@ -277,8 +286,8 @@
         return Ok(node.at("lanes").wrong("at least one class")?);
     }
     let settings = mr::Settings {
-        instance: node.at("me").count()?.unwrap_or(0) as u32,
-        replicas: node.at("replicas_of_me").count()?.unwrap_or(1) as u32,
+        instance: read_u32(&node.at("me"))?.unwrap_or(0),
+        replicas: read_u32(&node.at("replicas_of_me"))?.unwrap_or(1),
         zone: node.at("zone").text()?.and_then(|z| position(&names.zones, z)),
         zones: names.zones.len() as u32,
         period: node.at("period").number_or(0.0)?,
--- a/balancer/config/src/tests.rs
+++ b/balancer/config/src/tests.rs
@@ -76,3 +76,16 @@
     assert!(buffers.is_sorted(), "{buffers:?}");
     assert_eq!(buffers[0], 3 * 1024 * 1024);
 }
+
+// Guards against numbers of dispatchers that are cut off to 32 bits: 2^32 dispatchers were taken for one, and the
+// dispatcher 2^32 for the first.
+#[test]
+fn a_number_of_dispatchers_that_cannot_be_kept_whole_is_refused() {
+    for (from, key) in [("\"me\":1", "me"), ("\"replicas_of_me\":2", "replicas_of_me")] {
+        let with = |number: u64| read(&CONFIG.replace(from, &format!("\"{key}\":{number}")));
+        let error = with(1 << 32).err().map(|error| error.to_string()).unwrap_or_default();
+        assert!(error.contains(&format!("settings.{key}")), "{error}");
+        let settings = with((1 << 32) - 1).unwrap().settings;
+        assert!([settings.instance, settings.replicas].contains(&u32::MAX));
+    }
+}
