Refuse jobs that ask for more slots than any machine has

What callers would see: one request with X-Props slots=1e308 is accepted, and makes the decision module's mean work infinite for as long as the process runs: all workers then have the same index, for the jobs of all clients.

Cause: any finite number of slots passes the check; the module multiplies it by the job's work and adds it to running sums.

Change: more than a million slots are answered with 400 (INVALID_ARGUMENT over gRPC), as other numbers that cannot be read. Up to it the sums are exact. Other figures of a job are not used in sums and keep their check.

Tests, which fail before: slots_that_no_machine_can_have_are_invalid, and one row each in a_refusal_names_the_header and the_field_that_breaks_a_rule_is_named.

--- a/balancer/exchange/src/intake.rs
+++ b/balancer/exchange/src/intake.rs
@@ -11,6 +11,8 @@
 pub const VALUE_LIMIT: usize = 512;
 /// Largest body that the platform allows (bytes).
 pub const BODY_LIMIT: usize = 64 * 1024;
+/// Most slots that a job can ask for; no machine has as many. Sums over jobs stay exact up to it.
+pub const MAX_SLOTS: f64 = 1_000_000.0;
 /// Longest time-out that a client can ask for: one day (ms).
 pub const LONGEST_WAIT_MS: f64 = 86_400_000.0;
 /// The only method with which jobs are sent to workers. Any other method or path would let a client reach a
@@ -97,5 +99,10 @@
     value.is_finite() && value >= 0.0
 }
 
+/// Whether this is a valid number of slots for a job: a number as of [`is_figure`], up to [`MAX_SLOTS`].
+pub fn is_slots(value: f64) -> bool {
+    is_figure(value) && value <= MAX_SLOTS
+}
+
 #[cfg(test)]
 mod tests;
--- a/balancer/exchange/src/intake/tests.rs
+++ b/balancer/exchange/src/intake/tests.rs
@@ -27,3 +27,15 @@
     classes.replace(vec![class("r98", 1.0)], 20_000.0);
     assert!(find_class(&classes.now(), "r98", 1e9).is_some());
 }
+
+// Guards against a client whose job's slots leave the decision module with infinite estimates: one request with
+// `slots=1e308` made the mean work of all later jobs infinite, and every worker's index the same.
+#[test]
+fn slots_that_no_machine_can_have_are_invalid() {
+    for slots in [0.0, 0.5, 1.0, 4096.0, MAX_SLOTS] {
+        assert!(is_slots(slots), "{slots}");
+    }
+    for slots in [-1.0, MAX_SLOTS * 1.001, 1e300, f64::MAX, f64::INFINITY, f64::NAN] {
+        assert!(!is_slots(slots), "{slots}");
+    }
+}
--- a/balancer/fronts/grpc/src/intake.rs
+++ b/balancer/fronts/grpc/src/intake.rs
@@ -3,8 +3,8 @@
 
 use crate::proto::SubmitRequest;
 use millrudder_exchange::intake::{
-    find_class, is_figure, is_id, is_plain, is_target, Class, BODY_LIMIT, ID_LIMIT, JOB_METHOD, JOB_PATH,
-    TARGET_LIMIT, VALUE_LIMIT,
+    find_class, is_figure, is_id, is_plain, is_slots, is_target, Class, BODY_LIMIT, ID_LIMIT, JOB_METHOD,
+    JOB_PATH, MAX_SLOTS, TARGET_LIMIT, VALUE_LIMIT,
 };
 use millrudder_exchange::{ForwardedRequest, Front, Job};
 
@@ -56,6 +56,11 @@
     if let Some((name, value)) = request.props.iter().find(|(_, value)| !is_figure(**value)) {
         return invalid("props", format!("{name:?} is {value}, a finite number from 0 up is wanted"));
     }
+    let prop = |name: &str| request.props.get(name).copied();
+    let (slots, memory) = (prop("slots").unwrap_or(1.0), prop("memory").unwrap_or(0.0));
+    if !is_slots(slots) {
+        return invalid("props", format!("\"slots\" is {slots}, {MAX_SLOTS} are the most"));
+    }
     if !request.method.is_empty() && request.method != JOB_METHOD {
         return invalid("method", format!("{JOB_METHOD} is wanted"));
     }
@@ -67,13 +72,12 @@
         target if is_target(&target) && target.split('?').next() == Some(JOB_PATH) => target,
         _ => return invalid("target", format!("{JOB_PATH} with any query is wanted, in printable ASCII")),
     };
-    let prop = |name: &str| request.props.get(name).copied();
     Ok(Job {
         front: Front::Grpc,
         trace_id,
         class: class.name.clone(),
-        slots: prop("slots").unwrap_or(1.0),
-        memory: prop("memory").unwrap_or(0.0),
+        slots,
+        memory,
         deadline: received_at + timeout.unwrap_or(class.default_timeout),
         forwarded: ForwardedRequest {
             method: JOB_METHOD.to_owned(),
--- a/balancer/fronts/grpc/src/intake/tests.rs
+++ b/balancer/fronts/grpc/src/intake/tests.rs
@@ -54,7 +54,7 @@
 #[test]
 fn the_field_that_breaks_a_rule_is_named() {
     type Change = fn(&mut SubmitRequest);
-    let cases: [(&str, Change); 14] = [
+    let cases: [(&str, Change); 15] = [
         ("id", |r| r.id = "../status".to_owned()),
         ("id", |r| r.id = "..".to_owned()),
         ("id", |r| r.id = "x".repeat(129)),
@@ -65,6 +65,7 @@
         ("object", |r| r.object = "x".repeat(513)),
         ("body", |r| r.body = vec![0; BODY_LIMIT + 1]),
         ("props", |r| r.props = HashMap::from([("slots".to_owned(), f64::NAN)])),
+        ("props", |r| r.props = HashMap::from([("slots".to_owned(), 1e300)])),
         ("props", |r| r.props = HashMap::from([("slots".to_owned(), -1.0)])),
         // With another method or path, a call could reach a worker's other endpoints, for example to cancel another
         // client's job.
--- a/balancer/fronts/http/src/intake.rs
+++ b/balancer/fronts/http/src/intake.rs
@@ -2,8 +2,8 @@
 
 use millrudder_exchange::counters::Counters;
 use millrudder_exchange::intake::{
-    find_class, is_figure, is_id, is_plain, is_target, Class, JOB_METHOD, JOB_PATH, LONGEST_WAIT_MS,
-    TARGET_LIMIT, VALUE_LIMIT,
+    find_class, is_figure, is_id, is_plain, is_slots, is_target, Class, JOB_METHOD, JOB_PATH,
+    LONGEST_WAIT_MS, TARGET_LIMIT, VALUE_LIMIT,
 };
 use millrudder_exchange::{ForwardedRequest, Front, Job};
 use millrudder_wire::http::{FrameError, Request};
@@ -149,6 +149,9 @@
     let props = single(PROPS)?.unwrap_or_default();
     let prop = |name| parse_prop(props, name).map_err(|()| Refusal::BadHeader(PROPS));
     let (slots, memory) = (prop("slots")?.unwrap_or(1.0), prop("memory")?.unwrap_or(0.0));
+    if !is_slots(slots) {
+        return Err(Refusal::BadHeader(PROPS));
+    }
     let idempotency_key = forwarded(IDEMPOTENCY_KEY)?;
     if class.keyed && idempotency_key.is_none() {
         return Err(Refusal::MissingHeader(IDEMPOTENCY_KEY));
--- a/balancer/fronts/http/src/tests.rs
+++ b/balancer/fronts/http/src/tests.rs
@@ -70,6 +70,7 @@
         ("4998m", "-1m", Refusal::BadHeader("X-Expires-In")),
         ("4998m", "infm", Refusal::BadHeader("X-Expires-In")),
         ("slots=1", "slots=x", Refusal::BadHeader("X-Props")),
+        ("slots=1", "slots=1e300", Refusal::BadHeader("X-Props")),
     ] {
         assert_eq!(job(&JOB_HEAD.replace(from, to)), Err(refusal));
     }
