Send an unconfirmed withdrawal again, with backoff

What callers would see: a message that was sent to a second store runs from both.

Cause: a store drops a withdrawal that arrives before the placement which makes it the primary, and the dispatcher sent it again only with the next placement or connection. After 1.5 s the store gives the message's unconfirmed lease up and grants the message to another dispatcher. Evidence: the new test in queue/tests/replicas/takeovers.rs shows the drop, and that the withdrawal holds when it is sent again.

Change: an unconfirmed withdrawal is sent again after 0.6 s, 1.2 s and so on, at most every 38.4 s, since those of messages that another dispatcher may have run are never confirmed. `Deadlines` now works for any key.

Tests, which fail before: a_withdrawal_that_a_store_has_dropped_is_sent_again_in_time, a_withdrawal_that_no_store_confirms_is_sent_less_and_less_often.

--- a/system/state/intake/src/deadlines.rs
+++ b/system/state/intake/src/deadlines.rs
@@ -1,34 +1,39 @@
-//! Deadlines of calls, ordered by time.
+//! Deadlines, ordered by time.
 
-use crate::interface::CallNumber;
 use millrudder_clock::Instant;
 use std::collections::{BTreeMap, BTreeSet};
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Deadline {
+struct Deadline<K> {
     at: Instant,
-    call: CallNumber,
+    key: K,
 }
 
-/// At most one deadline per call.
-#[derive(Clone, Debug, Default)]
-pub struct Deadlines {
-    by_call: BTreeMap<CallNumber, Instant>,
-    by_time: BTreeSet<Deadline>,
+/// At most one deadline for each key, such as a call.
+#[derive(Clone, Debug)]
+pub struct Deadlines<K> {
+    by_key: BTreeMap<K, Instant>,
+    by_time: BTreeSet<Deadline<K>>,
 }
 
-impl Deadlines {
-    /// Sets the deadline of a call, replacing the previous one.
-    pub fn set(&mut self, call: CallNumber, at: Instant) {
-        self.remove(call);
-        self.by_call.insert(call, at);
-        self.by_time.insert(Deadline { at, call });
+impl<K> Default for Deadlines<K> {
+    fn default() -> Self {
+        Deadlines { by_key: BTreeMap::new(), by_time: BTreeSet::new() }
+    }
+}
+
+impl<K: Copy + Ord> Deadlines<K> {
+    /// Sets the deadline of a key, replacing the previous one.
+    pub fn set(&mut self, key: K, at: Instant) {
+        self.remove(key);
+        self.by_key.insert(key, at);
+        self.by_time.insert(Deadline { at, key });
     }
 
-    /// Removes the deadline of a call that has ended.
-    pub fn remove(&mut self, call: CallNumber) {
-        if let Some(at) = self.by_call.remove(&call) {
-            self.by_time.remove(&Deadline { at, call });
+    /// Removes the deadline of a key that is no longer needed.
+    pub fn remove(&mut self, key: K) {
+        if let Some(at) = self.by_key.remove(&key) {
+            self.by_time.remove(&Deadline { at, key });
         }
     }
 
@@ -37,13 +42,13 @@
         self.by_time.first().map(|deadline| deadline.at)
     }
 
-    /// The call with the earliest deadline, if that has passed.
-    pub fn first_due(&self, now: Instant) -> Option<CallNumber> {
+    /// The key with the earliest deadline, if that has passed.
+    pub fn first_due(&self, now: Instant) -> Option<K> {
         self.due(now).next()
     }
 
-    /// Calls whose deadline has passed, ordered by deadline.
-    pub fn due(&self, now: Instant) -> impl Iterator<Item = CallNumber> + '_ {
-        self.by_time.iter().take_while(move |deadline| deadline.at <= now).map(|deadline| deadline.call)
+    /// Keys whose deadline has passed, ordered by deadline.
+    pub fn due(&self, now: Instant) -> impl Iterator<Item = K> + '_ {
+        self.by_time.iter().take_while(move |deadline| deadline.at <= now).map(|deadline| deadline.key)
     }
 }
--- a/system/state/intake/src/queries.rs
+++ b/system/state/intake/src/queries.rs
@@ -71,7 +71,7 @@
     last_request: u64,
     pending: BTreeMap<CallNumber, PendingQuery>,
     by_request: BTreeMap<RequestNumber, CallNumber>,
-    deadlines: Deadlines,
+    deadlines: Deadlines<CallNumber>,
 }
 
 impl Queries {
--- a/system/state/intake/src/submissions.rs
+++ b/system/state/intake/src/submissions.rs
@@ -89,7 +89,7 @@
     last_request: u64,
     pending: BTreeMap<CallNumber, PendingSubmission>,
     by_request: BTreeMap<RequestNumber, CallNumber>,
-    deadlines: Deadlines,
+    deadlines: Deadlines<CallNumber>,
     withdrawals: Withdrawals,
     response_time: ResponseTime,
 }
@@ -125,11 +125,13 @@
 
     /// When [`Submissions::handle_tick`] is due.
     pub fn next_deadline(&self) -> Option<Instant> {
-        self.deadlines.next()
+        let deadlines = [self.deadlines.next(), self.withdrawals.next_deadline()];
+        deadlines.into_iter().flatten().min()
     }
 
-    /// Advances all submissions whose deadline has passed.
+    /// Advances all submissions whose deadline has passed, and resends the withdrawals that are due.
     pub fn handle_tick(&mut self, now: Instant, stores: &StoreDirectory, outputs: &mut Vec<Output>) {
+        self.withdrawals.handle_tick(now, stores, outputs);
         while let Some(call) = self.deadlines.first_due(now) {
             self.advance(now, call, stores, outputs);
         }
@@ -211,7 +213,7 @@
             outputs.push(Output::Deliver { store, id: accepted.id, token, call });
         }
         for attempt in ended.attempts.into_values().filter(|attempt| attempt.id != accepted.id) {
-            self.withdrawals.add(attempt.id, stores, outputs);
+            self.withdrawals.add(now, attempt.id, stores, outputs);
         }
     }
 
@@ -230,7 +232,7 @@
         match reason {
             AcceptRejection::Full { retry_after_ms } if pending.fixed_id.is_some() => {
                 let retry_after = Duration::from_millis(u64::from(retry_after_ms));
-                self.end_unaccepted(call, retry_after, stores, outputs);
+                self.end_unaccepted(now, call, retry_after, stores, outputs);
             }
             // The same store may become ready as the primary shortly afterwards.
             AcceptRejection::NotPrimary { .. } if pending.fixed_id.is_some() => {
@@ -257,7 +259,7 @@
         let Some(pending) = self.pending.get(&call) else { return };
         let deadline = pending.submission.deadline;
         if now >= deadline {
-            self.end_unaccepted(call, RETRY_AFTER, stores, outputs);
+            self.end_unaccepted(now, call, RETRY_AFTER, stores, outputs);
             return;
         }
         if let Some(sent_at) = pending.last_in_time(now, timeout) {
@@ -276,7 +278,7 @@
         // A new placement or an opened connection advances the submission before this deadline.
         match pending.fixed_id.and_then(|id| stores.await_next_primary(now, id.shard, deadline)) {
             Some(until) => self.deadlines.set(call, until),
-            None => self.end_unaccepted(call, RETRY_AFTER, stores, outputs),
+            None => self.end_unaccepted(now, call, RETRY_AFTER, stores, outputs),
         }
     }
 
@@ -325,6 +327,7 @@
     /// Ends a submission whose client gets no 202: as rejected if no store can have the message, otherwise as in doubt.
     fn end_unaccepted(
         &mut self,
+        now: Instant,
         call: CallNumber,
         retry_after: Duration,
         stores: &StoreDirectory,
@@ -338,7 +341,7 @@
         };
         outputs.push(Output::SubmissionEnded { call, result });
         for attempt in ended.attempts.into_values() {
-            self.withdrawals.add(attempt.id, stores, outputs);
+            self.withdrawals.add(now, attempt.id, stores, outputs);
         }
     }
 
--- a/system/state/intake/tests/intake.rs
+++ b/system/state/intake/tests/intake.rs
@@ -168,6 +168,30 @@
     assert_eq!(withdrawals(&test.handle(960, Input::StoreConnected { store: LOCAL })), vec![]);
 }
 
+// Guards against a withdrawal that is lost without a connection having closed: a store drops it if it arrives before the
+// placement that makes the store the primary, and the message that was withdrawn then ran a second time (review/2).
+#[test]
+fn a_withdrawal_that_a_store_has_dropped_is_sent_again_in_time() {
+    let mut test = TestIntake::new();
+    let (_, _, first) = accept_request(&test.submit(TargetShard::Any)).unwrap();
+    let (store, request, _) = accept_request(&test.run(90)).unwrap();
+    test.receive(130, store, ToDispatcher::Accepted { request, token: None });
+    assert_eq!(withdrawals(&test.run(1_130)), vec![(LOCAL, first)]);
+    assert_eq!(withdrawals(&test.run(3_130)), vec![(LOCAL, first)], "the interval doubles");
+    test.receive(3_140, LOCAL, ToDispatcher::Withdrawn { id: first });
+    assert_eq!(withdrawals(&test.run(600_000)), vec![]);
+}
+
+// Guards against a dispatcher that sends thousands of withdrawals again and again which no store can confirm, since
+// another dispatcher may have run these messages.
+#[test]
+fn a_withdrawal_that_no_store_confirms_is_sent_less_and_less_often() {
+    let mut test = TestIntake::new();
+    accept_request(&test.submit(TargetShard::ByName("key-1".into()))).unwrap();
+    assert_eq!(withdrawals(&test.run(60_000)).len(), 7, "at 500 ms, and 0.6, 1.2, 2.4 s and so on later");
+    assert_eq!(withdrawals(&test.run(660_000)).len(), 16, "every 38.4 s");
+}
+
 #[test]
 fn a_message_with_a_given_shard_keeps_its_id_at_the_next_primary() {
     let mut test = TestIntake::new();
--- a/system/state/queue/tests/replicas/takeovers.rs
+++ b/system/state/queue/tests/replicas/takeovers.rs
@@ -39,6 +39,26 @@
     assert!(harness.take_grants().is_empty());
 }
 
+// Guards against the two halves of a lost withdrawal drifting apart: a store that does not know yet that it is the primary
+// drops it without an answer, so that the dispatcher has to send it again (`intake`, `withdrawals.rs`).
+#[test]
+fn a_withdrawal_before_the_placement_is_dropped_and_holds_when_it_is_sent_again() {
+    let mut harness = three_stores();
+    let id = harness.accept(0, 1, message(), true);
+    harness.kill(0);
+    harness.send_from_dispatcher(2, 3, FromDispatcher::Withdraw { id });
+    harness.move_primary(2);
+    harness.hello(2, 30, 30, "zone-2", Vec::new());
+    harness.hello_in_doubt(2, 3, 7, "zone-0", Vec::new(), vec![id]);
+    let is_confirmed = |(_, message): &(_, ToDispatcher)| *message == ToDispatcher::Withdrawn { id };
+    assert!(!harness.sent_to_dispatchers.iter().any(is_confirmed));
+    assert_eq!(harness.state(2, id).unwrap().end, None);
+    harness.send_from_dispatcher(2, 3, FromDispatcher::Withdraw { id });
+    assert_eq!(harness.state(2, id).unwrap().end, Some(End::Withdrawn));
+    harness.advance(1_000);
+    assert!(harness.take_grants().is_empty());
+}
+
 #[test]
 fn nothing_is_accepted_before_a_read_quorum_promised() {
     let mut harness = three_stores();
