Form the core with a majority of its founders

Cause: every seed had to answer before a machine of the first start ran its state machine at all (`find_founders`), and the first view needed the agreement of every machine on one list, which none could take back. Evidence: nodes 1 and 2 of the new unit test agree to a list with node 3, which is lost; neither has a view after any time.

Change: the first view is decided by Paxos among the founders, the machines that the first start's settings name. The agreement of all of them stays as what it was, with its messages and records, and counts as acceptance at the lowest ballot; when it takes over a second, or not all founders have answered within 1.5 s, a founder proposes at a higher ballot and a majority decides. A view that may be decided at the lowest ballot is proposed again. Machines that lost their disk come back without `bootstrap` and are no acceptors. A founder that has no view yet stays one when its process is started again.

Form: messages and records are those that exist.

--- a/coordination/chain/src/config.rs
+++ b/coordination/chain/src/config.rs
@@ -12,8 +12,12 @@
 pub struct CoreConfig {
     /// Address at which other nodes reach this node.
     pub address: String,
-    /// Addresses of all nodes of the first view, including this one; empty if this node must not propose a first view.
+    /// Addresses of the founders, the nodes that decide the first view, as far as they are known and including this node;
+    /// empty if this node is no founder.
     pub bootstrap_addresses: Vec<String>,
+    /// Number of founders, of which a majority decides; must be the same at all of them. With less than the number of
+    /// [`CoreConfig::bootstrap_addresses`], there are as many as there are addresses.
+    pub founder_count: usize,
     /// Minimum number of members of a view: the number of machine failures to tolerate, plus one.
     pub minimum_members: usize,
     /// Intended number of voters: twice the number of machine failures to tolerate, plus one. There are fewer while not
@@ -53,6 +57,7 @@
         CoreConfig {
             address: address.into(),
             bootstrap_addresses: Vec::new(),
+            founder_count: 0,
             minimum_members: 2,
             voters: 3,
             detector: DetectorConfig::default(),
--- a/coordination/chain/src/node/input.rs
+++ b/coordination/chain/src/node/input.rs
@@ -54,6 +54,11 @@
     },
     /// The machine and its steady clock were suspended: leases and quorum contact may have expired unnoticed.
     ClockStalled,
+    /// The address of a founder was found that was not among [`CoreConfig::bootstrap_addresses`](crate::CoreConfig).
+    FounderFound {
+        /// The address.
+        address: String,
+    },
     /// A node was reached at an address.
     PeerSeen {
         /// The node.
--- a/coordination/chain/src/node/messages.rs
+++ b/coordination/chain/src/node/messages.rs
@@ -67,7 +67,10 @@
 
     fn handle_view_message(&mut self, now: Instant, from: NodeId, message: ViewMessage) {
         let complete = self.replica.is_complete();
-        let step = self.agreement.handle(from, message, complete);
+        let step = match self.agreement.epoch() {
+            Epoch::NONE => self.bootstrap.handle_vote(&mut self.agreement, from, message),
+            _ => self.agreement.handle(from, message, complete),
+        };
         self.apply_agreement_step(now, step);
     }
 }
--- a/coordination/chain/src/node/mod.rs
+++ b/coordination/chain/src/node/mod.rs
@@ -127,7 +127,7 @@
         Ok(CoreNode {
             id,
             agreement: ViewAgreement::new(id, state.view, config.minimum_members),
-            bootstrap: Bootstrap::new(local, bootstrap_addresses, config.voters),
+            bootstrap: Bootstrap::new(local, bootstrap_addresses, config.founder_count, config.voters),
             replica: Replica::new(id, limits, store, state.complete, state.sealed),
             detector: Detector::new(&config.detector, now),
             leases: Leases::new(&config.lease, &config.roles, state.lease, &mut random, now),
@@ -226,6 +226,7 @@
             Input::Leave => self.handle_leave(now),
             Input::Decommission { ids } => self.handle_decommission(now, ids),
             Input::ClockStalled => self.handle_clock_stall(now),
+            Input::FounderFound { address } => self.bootstrap.add_founder(address),
             Input::PeerSeen { id, address } => self.handle_peer_seen(now, id, address),
         }
         self.run_effects(now);
--- a/coordination/chain/src/node/peers.rs
+++ b/coordination/chain/src/node/peers.rs
@@ -115,7 +115,7 @@
     }
 
     pub(super) fn poll_bootstrap(&mut self, now: Instant) {
-        let step = self.bootstrap.poll(&mut self.agreement);
+        let step = self.bootstrap.poll(now, &mut self.agreement);
         self.apply_agreement_step(now, step);
     }
 
--- a/coordination/view/src/agreement.rs
+++ b/coordination/view/src/agreement.rs
@@ -185,6 +185,63 @@
         Step { record: Some(ViewRecord::Decided { view }), messages: Vec::new() }
     }
 
+    /// Returns the minimum number of members of a view that this node proposes.
+    pub(crate) fn minimum_members(&self) -> usize {
+        self.minimum_members
+    }
+
+    /// Returns the highest ballot that this node has promised in the instance that follows its view.
+    pub(crate) fn promised_ballot(&self) -> Ballot {
+        self.state.acceptor.promised
+    }
+
+    /// Returns the first view that this founder has accepted, before any view is known.
+    pub(crate) fn accepted_first_view(&self) -> Option<AcceptedView> {
+        self.state.acceptor.accepted.clone()
+    }
+
+    /// Promises this founder's own ballot in the instance of the first view. Returns `None` if it has promised a higher one.
+    pub(crate) fn promise_own(&mut self, ballot: Ballot) -> Option<ViewRecord> {
+        let is_promised = self.state.acceptor.promise(ballot);
+        is_promised.then_some(ViewRecord::Promised { instance: Epoch::FIRST, ballot })
+    }
+
+    /// Accepts the first view that this founder proposes. Returns `None` if it has promised a higher ballot.
+    pub(crate) fn accept_own(&mut self, ballot: Ballot, view: &View) -> Option<ViewRecord> {
+        let accepted = AcceptedView { ballot, view: view.clone() };
+        let is_accepted = self.state.acceptor.accept(ballot, view.clone());
+        is_accepted.then_some(ViewRecord::Accepted { instance: Epoch::FIRST, accepted })
+    }
+
+    /// Answers another founder's request for a promise in the instance of the first view. `agreed` is what this node has
+    /// agreed to, if anything.
+    pub(crate) fn promise_first_view(
+        &mut self,
+        from: NodeId,
+        ballot: Ballot,
+        agreed: Option<AcceptedView>,
+    ) -> Step {
+        if !self.state.acceptor.promise(ballot) {
+            return self.refuse(from, Epoch::FIRST, ballot);
+        }
+        let accepted = self.state.acceptor.accepted.clone().or(agreed);
+        let promise = ViewMessage::Promise { instance: Epoch::FIRST, ballot, accepted, complete: false };
+        let record = ViewRecord::Promised { instance: Epoch::FIRST, ballot };
+        Step { record: Some(record), messages: message_to(from, promise) }
+    }
+
+    /// Answers another founder's request to accept a first view.
+    pub(crate) fn accept_first_view(&mut self, from: NodeId, ballot: Ballot, view: View) -> Step {
+        if view.epoch != Epoch::FIRST || !view.is_well_formed() {
+            return Step::default();
+        }
+        let Some(record) = self.accept_own(ballot, &view) else {
+            return self.refuse(from, Epoch::FIRST, ballot);
+        };
+        let accepted = ViewMessage::Accepted { instance: Epoch::FIRST, ballot };
+        Step { record: Some(record), messages: message_to(from, accepted) }
+    }
+
     /// Records that this node agrees to the members of the first view.
     pub(crate) fn record_bootstrap_agreement(&mut self, members: Vec<Member>) -> Step {
         self.state.bootstrap_members = Some(members.clone());
@@ -193,8 +250,8 @@
 
     /// Handles a message. `complete` states whether this node holds every committed command.
     ///
-    /// While no view is known, [`ViewMessage::BootstrapAgreed`] must be passed to
-    /// [`Bootstrap::handle`](crate::Bootstrap::handle) instead.
+    /// While no view is known, messages must be passed to [`Bootstrap::handle`](crate::Bootstrap::handle) and
+    /// [`Bootstrap::handle_vote`](crate::Bootstrap::handle_vote) instead.
     pub fn handle(&mut self, from: NodeId, message: ViewMessage, complete: bool) -> Step {
         match message {
             ViewMessage::Prepare { instance, ballot } => {
--- a/coordination/view/src/lib.rs
+++ b/coordination/view/src/lib.rs
@@ -3,8 +3,8 @@
 //! A [`View`] lists the voters of one [`Epoch`] and, in chain order, those of them that hold the state (views: Oki, Liskov,
 //! 1988; a configuration decided by its predecessor: vertical Paxos, Lamport, Malkhi, Zhou, 2009). The view that follows
 //! epoch `e` is decided by single-decree Paxos (Lamport, 2001) among the voters of view `e`, with one instance per epoch.
-//! Consecutive views differ in at most one voter. The first view is formed by a [`Bootstrap`]: each of its members must
-//! agree to the same list.
+//! Consecutive views differ in at most one voter. The first view is formed by a [`Bootstrap`]: all founders agree to the same
+//! list or, where some are lost, a majority of them decides by Paxos as well.
 //!
 //! Guarantees: at most one view is decided for each epoch, and the first member of a view was a member of the previous
 //! view and holds every command committed in it.
@@ -29,6 +29,7 @@
 mod agreement;
 mod bootstrap;
 mod detector;
+mod first_view;
 mod identity;
 mod message;
 mod proposer;
--- a/coordination/view/tests/bootstrap.rs
+++ b/coordination/view/tests/bootstrap.rs
@@ -1,9 +1,11 @@
 //! Unit tests of the bootstrap of the first view.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
 
+use millrudder_clock::Instant;
 use millrudder_view::{
-    Bootstrap, Envelope, Epoch, Member, NodeId, Step, ViewAgreement, ViewMessage, ViewState,
+    Bootstrap, Envelope, Epoch, Member, NodeId, Step, View, ViewAgreement, ViewMessage, ViewState,
 };
 
 struct Node {
@@ -19,12 +21,12 @@
     let local = Member { id: NodeId(id), address: address(host) };
     let addresses = if has_bootstrap_addresses { (1..=3).map(address).collect() } else { Vec::new() };
     let agreement = ViewAgreement::new(local.id, ViewState::default(), 2);
-    Node { bootstrap: Bootstrap::new(local, addresses, 3), agreement }
+    Node { bootstrap: Bootstrap::new(local, addresses, 3, 3), agreement }
 }
 
 impl Node {
     fn poll(&mut self) -> Step {
-        self.bootstrap.poll(&mut self.agreement)
+        self.bootstrap.poll(Instant::ORIGIN, &mut self.agreement)
     }
 
     fn receive(&mut self, from: NodeId, message: ViewMessage) -> Step {
@@ -32,6 +34,9 @@
             ViewMessage::BootstrapAgreed { members } => {
                 self.bootstrap.handle(&mut self.agreement, from, members)
             }
+            other if self.agreement.epoch() == Epoch::NONE => {
+                self.bootstrap.handle_vote(&mut self.agreement, from, other)
+            }
             other => self.agreement.handle(from, other, true),
         }
     }
@@ -140,3 +145,83 @@
     assert_eq!(late_node.agreement.epoch(), Epoch::FIRST);
     assert!(!late_node.agreement.is_member());
 }
+
+/// Polls the nodes at each heartbeat up to `until`, and delivers messages until none is in flight.
+fn run(nodes: &mut BTreeMap<NodeId, Node>, until: Duration) {
+    let mut now = Instant::ORIGIN;
+    while now < Instant::ORIGIN + until {
+        let mut in_flight = VecDeque::new();
+        for (id, node) in nodes.iter_mut() {
+            let step = node.bootstrap.poll(now, &mut node.agreement);
+            in_flight.extend(step.messages.into_iter().map(|envelope| (*id, envelope)));
+        }
+        while let Some((from, envelope)) = in_flight.pop_front() {
+            let Some(node) = nodes.get_mut(&envelope.to) else { continue };
+            let step = node.receive(from, envelope.message);
+            in_flight.extend(step.messages.into_iter().map(|next| (envelope.to, next)));
+        }
+        now = now + Duration::from_millis(100);
+    }
+}
+
+fn views(nodes: &BTreeMap<NodeId, Node>) -> Vec<Option<View>> {
+    nodes.values().map(|node| node.agreement.view().cloned()).collect()
+}
+
+// Guards against a core that never forms since one of its founders is lost after others have agreed to a list with it, which
+// they could not take back (review/3).
+#[test]
+fn a_founder_that_is_lost_before_it_agrees_does_not_keep_the_others_from_a_view() {
+    let hosts = [(1, 1), (2, 2), (3, 3)];
+    let mut nodes = new_nodes(&hosts, |_| true);
+    add_all_peers(&mut nodes, &hosts);
+    for id in [1, 2] {
+        let _ = nodes.get_mut(&NodeId(id)).expect("a node").poll();
+    }
+    nodes.remove(&NodeId(3));
+    run(&mut nodes, Duration::from_secs(3));
+    let views = views(&nodes);
+    assert!(views[0].is_some() && views[0] == views[1], "{views:?}");
+}
+
+// Guards against the same for a founder that nobody has ever reached.
+#[test]
+fn a_founder_that_was_never_reached_does_not_keep_the_others_from_a_view() {
+    let hosts = [(1, 1), (2, 2)];
+    let mut nodes = new_nodes(&hosts, |_| true);
+    add_all_peers(&mut nodes, &hosts);
+    run(&mut nodes, Duration::from_secs(3));
+    let views = views(&nodes);
+    let members: Vec<NodeId> = views[0].iter().flat_map(View::member_ids).collect();
+    assert_eq!(members, vec![NodeId(1), NodeId(2)]);
+    assert_eq!(views[0], views[1]);
+}
+
+// Guards against a second first view: one founder has learnt that all have agreed, and is lost before it tells the others,
+// who then decide by majority.
+#[test]
+fn a_majority_decides_the_list_that_all_have_agreed_to() {
+    let hosts = [(1, 1), (2, 2), (3, 3)];
+    for lost in [1, 2, 3].map(NodeId) {
+        let mut nodes = new_nodes(&hosts, |_| true);
+        add_all_peers(&mut nodes, &hosts);
+        let agreements: Vec<(NodeId, Step)> = nodes.iter_mut().map(|(id, node)| (*id, node.poll())).collect();
+        let mut formed = nodes.remove(&lost).expect("a node");
+        for (from, step) in agreements {
+            for envelope in step.messages.into_iter().filter(|envelope| envelope.to == lost) {
+                let _ = formed.receive(from, envelope.message);
+            }
+        }
+        let first = formed.agreement.view().cloned();
+        assert_eq!(first.as_ref().map(|view| view.members.len()), Some(3));
+        run(&mut nodes, Duration::from_secs(3));
+        assert_eq!(views(&nodes), vec![first.clone(), first]);
+    }
+}
+
+#[test]
+fn a_minority_of_the_founders_forms_no_view() {
+    let mut nodes = new_nodes(&[(1, 1)], |_| true);
+    run(&mut nodes, Duration::from_secs(30));
+    assert_eq!(views(&nodes), vec![None]);
+}
--- a/system/runtime/node/src/core/event.rs
+++ b/system/runtime/node/src/core/event.rs
@@ -18,6 +18,11 @@
         /// The internal address of the other one.
         address: SocketAddr,
     },
+    /// A founder that was not known at the start has answered with its internal address.
+    FounderFound {
+        /// The internal address.
+        address: SocketAddr,
+    },
     /// A seed has answered with its internal address.
     SeedFound {
         /// The internal address.
@@ -57,7 +62,10 @@
                 None
             }
             // Of the host that is gone: its connections and its calls.
-            Event::PeerOpened { .. } | Event::SeedFound { .. } | Event::WorkerListCall(_) => None,
+            Event::PeerOpened { .. }
+            | Event::FounderFound { .. }
+            | Event::SeedFound { .. }
+            | Event::WorkerListCall(_) => None,
             // One for each signal.
             Event::Reload { .. } | Event::ShutdownRequested { .. } => Some(self),
         }
--- a/system/runtime/node/src/core/host/mod.rs
+++ b/system/runtime/node/src/core/host/mod.rs
@@ -39,7 +39,7 @@
 use millrudder_staleness::{ClockStallDetector, ConnectionId, Input as BarrierInput, ReadBarrier};
 use millrudder_system_http::client::Client;
 use millrudder_transport::Outbox;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -133,7 +133,7 @@
     }
 
     /// Connects to these core machines, and to the voters of the view.
-    pub fn connect(&mut self, addresses: &[SocketAddr]) {
+    pub fn connect(&mut self, addresses: &BTreeSet<SocketAddr>) {
         for address in addresses {
             self.peers.connect(*address);
         }
@@ -224,6 +224,7 @@
         match event {
             Event::Inbound(inbound) => self.handle_inbound(inbound),
             Event::PeerOpened { address } => self.handle_peer_opened(address),
+            Event::FounderFound { address } => self.handle_founder_found(address),
             Event::SeedFound { address } => self.peers.connect(address),
             Event::Operator { request, reply } => self.handle_operator_request(request, reply),
             Event::WorkerListCall(call) => {
@@ -236,6 +237,11 @@
         }
     }
 
+    fn handle_founder_found(&mut self, address: SocketAddr) {
+        self.node.handle(self.clock.precise_now(), Input::FounderFound { address: address.to_string() });
+        self.peers.connect(address);
+    }
+
     fn handle_peer_opened(&mut self, address: SocketAddr) {
         let list = self.workers.list().clone();
         self.peers.send(address, &ToCorePort::Workers { list });
--- a/system/runtime/node/src/core/supervisor.rs
+++ b/system/runtime/node/src/core/supervisor.rs
@@ -1,6 +1,6 @@
 //! Keeps a core machine's state served, also after failures of its disk.
 
-use crate::core::bootstrap::{find_founders, make_node, spawn_seed_watch};
+use crate::core::bootstrap::{find_founders, make_node, spawn_founder_watch, spawn_seed_watch, Founders};
 use crate::core::event::Event;
 use crate::core::host::{CoreHost, CoreHostConfig};
 use crate::core::journal::{JournalReport, OpenedJournal};
@@ -45,10 +45,13 @@
         loop {
             // Bounded by the commands to the disk's thread: a batch of these gets one report, or few.
             let (reports, mut reported) = unbounded_channel();
-            let mut host = self.make_host(opened, reports).await?;
+            let (mut host, founders) = self.make_host(opened, reports).await?;
+            let seeds = self.settings.seeds.clone();
+            let founder_watch =
+                spawn_founder_watch(self.client.clone(), seeds, founders, self.events.clone());
             let seed_watch = spawn_seed_watch(self.client.clone(), host.seeds(), self.events.clone());
             let ended = host.run(&mut queue, &mut reported).await;
-            drop(seed_watch);
+            drop((founder_watch, seed_watch));
             host.disconnect();
             // With it go the connections that this machine has opened: others must not take it for one that takes part.
             drop(host);
@@ -64,10 +67,12 @@
         &self,
         mut opened: OpenedJournal,
         reports: UnboundedSender<JournalReport>,
-    ) -> Result<CoreHost, RoleError> {
-        let is_founder = self.settings.bootstrap && opened.state.is_none();
-        let founders =
-            if is_founder { find_founders(&self.client, &self.settings.seeds).await } else { Vec::new() };
+    ) -> Result<(CoreHost, Founders), RoleError> {
+        let has_view = opened.state.as_ref().is_some_and(|state| state.view().is_some());
+        let founders = match self.settings.bootstrap && !has_view {
+            true => find_founders(&self.client, &self.settings.seeds).await,
+            false => Founders::default(),
+        };
         let node = make_node(&self.settings, self.internal, opened.state.take(), &founders)?;
         let mut host = CoreHost::new(CoreHostConfig {
             node,
@@ -77,7 +82,7 @@
             client: self.client.clone(),
             events: self.events.clone(),
         });
-        host.connect(&founders);
-        Ok(host)
+        host.connect(&founders.found);
+        Ok((host, founders))
     }
 }
