Take all known founders into a first view that a majority decides

A founder that had not promised yet was left out, so that a founder which was only slow left a view of two voters: it could lose neither of them until a third node was added. A voter that does not answer is replaced by the next view, as one that is lost later. Run: tests of view, 0 failed.

--- a/coordination/view/src/bootstrap.rs
+++ b/coordination/view/src/bootstrap.rs
@@ -312,12 +312,11 @@
             return Step::default();
         }
         attempt.add_promise(from, accepted);
-        let promised_by: BTreeSet<NodeId> = attempt.promised_by().collect();
         let accepted_view = attempt.accepted_view();
-        if promised_by.len() < self.majority() {
+        if attempt.promise_count() < self.majority() {
             return Step::default();
         }
-        let Some(view) = accepted_view.or_else(|| self.view_of_founders(agreement, &promised_by)) else {
+        let Some(view) = accepted_view.or_else(|| self.view_of_founders(agreement)) else {
             return Step::default();
         };
         let Some(record) = agreement.accept_own(ballot, &view) else {
@@ -329,11 +328,10 @@
         Step { record: Some(record), messages: self.retransmit().messages }
     }
 
-    /// The view of the founders that have promised, if they are enough for a view.
-    fn view_of_founders(&self, agreement: &ViewAgreement, promised_by: &BTreeSet<NodeId>) -> Option<View> {
-        let mut members = self.known_founders();
-        members.retain(|founder| promised_by.contains(&founder.id));
-        let view = self.view_of(members);
+    /// The view of the founders that are known, if they are enough for a view. Those that do not answer are among them: the
+    /// next view replaces them, and a view of the others alone could lose none of its voters until a node is added.
+    fn view_of_founders(&self, agreement: &ViewAgreement) -> Option<View> {
+        let view = self.view_of(self.known_founders());
         (view.members.len() >= agreement.minimum_members()).then_some(view)
     }
 
--- a/coordination/view/src/first_view.rs
+++ b/coordination/view/src/first_view.rs
@@ -31,9 +31,9 @@
         self.promises.insert(from, accepted);
     }
 
-    /// Returns the founders that have promised.
-    pub(crate) fn promised_by(&self) -> impl Iterator<Item = NodeId> + '_ {
-        self.promises.keys().copied()
+    /// Returns the number of founders that have promised.
+    pub(crate) fn promise_count(&self) -> usize {
+        self.promises.len()
     }
 
     /// Returns the view that was accepted at the highest ballot. It may be decided already, so it must be proposed again.
--- a/coordination/view/tests/bootstrap.rs
+++ b/coordination/view/tests/bootstrap.rs
@@ -160,7 +160,7 @@
             let step = node.receive(from, envelope.message);
             in_flight.extend(step.messages.into_iter().map(|next| (envelope.to, next)));
         }
-        now = now + Duration::from_millis(100);
+        now += Duration::from_millis(100);
     }
 }
 
--- a/coordination/view/tests/first_view_model.rs
+++ b/coordination/view/tests/first_view_model.rs
@@ -174,7 +174,7 @@
     }
 
     fn step(&mut self, with_faults: bool) {
-        self.now = self.now + Duration::from_millis(self.random.u64(1..20));
+        self.now += Duration::from_millis(self.random.u64(1..20));
         for machine in 0..self.founders {
             let is_down = self.machines[machine].running.is_none() && !self.machines[machine].is_lost;
             if is_down && self.random.usize(0..8) == 0 {
