--- a/coordination/view/tests/first_view_model.rs
+++ b/coordination/view/tests/first_view_model.rs
@@ -129,14 +129,13 @@
 
     fn heartbeat(&mut self, machine: usize) {
         let now = self.now;
-        let peers: Vec<(NodeId, String)> = self
+        let running_peers = self
             .machines
             .iter()
             .enumerate()
-            .filter_map(|(index, peer)| {
-                (peer.running.is_some() && index != machine).then(|| (peer.id, address(index)))
-            })
-            .collect();
+            .filter(|(index, peer)| peer.running.is_some() && *index != machine);
+        let peers: Vec<(NodeId, String)> =
+            running_peers.map(|(index, peer)| (peer.id, address(index))).collect();
         let Some(running) = &mut self.machines[machine].running else { return };
         if now < running.next_heartbeat {
             return;
--- a/system/runtime/node/tests/soak/clients.rs
+++ b/system/runtime/node/tests/soak/clients.rs
@@ -109,6 +109,7 @@
     /// The connection ended before a whole answer had come, so long after the request was sent.
     Ended {
         after: Duration,
+        cause: String,
     },
     /// Neither an answer nor the end of the connection came.
     Unanswered,
@@ -140,7 +141,7 @@
             let message = self.message(*sent);
             match exchange(&mut connection, &message).await {
                 Exchange::Answered(answer) => self.record_answer(message, front, answer),
-                Exchange::Ended { after } => return self.record_end(&message, front, after),
+                Exchange::Ended { after, cause } => return self.record_end(&message, front, after, &cause),
                 Exchange::Unanswered => {
                     let id = &message.request_id;
                     return self.record_violation(format!("{id} at {front}: no answer within {BOUND:?}"));
@@ -169,13 +170,13 @@
         }
     }
 
-    fn record_end(&self, message: &Message, front: SocketAddr, after: Duration) {
+    fn record_end(&self, message: &Message, front: SocketAddr, after: Duration, cause: &str) {
         self.seen.broken.set(self.seen.broken.get() + 1);
         self.seen.longest_end.set(self.seen.longest_end.get().max(after));
         if self.kind == FaultKind::PlannedWork && after > LOSS_SLACK {
             let id = &message.request_id;
             self.record_violation(format!(
-                "{id} at {front}: cut {after:?} after it was sent, without an answer"
+                "{id} at {front}: cut {after:?} after it was sent, without an answer: {cause}"
             ));
         }
     }
@@ -199,16 +200,19 @@
 async fn exchange(connection: &mut RawConnection, message: &Message) -> Exchange {
     let written = connection.write(&request_bytes(message)).await;
     let sent_at = Instant::now();
-    if written.is_err() {
-        return Exchange::Ended { after: Duration::ZERO };
+    if let Err(error) = written {
+        return Exchange::Ended { after: Duration::ZERO, cause: error.to_string() };
     }
     match connection.read_until(b"\r\n\r\n", BOUND).await {
         Ok(bytes) => match parse(&bytes) {
             Some(answer) => Exchange::Answered(answer),
-            None => Exchange::Ended { after: sent_at.elapsed() },
+            None => Exchange::Ended {
+                after: sent_at.elapsed(),
+                cause: format!("no answer in {:?}", String::from_utf8_lossy(&bytes)),
+            },
         },
         Err(error) if error.kind() == std::io::ErrorKind::TimedOut => Exchange::Unanswered,
-        Err(_) => Exchange::Ended { after: sent_at.elapsed() },
+        Err(error) => Exchange::Ended { after: sent_at.elapsed(), cause: error.to_string() },
     }
 }
 
