--- a/balancer/dispatcher/tests/program/mod.rs
+++ b/balancer/dispatcher/tests/program/mod.rs
@@ -49,12 +49,18 @@
         program
     }
 
-    pub fn counter(&self, name: &str) -> u64 {
+    /// All counters, as the program tells them.
+    pub fn counters(&self) -> String {
         use std::io::{Read, Write};
         let mut stream = std::net::TcpStream::connect(self.http).unwrap();
         stream.write_all(b"GET /counters HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
         let mut text = String::new();
         stream.read_to_string(&mut text).unwrap();
+        text
+    }
+
+    pub fn counter(&self, name: &str) -> u64 {
+        let text = self.counters();
         let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '));
         line.unwrap_or_else(|| panic!("{name} in {text}")).parse().unwrap()
     }
--- a/balancer/dispatcher/tests/two_fronts.rs
+++ b/balancer/dispatcher/tests/two_fronts.rs
@@ -279,7 +279,8 @@
         (output.status.code(), String::from_utf8_lossy(&output.stdout).into_owned())
     };
     let (code, text) = status();
-    assert!(code == Some(0) && text.contains("serving") && text.contains("jobs owed  1"), "{text}");
+    let is_told = code == Some(0) && text.contains("serving") && text.contains("jobs owed  1");
+    assert!(is_told, "{text}{}", program.counters());
     program.signal("TERM");
     assert!(program.log_shows("told to stop"));
     let end = Instant::now() + program::WAIT;
