Check what three tests only said: freed bodies, closed connections, refusals

A successful call-back's test looks at the body now, beside one that is still there. The gRPC front's raw client took a read that timed out for a closed connection, so that is_closed, and the wait for an answer to large headers, could not fail; it panics now.

--- a/balancer/fronts/grpc/tests/grpc/peers.rs
+++ b/balancer/fronts/grpc/tests/grpc/peers.rs
@@ -127,13 +127,10 @@
     }
     raw.send(&frame(kind::HEADERS, END_HEADERS, 1, &block));
     // h2 answers with 431 or a reset; no job is submitted.
-    let answered = loop {
-        match raw.frame() {
-            Some((kind::HEADERS | kind::RST_STREAM | kind::GOAWAY, ..)) | None => break true,
-            Some(_) => {}
-        }
-    };
-    assert!(answered && rig.nothing_came());
+    let is_answer =
+        |frame: &(u8, u32, Vec<u8>)| matches!(frame.0, kind::HEADERS | kind::RST_STREAM | kind::GOAWAY);
+    while raw.frame().is_some_and(|frame| !is_answer(&frame)) {}
+    assert!(rig.nothing_came());
     rig.until_counted("grpc_headers_too_large 1");
     assert_still_serves(&rig);
 }
--- a/balancer/fronts/grpc/tests/grpc/rig.rs
+++ b/balancer/fronts/grpc/tests/grpc/rig.rs
@@ -14,7 +14,7 @@
 use millrudder_front_grpc::proto::jobs_client::JobsClient;
 use millrudder_front_grpc::proto::SubmitRequest;
 use millrudder_front_grpc::GrpcFront;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
 use std::sync::mpsc::{channel, Receiver};
@@ -250,11 +250,14 @@
     }
 
     /// Reads the next frame as (type, stream, payload); `None` once the front has closed the connection.
+    ///
+    /// # Panics
+    /// Neither came within `WAIT`.
     pub fn frame(&mut self) -> Option<(u8, u32, Vec<u8>)> {
         let mut head = [0; 9];
-        self.0.read_exact(&mut head).ok()?;
+        self.read_exactly(&mut head)?;
         let mut payload = vec![0; u32::from_be_bytes([0, head[0], head[1], head[2]]) as usize];
-        self.0.read_exact(&mut payload).ok()?;
+        self.read_exactly(&mut payload)?;
         Some((head[3], u32::from_be_bytes([head[5], head[6], head[7], head[8]]), payload))
     }
 
@@ -268,7 +271,18 @@
         }
     }
 
-    /// Reads until the front closes this connection or a read fails, also after `WAIT`. Always true.
+    /// Fills the buffer; `None` if the front closes the connection before.
+    fn read_exactly(&mut self, buffer: &mut [u8]) -> Option<()> {
+        let error = match self.0.read_exact(buffer) {
+            Ok(()) => return Some(()),
+            Err(error) => error,
+        };
+        let has_timed_out = matches!(error.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut);
+        assert!(!has_timed_out, "neither a frame nor the end of the connection within {WAIT:?}");
+        None
+    }
+
+    /// Reads until the front closes this connection; a panic of [`RawClient::frame`] if it does not.
     pub fn is_closed(&mut self) -> bool {
         while self.frame().is_some() {}
         true
--- a/system/state/queue/tests/call_backs.rs
+++ b/system/state/queue/tests/call_backs.rs
@@ -64,11 +64,17 @@
 #[test]
 fn a_successful_call_back_is_complete_and_its_body_is_freed() {
     let mut harness = one_store();
+    let body_bytes = |harness: &StoreHarness, id| {
+        harness.state(0, id).unwrap().message.map_or(0, |message| message.body.len())
+    };
+    let waiting = harness.accept(0, 1, Message { delay_ms: 60_000, ..with_callback("r") }, false);
+    assert!(body_bytes(&harness, waiting) > 0);
     let id = complete(&mut harness, with_callback("r"));
     let call = take_calls(&mut harness).remove(0);
     report(&mut harness, &call, true);
     assert!(harness.is_recorded(id, call.token));
     assert!(harness.state(0, id).unwrap().callback_done);
+    assert_eq!(body_bytes(&harness, id), 0);
     harness.advance(2_000);
     assert!(take_calls(&mut harness).is_empty());
 }
