Let a majority of founders start where two losses are to be tolerated

Change: the configuration is checked by the number of founders, known or not. The first view needs a majority of them known; it may have fewer members than later views must have, since a loss has occurred already, and further machines are admitted as usual.

--- a/coordination/chain/src/config.rs
+++ b/coordination/chain/src/config.rs
@@ -93,9 +93,10 @@
             let (contact, suspect) = (self.quorum_contact_timeout, self.detector.suspect_after);
             return Err(ConfigError::QuorumContactTimeoutTooLong { contact, suspect });
         }
-        let addresses = self.bootstrap_addresses.len();
-        if addresses > 0 && addresses < self.minimum_members {
-            return Err(ConfigError::TooFewBootstrapAddresses { addresses, minimum: self.minimum_members });
+        let (known, minimum) = (self.bootstrap_addresses.len(), self.minimum_members);
+        let addresses = self.founder_count.max(known);
+        if known > 0 && addresses < minimum {
+            return Err(ConfigError::TooFewBootstrapAddresses { addresses, minimum });
         }
         Ok(())
     }
@@ -122,7 +123,7 @@
         "there are {addresses} bootstrap addresses, fewer than the minimum of {minimum} members of a view"
     )]
     TooFewBootstrapAddresses {
-        /// Number of [`CoreConfig::bootstrap_addresses`].
+        /// Number of founders, whose addresses are known or not.
         addresses: usize,
         /// [`CoreConfig::minimum_members`].
         minimum: usize,
--- a/coordination/view/src/bootstrap.rs
+++ b/coordination/view/src/bootstrap.rs
@@ -316,7 +316,7 @@
         if attempt.promise_count() < self.majority() {
             return Step::default();
         }
-        let Some(view) = accepted_view.or_else(|| self.view_of_founders(agreement)) else {
+        let Some(view) = accepted_view.or_else(|| self.view_of_founders()) else {
             return Step::default();
         };
         let Some(record) = agreement.accept_own(ballot, &view) else {
@@ -328,11 +328,12 @@
         Step { record: Some(record), messages: self.retransmit().messages }
     }
 
-    /// The view of the founders that are known, if they are enough for a view. Those that do not answer are among them: the
-    /// next view replaces them, and a view of the others alone could lose none of its voters until a node is added.
-    fn view_of_founders(&self, agreement: &ViewAgreement) -> Option<View> {
-        let view = self.view_of(self.known_founders());
-        (view.members.len() >= agreement.minimum_members()).then_some(view)
+    /// The view of the founders that are known, if they are a majority. Those that do not answer are among them: the next
+    /// view replaces them, and a view of the others alone could lose none of its voters until a node is added. Where more
+    /// than one loss is to be tolerated the view may have fewer members than a later one, as losses have occurred already.
+    fn view_of_founders(&self) -> Option<View> {
+        let founders = self.known_founders();
+        (founders.len() >= self.majority()).then(|| self.view_of(founders))
     }
 
     fn handle_accepted(&mut self, agreement: &mut ViewAgreement, from: NodeId, ballot: Ballot) -> Step {
