Fill the first view with other machines where too few founders are known

Other machines that have been reached fill the view up now, without a vote on it; without enough of them the founders wait.

--- a/coordination/chain/tests/node/serving.rs
+++ b/coordination/chain/tests/node/serving.rs
@@ -146,18 +146,17 @@
 }
 
 // Guards against a machine of the first start that does not start at all, or waits without end, where two losses are to be
-// tolerated and one of three founders is lost: three members are wanted then, and only two founders are known.
+// tolerated and one of three founders is lost: a view needs three members then, and only two founders are known.
 #[test]
-fn two_of_three_founders_form_a_core_that_is_to_tolerate_two_losses() {
+fn two_of_three_founders_and_another_machine_form_a_core_that_tolerates_two_losses() {
     let mut cluster = Cluster::default();
     let founder = |index| CoreConfig { founder_count: 3, minimum_members: 3, voters: 5, ..config(index, 2) };
+    let other = |index| CoreConfig { bootstrap_addresses: Vec::new(), ..founder(index) };
     (1..=2).for_each(|index| cluster.start(founder(index), None));
-    cluster.run(4 * SECOND);
-    assert!(cluster.hosts.values().all(|host| host.node.is_member()));
-    for index in 3..=4 {
-        cluster.start(CoreConfig { bootstrap_addresses: Vec::new(), ..founder(index) }, None);
-    }
-    cluster.run(4 * SECOND);
+    cluster.run(2 * SECOND);
+    assert!(cluster.hosts.values().all(|host| host.node.view().is_none()), "too few for a view");
+    (3..=4).for_each(|index| cluster.start(other(index), None));
+    cluster.run(5 * SECOND);
     let members = |host: &Host| host.node.view().map_or(0, |view| view.members.len());
     assert!(cluster.hosts.values().all(|host| members(host) == 4));
 }
--- a/coordination/view/src/agreement.rs
+++ b/coordination/view/src/agreement.rs
@@ -185,6 +185,11 @@
         Step { record: Some(ViewRecord::Decided { view }), messages: Vec::new() }
     }
 
+    /// Returns the minimum number of members of a view that this node proposes.
+    pub(crate) fn minimum_members(&self) -> usize {
+        self.minimum_members
+    }
+
     /// Returns the highest ballot that this node has promised in the instance that follows its view.
     pub(crate) fn promised_ballot(&self) -> Ballot {
         self.state.acceptor.promised
--- a/coordination/view/src/bootstrap.rs
+++ b/coordination/view/src/bootstrap.rs
@@ -316,7 +316,7 @@
         if attempt.promise_count() < self.majority() {
             return Step::default();
         }
-        let Some(view) = accepted_view.or_else(|| self.view_of_founders()) else {
+        let Some(view) = accepted_view.or_else(|| self.view_of_known(agreement.minimum_members())) else {
             return Step::default();
         };
         let Some(record) = agreement.accept_own(ballot, &view) else {
@@ -328,12 +328,18 @@
         Step { record: Some(record), messages: self.retransmit().messages }
     }
 
-    /// The view of the founders that are known, if they are a majority. Those that do not answer are among them: the next
-    /// view replaces them, and a view of the others alone could lose none of its voters until a node is added. Where more
-    /// than one loss is to be tolerated the view may have fewer members than a later one, as losses have occurred already.
-    fn view_of_founders(&self) -> Option<View> {
-        let founders = self.known_founders();
-        (founders.len() >= self.majority()).then(|| self.view_of(founders))
+    /// The view of the founders that are known and, if they are fewer than `minimum`, of as many other known nodes.
+    ///
+    /// Founders that do not answer are in it: the next view replaces them, and a view of the others alone could lose none
+    /// of its voters until a node is added.
+    fn view_of_known(&self, minimum: usize) -> Option<View> {
+        let mut members = self.known_founders();
+        let missing = minimum.saturating_sub(members.len());
+        let is_other = |address: &String| !self.founder_addresses.contains(address);
+        let others = self.ids_by_address.iter().filter(|(address, _)| is_other(address));
+        members
+            .extend(others.take(missing).map(|(address, id)| Member { id: *id, address: address.clone() }));
+        (members.len() >= minimum).then(|| self.view_of(members))
     }
 
     fn handle_accepted(&mut self, agreement: &mut ViewAgreement, from: NodeId, ballot: Ballot) -> Step {
