Issue each test program an address of its own

The later program ends, and both tests talk to the first one.

Change: addresses that were issued are remembered and not issued again.

--- a/balancer/dispatcher/tests/program/mod.rs
+++ b/balancer/dispatcher/tests/program/mod.rs
@@ -1,9 +1,11 @@
 //! The started program with both fronts, in front of a fleet of stand-in workers.
 
+pub mod address;
+
 use crate::process::Process;
 use millrudder_standins::load::{Kind, Protocol};
 use millrudder_standins::{settings, Fleet, Plan};
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::ops::{Deref, DerefMut};
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -19,13 +21,6 @@
     folder: PathBuf,
 }
 
-/// A loopback address that no other test uses: a host of this process's own, and a port that is free there.
-fn address() -> SocketAddr {
-    let pid = std::process::id();
-    let host = format!("127.{}.{}.{}", 128 + pid / 65_536 % 64, pid / 256 % 256, pid % 256);
-    TcpListener::bind((host.as_str(), 0)).unwrap().local_addr().unwrap()
-}
-
 impl Program {
     /// `settings_text`: the operators' settings; GRPC in them is replaced by the address of the gRPC front.
     pub fn start(plan: Plan, settings_text: &str) -> Self {
@@ -33,7 +28,7 @@
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let folder = std::env::temp_dir().join(format!("millrudder-two-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&folder).unwrap();
-        let (http, grpc) = (address(), address());
+        let (http, grpc) = (address::unused(), address::unused());
         let fleet = Fleet::start(plan).unwrap();
         let discovery = fleet.attach(http).unwrap();
         let mut config = settings::node_config(http, discovery, plan.seed);
--- a/balancer/dispatcher/tests/two_fronts.rs
+++ b/balancer/dispatcher/tests/two_fronts.rs
@@ -10,6 +10,7 @@
 use millrudder_standins::load::{Load, Protocol};
 use millrudder_standins::Plan;
 use program::Program;
+use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::process::Command;
 use std::time::{Duration, Instant};
@@ -19,6 +20,14 @@
 const NEVER_LATE: f64 = 20_000.0;
 const BOTH: &str = "fronts: {grpc: {listen: 'GRPC'}}\n";
 
+/// Guards against two tests whose programs have one address: the later program ends, and both tests talk to the other one.
+#[test]
+fn no_address_is_issued_to_two_programs() {
+    const ADDRESSES: usize = 1_000;
+    let issued: BTreeSet<_> = (0..ADDRESSES).map(|_| program::address::unused()).collect();
+    assert_eq!(issued.len(), ADDRESSES);
+}
+
 #[test]
 fn a_rolling_deploy_under_traffic_on_both_ports_keeps_the_rules() {
     let plan = Plan {
