Keep valid at SIGHUP what a start has accepted

Cause: the check of plausible numbers at SIGHUP is stricter than that of a start, and was made on values that were running already.

Evidence: the new test starts from such a file, changes `aim`, and was refused (" is refused"); it failed before and passes.

Change: a value that is running is not checked again; a new value is checked as before, which the test checks too, as do the old ones, unchanged.

--- a/balancer/config/src/reload.rs
+++ b/balancer/config/src/reload.rs
@@ -69,7 +69,7 @@
     fn check(&self, bytes: &[u8]) -> Result<Reloaded, ConfigError> {
         let document = json::parse(bytes)?;
         check_keys(&self.running, &document, "")?;
-        check_numbers(&document)?;
+        check_numbers(&self.running, &document)?;
         let file_has_discovery = at(&document, "discovery").is_some();
         let config = Config::read(bytes, |key| match key {
             "NODE_DISCOVERY" if file_has_discovery => None,
@@ -146,21 +146,43 @@
     Ok(())
 }
 
-/// Checks that deadlines and the number of attempts are above 0 and plausible.
-fn check_numbers(document: &JsonValue) -> Result<(), ConfigError> {
-    let settings = Node::root(document).at("settings");
-    let check_number = |node: Node, max: f64, whole: bool| -> Result<(), ConfigError> {
-        match node.number()? {
-            Some(n) if n > 0.0 && n <= max && (!whole || n.fract() == 0.0) => Ok(()),
-            _ => Ok(node.wrong("a number over 0")?),
-        }
-    };
+/// Checks that deadlines and the number of attempts are above 0 and plausible. A value that is running is not checked, as
+/// the start has accepted it.
+fn check_numbers(running: &JsonValue, newer: &JsonValue) -> Result<(), ConfigError> {
+    let (running, newer) = (Node::root(running).at("settings"), Node::root(newer).at("settings"));
+    let deadlines = deadlines(&running)?;
+    for lane in newer.at("lanes").items()? {
+        let running = lane.at("name").text()?.and_then(|name| deadlines.get(name).copied());
+        check_number(&lane.at("hard_limit"), running, LONGEST_WAIT_MS)?;
+    }
+    let attempts = newer.at("permissions").at("max_attempts");
+    if attempts.is_absent() {
+        return Ok(());
+    }
+    let running = running.at("permissions").at("max_attempts").number()?;
+    check_number(&attempts, running, MAX_ATTEMPTS)?;
+    match attempts.number()? {
+        Some(n) if n.fract() != 0.0 => Ok(attempts.wrong("a whole number")?),
+        _ => Ok(()),
+    }
+}
+
+/// The deadline of each class, by its name, in milliseconds.
+fn deadlines(settings: &Node) -> Result<HashMap<String, f64>, ConfigError> {
+    let mut deadlines = HashMap::new();
     for lane in settings.at("lanes").items()? {
-        check_number(lane.at("hard_limit"), LONGEST_WAIT_MS, false)?;
+        if let (Some(name), Some(deadline)) = (lane.at("name").text()?, lane.at("hard_limit").number()?) {
+            deadlines.insert(name.to_owned(), deadline);
+        }
     }
-    match settings.at("permissions").at("max_attempts") {
-        absent if absent.is_absent() => Ok(()),
-        attempts => check_number(attempts, MAX_ATTEMPTS, true),
+    Ok(deadlines)
+}
+
+/// Checks that a number is the running one, or above 0 and at most `max`.
+fn check_number(node: &Node, running: Option<f64>, max: f64) -> Result<(), ConfigError> {
+    match node.number()? {
+        Some(n) if Some(n) == running || n > 0.0 && n <= max => Ok(()),
+        _ => Ok(node.wrong("a number over 0")?),
     }
 }
 
--- a/balancer/config/src/reload/tests.rs
+++ b/balancer/config/src/reload/tests.rs
@@ -5,9 +5,33 @@
 use millrudder_testing::garbage;
 
 fn source() -> Source {
+    source_of(CONFIG)
+}
+
+/// The source of a program that was started with this file.
+fn source_of(file: &str) -> Source {
     let environment = HashMap::from([("NODE_DISCOVERY".to_owned(), "127.0.0.9:1".to_owned())]);
-    let config = Config::from_json(CONFIG.as_bytes()).unwrap();
-    Source::new("unread".to_owned(), environment, CONFIG.as_bytes(), &config).unwrap()
+    let config = Config::from_json(file.as_bytes()).unwrap();
+    Source::new("unread".to_owned(), environment, file.as_bytes(), &config).unwrap()
+}
+
+/// Guards against a number that a start accepts and SIGHUP refuses, so that no change of that file could be applied.
+#[test]
+fn numbers_that_a_start_has_accepted_stay_valid() {
+    for (from, to) in [
+        ("\"hard_limit\":5000", "\"hard_limit\":172800000"),
+        ("\"hard_limit\":5000", "\"hard_limit\":1e300"),
+        ("\"max_attempts\":5", "\"max_attempts\":2000"),
+        ("\"max_attempts\":5", "\"max_attempts\":8999999999999999"),
+    ] {
+        let file = CONFIG.replacen(from, to, 1);
+        let changed = file.replacen("\"aim\":120", "\"aim\":60", 1);
+        assert!(file != CONFIG && changed != file, "{to}");
+        let reloaded = source_of(&file).check(changed.as_bytes()).map(|reloaded| reloaded.settings);
+        let Ok(settings) = reloaded else { panic!("{to} is refused") };
+        assert_eq!(settings.classes[0].latency_target, 60.0, "{to}");
+        assert!(source().check(file.as_bytes()).is_err(), "{to} is implausible where it is new");
+    }
 }
 
 #[test]
