Handle reports once their shard is served, instead of dropping them

Cause: a store dropped a dispatcher's report on a lease, without an answer, while it took the shard over or did not know the placement yet. The dispatcher repeats reports with a backoff of up to 3.2 s. While disks are slow a takeover takes seconds, and each planned stop of a store starts the next one, so that no report came in a time in which its shard was served; after 5.5 s the stopping dispatcher ended without them.

Evidence: a trial on a scratch copy with each input and output of the stores logged. For all 29 messages the success was reported 14 or more times, to all three stores, and never recorded; the last report but one came 316 lines of the log before the shard was served there. Their second run is the grant of the next primary.

Reports of a shard are dropped when a placement names another primary, as dispatchers repeat them there. Outcomes of call-backs, dropped in the same way, are kept too. No message has a new form.

--- a/system/state/queue/src/lib.rs
+++ b/system/state/queue/src/lib.rs
@@ -44,7 +44,8 @@
 //!   it has promised to other primaries.
 //! - `replication`: writes in flight to the local disk and to other stores, hedging, repair, and catching up of learners.
 //! - `scheduling`: ready messages, credits and rate limits by service; order keys.
-//! - `dispatchers`: connections, leases and heartbeats. `callbacks`: pending call-backs by receiver.
+//! - `dispatchers`: connections, leases and heartbeats. `callbacks`: pending call-backs by receiver. `deferred_reports`:
+//!   reports of dispatchers that wait until their shard is served.
 //! - `context`, `timers`, `time`: shared by all components.
 //!
 //! # Requirements on the shell
@@ -66,6 +67,7 @@
 mod callbacks;
 mod config;
 mod context;
+mod deferred_reports;
 mod dispatchers;
 mod entry;
 mod message_table;
--- a/system/state/queue/src/node/attempts.rs
+++ b/system/state/queue/src/node/attempts.rs
@@ -2,6 +2,7 @@
 
 use super::StoreNode;
 use crate::api::ConnectionId;
+use crate::deferred_reports::{DeferredReport, ReportedOutcome};
 use crate::entry::Entry;
 use crate::primary_entry::{Effect, Stage};
 use crate::time::millis;
@@ -32,6 +33,8 @@
         outcome: AttemptOutcome,
     ) {
         if !self.may_answer_for(id.shard, token) {
+            let outcome = ReportedOutcome::Attempt(outcome);
+            self.deferred_reports.add(DeferredReport { connection, id, token, outcome });
             return;
         }
         if self.table.get(id).is_none() {
@@ -68,6 +71,18 @@
         self.when_durable(id, Effect::AcknowledgeOutcome { connection, token });
     }
 
+    /// Handles the reports on a shard's leases that arrived before it was served.
+    pub(super) fn handle_deferred_reports(&mut self, shard: ShardId) {
+        for DeferredReport { connection, id, token, outcome } in self.deferred_reports.take(shard) {
+            match outcome {
+                ReportedOutcome::Attempt(outcome) => self.handle_attempted(connection, id, token, outcome),
+                ReportedOutcome::CallBack { done, retry_after_ms } => {
+                    self.handle_called_back(connection, id, token, done, retry_after_ms);
+                }
+            }
+        }
+    }
+
     /// Returns a message whose lease ended without an outcome that counts, and schedules it again after at
     /// least `wait`.
     fn return_lease(&mut self, id: MessageId, by: Option<DispatcherId>, wait: Duration) {
--- a/system/state/queue/src/node/callbacks.rs
+++ b/system/state/queue/src/node/callbacks.rs
@@ -4,6 +4,7 @@
 use super::StoreNode;
 use crate::api::ConnectionId;
 use crate::callbacks::{receiver_of, CallbackLease};
+use crate::deferred_reports::{DeferredReport, ReportedOutcome};
 use crate::primary_entry::Effect;
 use crate::timers::Timer;
 use millrudder_protocol::message::Message;
@@ -108,6 +109,8 @@
         retry_after_ms: u32,
     ) {
         if !self.may_answer_for(id.shard, token) {
+            let outcome = ReportedOutcome::CallBack { done, retry_after_ms };
+            self.deferred_reports.add(DeferredReport { connection, id, token, outcome });
             return;
         }
         let lease = self.callbacks.lease(id).filter(|lease| lease.token == token);
--- a/system/state/queue/src/node/mod.rs
+++ b/system/state/queue/src/node/mod.rs
@@ -20,6 +20,7 @@
 use crate::callbacks::Callbacks;
 use crate::config::Config;
 use crate::context::Context;
+use crate::deferred_reports::DeferredReports;
 use crate::dispatchers::Dispatchers;
 use crate::message_table::MessageTable;
 use crate::primary_term::PrimaryTerms;
@@ -57,6 +58,7 @@
     keys: OrderKeys,
     dispatchers: Dispatchers,
     callbacks: Callbacks,
+    deferred_reports: DeferredReports,
     watchdog: Watchdog,
     /// The process was asked to stop. It keeps serving until the placement has moved its shards to other
     /// stores.
@@ -83,6 +85,7 @@
             keys: OrderKeys::default(),
             dispatchers: Dispatchers::default(),
             callbacks: Callbacks::default(),
+            deferred_reports: DeferredReports::default(),
             watchdog: Watchdog::default(),
             is_shutting_down: false,
         };
--- a/system/state/queue/src/node/takeover.rs
+++ b/system/state/queue/src/node/takeover.rs
@@ -30,6 +30,7 @@
             if present.is_some() {
                 self.step_down(shard);
             }
+            self.deferred_reports.drop_shard(shard);
             return;
         }
         let primary_term = PrimaryTerm::new(entry, tolerated);
@@ -184,6 +185,7 @@
         let is_on_shard = |service: &str| placement.shard_of(service) == Some(shard);
         self.services.drain_rate_limits(is_on_shard, self.context.now);
         self.schedule_shard(shard);
+        self.handle_deferred_reports(shard);
         for withdrawal in takeover.withdrawals {
             self.handle_withdraw(withdrawal.connection, withdrawal.id);
         }
--- a/system/state/queue/tests/replicas/takeovers.rs
+++ b/system/state/queue/tests/replicas/takeovers.rs
@@ -218,6 +218,57 @@
     assert!(harness.take_grants().is_empty(), "its holder announced the lease");
 }
 
+// Guards against a success that is dropped because its shard is being taken over: its dispatcher had stopped before it
+// could repeat the report, and the message ran again.
+#[test]
+fn a_report_during_a_takeover_counts_although_its_dispatcher_stops() {
+    let mut harness = three_stores();
+    let id = harness.accept(0, 1, message(), true);
+    let token = accepted_token(&harness);
+    harness.kill(0);
+    harness.processes[2].is_inbound_paused = true;
+    harness.move_primary(1);
+    announce(&mut harness, 1, vec![ActiveLease { id, token }]);
+    harness.attempted(1, 2, id, token, success());
+    assert!(!harness.is_recorded(id, token), "the shard is not served yet");
+    harness.input(1, Input::DispatcherClosed { connection: ConnectionId(2) });
+    harness.hello(1, 20, 20, "zone-1", Vec::new());
+    harness.resume_inbound(2);
+    assert_eq!(harness.state(1, id).unwrap().end, completed());
+    harness.advance(10_000);
+    assert!(harness.take_grants().is_empty(), "it does not run again");
+}
+
+// Guards against the same where the dispatcher knows of the placement before the store does.
+#[test]
+fn a_report_before_the_placement_is_recorded_once_the_shard_is_served() {
+    let mut harness = three_stores();
+    let id = harness.accept(0, 1, message(), true);
+    let token = accepted_token(&harness);
+    harness.kill(0);
+    harness.attempted(1, 2, id, token, success());
+    harness.move_primary(1);
+    assert!(harness.is_recorded(id, token));
+    assert_eq!(harness.state(1, id).unwrap().end, completed());
+    harness.advance(10_000);
+    assert!(harness.take_grants().is_empty(), "it does not run again");
+}
+
+// Guards against reports that outlive the placement under which they were sent, as their dispatchers send them elsewhere.
+#[test]
+fn a_report_is_dropped_where_another_store_becomes_the_primary() {
+    let mut harness = three_stores();
+    let id = harness.accept(0, 1, message(), true);
+    let token = accepted_token(&harness);
+    harness.kill(0);
+    harness.attempted(1, 2, id, token, success());
+    harness.move_primary(2);
+    harness.move_primary(1);
+    assert!(!harness.is_recorded(id, token));
+    harness.attempted(1, 2, id, token, success());
+    assert!(harness.is_recorded(id, token), "its dispatcher repeats it");
+}
+
 #[test]
 fn a_success_lost_with_its_dispatcher_is_retried() {
     let mut harness = three_stores();
