Let a message wait for a takeover when no store serves a shard yet

Cause: a store that is connected may still be taking its shards over. It rejects a message with `NotPrimary`; the dispatcher goes on to the next store, and answers 503 at once when none is left, however long its client waits. Messages with a fixed shard were retried already.

Evidence: by reading, and a test in which all stores reject the message.

Change: stores that rejected a message because they do not serve its shard are attempted again after 15 ms, with a delay that doubles up to 240 ms, for 900 ms at most and never beyond the client's deadline.

--- a/system/state/intake/src/submissions.rs
+++ b/system/state/intake/src/submissions.rs
@@ -4,7 +4,7 @@
 //! identifier. Once one store has accepted it, the other attempts are withdrawn. If the shard is fixed, by the
 //! message's order key or its service's rate limit, the message is retried under the same identifier at the shard's
 //! current primary, which deduplicates it. If that primary was lost recently, the message waits for the next primary as
-//! long as enough replicas remain to accept a message.
+//! long as enough replicas remain to accept a message. If no store serves a shard yet, any message waits for a takeover.
 
 use crate::deadlines::Deadlines;
 use crate::interface::{CallNumber, Output, Submission, SubmissionResult, TargetShard};
@@ -19,6 +19,10 @@
 
 /// Delay before a submission is retried if the shard's primary was not ready or no attempt can be made at present.
 const RETRY_DELAY: Duration = Duration::from_millis(15);
+/// Longest delay between two rounds over stores that do not serve their shards yet.
+const MAX_RETRY_DELAY: Duration = Duration::from_millis(240);
+/// How long a message waits for stores that do not serve their shards yet. Takeovers usually take some tenths of a second.
+const MAX_TAKEOVER_WAIT: Duration = Duration::from_millis(900);
 /// `Retry-After` for clients whose message no store can accept.
 const RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -49,6 +53,22 @@
     pub sent_at: Instant,
 }
 
+/// The wait of a submission for stores that rejected it because they did not serve their shards yet.
+struct TakeoverWait {
+    /// The stores that have done so in this round.
+    rejected_by: Vec<StoreId>,
+    /// Delay before the next round.
+    delay: Duration,
+    /// When no further round is made.
+    until: Instant,
+}
+
+impl TakeoverWait {
+    fn new(now: Instant) -> Self {
+        TakeoverWait { rejected_by: Vec::new(), delay: RETRY_DELAY, until: now + MAX_TAKEOVER_WAIT }
+    }
+}
+
 /// A submission without a final result.
 struct PendingSubmission {
     submission: Submission,
@@ -56,12 +76,39 @@
     attempted_stores: Vec<StoreId>,
     /// The message's identifier, if its shard is fixed.
     fixed_id: Option<MessageId>,
+    /// Present once a store has rejected the message because it did not serve the shard.
+    takeover_wait: Option<TakeoverWait>,
 }
 
 impl PendingSubmission {
     fn new(submission: Submission) -> Self {
-        let attempted_stores = Vec::new();
-        PendingSubmission { submission, attempts: BTreeMap::new(), attempted_stores, fixed_id: None }
+        PendingSubmission {
+            submission,
+            attempts: BTreeMap::new(),
+            attempted_stores: Vec::new(),
+            fixed_id: None,
+            takeover_wait: None,
+        }
+    }
+
+    /// Records that a store does not serve the shard of an attempt yet, so that it does not have the message.
+    fn record_not_primary(&mut self, now: Instant, store: StoreId) {
+        let wait = self.takeover_wait.get_or_insert_with(|| TakeoverWait::new(now));
+        wait.rejected_by.push(store);
+    }
+
+    /// Allows another attempt at the stores that did not serve their shards. Returns when to make it; `None` if there is no
+    /// such store, or if it has been waited for long enough.
+    fn next_round(&mut self, now: Instant) -> Option<Instant> {
+        let wait = self.takeover_wait.as_mut().filter(|wait| now < wait.until)?;
+        if wait.rejected_by.is_empty() {
+            return None;
+        }
+        let rejected_by = std::mem::take(&mut wait.rejected_by);
+        self.attempted_stores.retain(|store| !rejected_by.contains(store));
+        let delay = wait.delay;
+        wait.delay = (delay * 2).min(MAX_RETRY_DELAY);
+        Some(now + delay)
     }
 
     /// Whether an answer may still arrive, or a later primary of the fixed shard may still accept the message.
@@ -228,7 +275,7 @@
     ) {
         let Some(call) = self.by_request.remove(&request) else { return };
         let Some(pending) = self.pending.get_mut(&call) else { return };
-        pending.attempts.remove(&request);
+        let rejected = pending.attempts.remove(&request);
         match reason {
             AcceptRejection::Full { retry_after_ms } if pending.fixed_id.is_some() => {
                 let retry_after = Duration::from_millis(u64::from(retry_after_ms));
@@ -238,7 +285,13 @@
             AcceptRejection::NotPrimary { .. } if pending.fixed_id.is_some() => {
                 self.deadlines.set(call, now + RETRY_DELAY);
             }
-            _ => self.advance(now, call, stores, outputs),
+            AcceptRejection::NotPrimary { .. } => {
+                if let Some(rejected) = rejected {
+                    pending.record_not_primary(now, rejected.store);
+                }
+                self.advance(now, call, stores, outputs);
+            }
+            AcceptRejection::Full { .. } => self.advance(now, call, stores, outputs),
         }
     }
 
@@ -270,7 +323,11 @@
             self.deadlines.set(call, (now + timeout).min(deadline));
             return;
         }
-        let Some(pending) = self.pending.get(&call) else { return };
+        let Some(pending) = self.pending.get_mut(&call) else { return };
+        if let Some(next_round) = pending.next_round(now) {
+            self.deadlines.set(call, next_round.min(deadline));
+            return;
+        }
         if pending.may_be_accepted() {
             self.deadlines.set(call, (now + RETRY_DELAY).min(deadline));
             return;
--- a/system/state/intake/tests/intake.rs
+++ b/system/state/intake/tests/intake.rs
@@ -79,7 +79,12 @@
     }
 
     fn submit(&mut self, target: TargetShard) -> Vec<Output> {
-        let submission = Submission { message: message(), target, deadline: Instant::from_millis(500) };
+        self.submit_until(target, 500)
+    }
+
+    /// Submits a message whose client waits until `deadline` (milliseconds).
+    fn submit_until(&mut self, target: TargetShard, deadline: u64) -> Vec<Output> {
+        let submission = Submission { message: message(), target, deadline: Instant::from_millis(deadline) };
         self.handle(0, Input::Submit { call: CALL, submission: Box::new(submission) })
     }
 
@@ -322,6 +327,50 @@
     assert_ne!(accept_request(&outputs).unwrap().0, LOCAL);
 }
 
+/// Rejects the attempt in `outputs` because the store does not serve the shard, and then each attempt at another store that
+/// follows at once. Returns the last outputs.
+fn reject_all(test: &mut TestIntake, now: u64, mut outputs: Vec<Output>) -> Vec<Output> {
+    while let Some((store, request, _)) = accept_request(&outputs) {
+        let reason = AcceptRejection::NotPrimary { epoch: Epoch(1) };
+        outputs = test.receive(now, store, ToDispatcher::Rejected { request, reason });
+    }
+    outputs
+}
+
+// Guards against the first messages after a start that are answered with 503, because stores are connected before they
+// serve their shards.
+#[test]
+fn a_message_waits_while_no_store_serves_a_shard() {
+    let mut test = TestIntake::new();
+    let outputs = test.submit(TargetShard::Any);
+    let outputs = reject_all(&mut test, 5, outputs);
+    assert_eq!(submission_result(&outputs), None, "it may be accepted soon");
+    let outputs = test.handle(20, Input::Tick);
+    let (store, request, id) = accept_request(&outputs).expect("it is sent again");
+    let outputs = test.receive(25, store, ToDispatcher::Accepted { request, token: None });
+    assert_eq!(submission_result(&outputs), Some(SubmissionResult::Accepted { id }));
+}
+
+// Guards against clients that wait until their deadline for shards that are served by nobody for long.
+#[test]
+fn a_message_that_no_store_serves_is_rejected_after_a_second() {
+    let mut test = TestIntake::new();
+    let mut outputs = test.submit_until(TargetShard::Any, 5_000);
+    let mut rounds = 0;
+    let mut now = 0;
+    while submission_result(&outputs).is_none() {
+        outputs = reject_all(&mut test, now, outputs);
+        if submission_result(&outputs).is_none() {
+            now = test.intake.next_deadline().unwrap().as_millis();
+            outputs = test.handle(now, Input::Tick);
+            rounds += 1;
+        }
+    }
+    assert!(matches!(submission_result(&outputs), Some(SubmissionResult::Rejected { .. })));
+    assert!((900..1_200).contains(&now), "{now}");
+    assert!(rounds < 10, "the delay grows: {rounds}");
+}
+
 fn query_requests(outputs: &[Output]) -> Vec<(StoreId, RequestNumber)> {
     let queries = outputs.iter().filter_map(|output| match output {
         Output::ToStore { store, message: FromDispatcher::Query { request, .. } } => Some((*store, *request)),
