Say in tests of the system why a message was not accepted

The test of the largest values failed once with `is not accepted`, and the answers were not kept. The panic names the outcome of each attempt now.

--- a/system/runtime/node/tests/system/cluster/messages.rs
+++ b/system/runtime/node/tests/system/cluster/messages.rs
@@ -37,6 +37,7 @@
     /// Sends a message to a dispatcher until it is accepted; each attempt has an id of its own, as [`attempt_ids`] has them.
     pub async fn accept(&self, front: SocketAddr, message: &Message) -> Sent {
         let mut ids = attempt_ids(&message.request_id).into_iter();
+        let mut outcomes = Vec::new();
         let accepted = eventually_some(BOUND, async || {
             let attempt = message.as_try(ids.next().expect("an attempt is accepted"));
             match self.client.send_until_accepted(&[front], &attempt).await {
@@ -44,7 +45,8 @@
                 Ok(Submission::Refused(
                     refused @ (Reception::Rejected { .. } | Reception::Unexpected { .. }),
                 )) => panic!("{} is answered with {refused:?}", message.request_id),
-                Ok(Submission::Refused(_)) | Err(_) => {
+                refused => {
+                    outcomes.push(format!("{refused:?}"));
                     // As a client that heeds `Retry-After` would.
                     tokio::time::sleep(RETRY_INTERVAL).await;
                     None
@@ -52,7 +54,8 @@
             }
         });
         let accepted = accepted.await;
-        let accepted = accepted.unwrap_or_else(|_| panic!("{} is not accepted", message.request_id));
+        let accepted =
+            accepted.unwrap_or_else(|_| panic!("{} is not accepted, but: {outcomes:?}", message.request_id));
         Sent { accepted, front }
     }
 
