--- a/system/runtime/node/tests/soak/checks.rs
+++ b/system/runtime/node/tests/soak/checks.rs
@@ -41,7 +41,7 @@
     if kind == FaultKind::PlannedWork {
         cluster.none_repeated(&report.accepted);
     }
-    for violation in cluster.ledger.order_violations(MAX_RETRIES) {
+    for violation in cluster.arrival_log.order_violations(MAX_RETRIES) {
         violations.push(format!("{violation:?}"));
     }
     if report.accepted.is_empty() {
--- a/system/runtime/node/tests/system/cluster/load.rs
+++ b/system/runtime/node/tests/system/cluster/load.rs
@@ -112,7 +112,7 @@
     /// No message was executed successfully more than once, but for those that a dispatcher withdrew because a store was
     /// slow: these may have been executed twice, which happens on a busy machine.
     pub fn none_repeated(&self, sent: &[Sent]) {
-        let mut repeated = self.ledger.repeats_of_successes();
+        let mut repeated = self.arrival_log.repeats_of_successes();
         repeated.retain(|id| sent.iter().any(|sent| sent.accepted.message.request_id == *id));
         let withdrawn = self.withdrawn();
         assert!(repeated.len() <= withdrawn, "{repeated:?} ran twice, {withdrawn} were withdrawn");
@@ -121,7 +121,7 @@
     /// A message was executed `times` times; at most twice as often where messages were withdrawn.
     pub fn ran(&self, sent: &Sent, times: usize) {
         let id = &sent.accepted.message.request_id;
-        let runs = self.ledger.runs_of(id).len();
+        let runs = self.arrival_log.runs_of(id).len();
         let max_runs = if self.withdrawn() > 0 { 2 * times } else { times };
         assert!((times..=max_runs).contains(&runs), "{id} ran {runs} times, not {times}");
     }
--- a/system/runtime/node/tests/system/cluster/messages.rs
+++ b/system/runtime/node/tests/system/cluster/messages.rs
@@ -79,7 +79,7 @@
         let status = self.end(sent).await;
         let request = &sent.accepted.message.request_id;
         assert_eq!(status.state, MessageState::Completed, "{request}");
-        let signatures = self.ledger.signatures_of(request);
+        let signatures = self.arrival_log.signatures_of(request);
         assert!(
             status.signature.as_ref().is_some_and(|signature| signatures.contains(signature)),
             "{request} has the signature {:?}, its successes have {signatures:?}",
@@ -95,7 +95,7 @@
                 self.completed(&sent).await;
             }
             Reception::NotTaken { status, .. } => {
-                let runs = self.ledger.runs_of(&message.request_id);
+                let runs = self.arrival_log.runs_of(&message.request_id);
                 assert!(runs.is_empty(), "{} ran after a {status}", message.request_id);
             }
             Reception::Unclear { .. } => {}
--- a/system/runtime/node/tests/system/cluster/mod.rs
+++ b/system/runtime/node/tests/system/cluster/mod.rs
@@ -14,9 +14,10 @@
 pub use scenarios::{run_together, Scenario};
 
 use millrudder_system_standins::{
-    eventually, eventually_some, Client, Configuration, ConfigurationBuilder, ConfigurationVersion,
-    FaultTolerance, Ledger, Machine, MachinePlan, Operator, OperatorPlan, Platform, PlatformPlan,
-    ProcessGroup, ProcessName, ProcessSignal, PutOutcome, Role, Serves, SettingsWriter, Worker, WorkerPlan,
+    eventually, eventually_some, ArrivalLog, Client, Configuration, ConfigurationBuilder,
+    ConfigurationVersion, FaultTolerance, Machine, MachinePlan, Operator, OperatorPlan, Platform,
+    PlatformPlan, ProcessGroup, ProcessName, ProcessSignal, PutOutcome, Role, Serves, SettingsWriter, Worker,
+    WorkerPlan,
 };
 use std::net::SocketAddr;
 use std::process::ExitStatus;
@@ -74,7 +75,7 @@
     pub platform: Platform,
     pub operator: Operator,
     pub client: Client,
-    pub ledger: Ledger,
+    pub arrival_log: ArrivalLog,
     _folder: TempDir,
     _permit: ClusterPermit,
 }
@@ -92,14 +93,14 @@
         let program = disks::program_that_survives_the_file_limit(folder.path());
         let processes = ProcessGroup::new(program).with_variable("RUST_LOG", LOG_LEVELS);
         let operator = operator_of(&machines);
-        let (client, ledger) = (Client::new(), Ledger::new());
+        let (client, arrival_log) = (Client::new(), ArrivalLog::new());
         let mut cluster = Cluster {
             processes,
             machines,
             platform,
             operator,
             client,
-            ledger,
+            arrival_log,
             _folder: folder,
             _permit: permit,
         };
@@ -219,14 +220,14 @@
 
     /// Starts a worker and puts it on the platform's list.
     pub async fn worker(&self, plan: WorkerPlan) -> Worker {
-        let worker = Worker::start(plan, self.ledger.clone()).await.unwrap();
+        let worker = Worker::start(plan, self.arrival_log.clone()).await.unwrap();
         self.platform.add(worker.listed());
         worker
     }
 
     /// Starts a worker at an address that another one has just left; it is not on the platform's list.
     pub async fn successor(&self, address: SocketAddr, plan: WorkerPlan) -> Worker {
-        let start = async || Worker::start_at(address, plan.clone(), self.ledger.clone()).await.ok();
+        let start = async || Worker::start_at(address, plan.clone(), self.arrival_log.clone()).await.ok();
         eventually_some(BOUND, start).await.unwrap_or_else(|_| panic!("{address} is not free"))
     }
 
--- a/system/runtime/node/tests/system/configuration.rs
+++ b/system/runtime/node/tests/system/configuration.rs
@@ -87,12 +87,12 @@
 async fn ends_with_its_route(cluster: Rc<Cluster>, dropped: Sent) {
     assert_eq!(cluster.end(&dropped).await.state, MessageState::DeadLetter);
     cluster.body_is_stored(cluster.fronts()[1], &dropped).await;
-    assert_eq!(cluster.ledger.arrivals_of(&dropped.accepted.message.request_id).len(), 0);
+    assert_eq!(cluster.arrival_log.arrivals_of(&dropped.accepted.message.request_id).len(), 0);
 }
 
 async fn goes_to(cluster: Rc<Cluster>, moved: Sent, service: &'static str) {
     cluster.completed(&moved).await;
-    let runs = cluster.ledger.runs_of(&moved.accepted.message.request_id);
+    let runs = cluster.arrival_log.runs_of(&moved.accepted.message.request_id);
     assert!(runs.iter().all(|run| run.service.as_str() == service), "{runs:?}");
 }
 
@@ -243,7 +243,7 @@
     let sent = cluster.accept(cluster.fronts()[1], &message).await;
     let id = &sent.accepted.message.request_id;
     // The former time-out is as long as the bound.
-    let repeated = eventually(BOUND / 2, || cluster.ledger.arrivals_of(id).len() >= 2).await;
+    let repeated = eventually(BOUND / 2, || cluster.arrival_log.arrivals_of(id).len() >= 2).await;
     assert!(repeated.is_ok(), "the new time-out is not in force");
     cluster.script(&worker, "unresponsive-at-first", Behaviour::Succeed);
     cluster.completed(&sent).await;
--- a/system/runtime/node/tests/system/forwarding.rs
+++ b/system/runtime/node/tests/system/forwarding.rs
@@ -184,9 +184,9 @@
     }
     for sent in &all {
         let id = sent.id.as_str().into();
-        let arrived = eventually(BOUND, || !cluster.ledger.arrivals_of(&id).is_empty()).await;
+        let arrived = eventually(BOUND, || !cluster.arrival_log.arrivals_of(&id).is_empty()).await;
         assert!(arrived.is_ok(), "never delivered: {sent:?}");
-        cluster.ledger.arrivals_of(&id).iter().for_each(|arrival| sent.arrived_as_sent(arrival));
+        cluster.arrival_log.arrivals_of(&id).iter().for_each(|arrival| sent.arrived_as_sent(arrival));
     }
 }
 
@@ -219,7 +219,7 @@
     let answer = send(cluster.fronts()[0], absolute.as_bytes()).await;
     assert!(answer.starts_with("HTTP/1.1 202"), "{answer}");
     let id = "absolute".into();
-    eventually(BOUND, || !cluster.ledger.arrivals_of(&id).is_empty()).await.unwrap();
-    assert_eq!(cluster.ledger.arrivals_of(&id)[0].target, "/plain/a");
-    assert_eq!(cluster.ledger.arrivals().len(), 1);
+    eventually(BOUND, || !cluster.arrival_log.arrivals_of(&id).is_empty()).await.unwrap();
+    assert_eq!(cluster.arrival_log.arrivals_of(&id)[0].target, "/plain/a");
+    assert_eq!(cluster.arrival_log.arrivals().len(), 1);
 }
--- a/system/runtime/node/tests/system/hostile.rs
+++ b/system/runtime/node/tests/system/hostile.rs
@@ -59,7 +59,7 @@
     let sent = cluster.accept(front, &Message::new(HOST, "/records/", "after-all")).await;
     cluster.completed(&sent).await;
     cluster.core_agrees(&configuration().build().unwrap()).await;
-    let arrivals = cluster.ledger.arrivals();
+    let arrivals = cluster.arrival_log.arrivals();
     let smuggled: Vec<_> = arrivals.iter().filter(|arrival| arrival.request_id.is_none()).collect();
     assert!(smuggled.is_empty(), "{smuggled:?}");
 }
@@ -89,7 +89,7 @@
         // Whatever came before this message has been taken by then.
         let sent = cluster.accept(front, &Message::new(HOST, "/records/", format!("next-{number}"))).await;
         cluster.completed(&sent).await;
-        assert_eq!(cluster.ledger.arrivals_of(&smuggled.as_str().into()).len(), 0, "{framings:?}");
+        assert_eq!(cluster.arrival_log.arrivals_of(&smuggled.as_str().into()).len(), 0, "{framings:?}");
     }
 }
 
--- a/system/runtime/node/tests/system/largest_values.rs
+++ b/system/runtime/node/tests/system/largest_values.rs
@@ -51,7 +51,7 @@
 async fn messages_run_under_the_largest_configuration() {
     let cluster = Cluster::start(ClusterSize::FULL).await;
     let plan = WorkerPlan { capacity: 16, ..WorkerPlan::new("endpoint", "i-endpoint") };
-    let endpoint = Worker::start(plan, cluster.ledger.clone()).await.unwrap();
+    let endpoint = Worker::start(plan, cluster.arrival_log.clone()).await.unwrap();
     cluster.configure(&largest_configuration(&endpoint)).await;
     let _worker = cluster.worker(WorkerPlan::new("listed", "i-listed")).await;
     let patient = cluster.worker(WorkerPlan::new("patient", "i-patient")).await;
@@ -103,5 +103,5 @@
     let beyond = Message::new(HOST, "/listed/", "too-large").with_body(body);
     let reception = cluster.client.send(cluster.fronts()[1], &beyond).await.unwrap();
     assert_eq!(reception, Reception::Rejected { status: 413 });
-    assert_eq!(cluster.ledger.arrivals_of(&"too-large".into()).len(), 0);
+    assert_eq!(cluster.arrival_log.arrivals_of(&"too-large".into()).len(), 0);
 }
--- a/system/runtime/node/tests/system/messages.rs
+++ b/system/runtime/node/tests/system/messages.rs
@@ -53,7 +53,7 @@
 async fn messages_reach_their_ends() {
     let cluster = Cluster::start(ClusterSize::FULL).await;
     let plan = WorkerPlan { capacity: 16, ..WorkerPlan::new("endpoint", "i-endpoint") };
-    let endpoint = Worker::start(plan, cluster.ledger.clone()).await.unwrap();
+    let endpoint = Worker::start(plan, cluster.arrival_log.clone()).await.unwrap();
     cluster.configure(&configuration(&endpoint)).await;
     let _workers = [
         cluster.worker(WorkerPlan::new("plain", "i-plain-1")).await,
@@ -103,7 +103,7 @@
     for message in [chunked, empty] {
         let sent = cluster.accept(cluster.fronts()[1], &message).await;
         cluster.completed(&sent).await;
-        let runs = cluster.ledger.runs_of(&sent.accepted.message.request_id);
+        let runs = cluster.arrival_log.runs_of(&sent.accepted.message.request_id);
         let differences: Vec<_> =
             runs.iter().flat_map(|run| run.differences_from(&sent.accepted.message)).collect();
         assert_eq!(differences, []);
@@ -131,17 +131,17 @@
         let expected = if is_refused { MessageState::DeadLetter } else { MessageState::Completed };
         assert_eq!(status.state, expected, "{}", sent.accepted.message.request_id);
     }
-    assert_eq!(cluster.ledger.order_violations(MAX_RETRIES), []);
+    assert_eq!(cluster.arrival_log.order_violations(MAX_RETRIES), []);
 }
 
 async fn delay(cluster: Rc<Cluster>) {
     const DELAY: Duration = Duration::from_millis(1200);
     const TOLERANCE: Duration = Duration::from_millis(100);
-    let before = cluster.ledger.now();
+    let before = cluster.arrival_log.now();
     let delayed = message("/plain/later", "delayed").with_delay(DELAY);
     let sent = cluster.accept(cluster.fronts()[0], &delayed).await;
     cluster.completed(&sent).await;
-    let runs = cluster.ledger.runs_of(&sent.accepted.message.request_id);
+    let runs = cluster.arrival_log.runs_of(&sent.accepted.message.request_id);
     let started = runs[0].started.unwrap().at;
     assert!(started + TOLERANCE >= before + DELAY, "began {:?} after it was sent", started - before);
 }
@@ -156,7 +156,7 @@
     for id in ["fails-twice", "fails-always", "refused-for-good", "turned-away"] {
         sent.push(cluster.accept(cluster.fronts()[2], &message("/failing/", id)).await);
     }
-    let [twice, always, refused, turned_away] = &sent[..] else { unreachable!() };
+    let [twice, always, refused, rejected] = &sent[..] else { unreachable!() };
     cluster.completed(twice).await;
     cluster.ran(twice, 3);
 
@@ -169,12 +169,12 @@
     cluster.body_is_stored(cluster.other_front(refused.front), refused).await;
 
     // Being turned away is no attempt, however often it happens.
-    let id = &turned_away.accepted.message.request_id;
-    let often = || cluster.ledger.arrivals_of(id).len() > MAX_RETRIES as usize;
+    let id = &rejected.accepted.message.request_id;
+    let often = || cluster.arrival_log.arrivals_of(id).len() > MAX_RETRIES as usize;
     eventually(BOUND, often).await.unwrap();
     worker.script().on_request(id, Behaviour::Succeed);
-    cluster.completed(turned_away).await;
-    cluster.ran(turned_away, 1);
+    cluster.completed(rejected).await;
+    cluster.ran(rejected, 1);
 }
 
 async fn call_back(cluster: Rc<Cluster>) {
@@ -232,7 +232,7 @@
     assert!(taken.is_ok(), "the call-back of {id} is not taken");
     let status = cluster.end(sent).await;
     let callbacks = receiver.callbacks_of(id);
-    let signatures = cluster.ledger.signatures_of(id);
+    let signatures = cluster.arrival_log.signatures_of(id);
     let tells_end = |callback: &Callback| {
         let reported = callback.status.as_ref();
         reported.is_some_and(|reported| reported.state == status.state && is_signed(reported, &signatures))
@@ -316,7 +316,7 @@
     }
     // As the rules count, with what is tolerated.
     let limit = (CEILING * WINDOW.as_secs_f64() * 1.1) as usize + 5;
-    let within = cluster.ledger.busiest_window(&"endpoint".into(), WINDOW);
+    let within = cluster.arrival_log.busiest_window(&"endpoint".into(), WINDOW);
     assert!(within <= limit, "{within} arrivals within {WINDOW:?}, {limit} is the limit");
 }
 
@@ -332,6 +332,6 @@
     let reception = cluster.client.send(front, &bad_callback).await.unwrap();
     assert_eq!(reception, Reception::Rejected { status: 400 });
     for id in ["refused-host", "refused-path", "refused-callback"] {
-        assert_eq!(cluster.ledger.arrivals_of(&id.into()).len(), 0, "{id} was refused");
+        assert_eq!(cluster.arrival_log.arrivals_of(&id.into()).len(), 0, "{id} was refused");
     }
 }
--- a/system/runtime/node/tests/system/recovery.rs
+++ b/system/runtime/node/tests/system/recovery.rs
@@ -88,7 +88,7 @@
     stored.is_there(&cluster).await;
     let _worker = archive_worker(&cluster).await;
     cluster.all_completed(&stored.waiting).await;
-    assert_eq!(cluster.ledger.order_violations(MAX_RETRIES), []);
+    assert_eq!(cluster.arrival_log.order_violations(MAX_RETRIES), []);
     let next = configuration().with_version(3).build().unwrap();
     assert_eq!(cluster.put(&next, 2).await, PutOutcome::Taken);
 }
@@ -114,5 +114,5 @@
     // In the end only what was filled could tell of these.
     let _worker = archive_worker(&cluster).await;
     cluster.all_completed(&stored.waiting).await;
-    assert_eq!(cluster.ledger.order_violations(MAX_RETRIES), []);
+    assert_eq!(cluster.arrival_log.order_violations(MAX_RETRIES), []);
 }
--- a/system/runtime/node/tests/system/stops.rs
+++ b/system/runtime/node/tests/system/stops.rs
@@ -156,12 +156,12 @@
         let message = Message::new(HOST, "/long/", format!("lost-by-{signal:?}"));
         let sent = cluster.accept(front, &message).await;
         let id = &sent.accepted.message.request_id;
-        eventually(BOUND, || cluster.ledger.runs_of(id).len() == 1).await.unwrap();
+        eventually(BOUND, || cluster.arrival_log.runs_of(id).len() == 1).await.unwrap();
 
         cluster.start_process(other);
         cluster.all_ready().await;
         cluster.signal(lost, signal);
-        let again = eventually(BOUND, || cluster.ledger.runs_of(id).len() >= 2).await;
+        let again = eventually(BOUND, || cluster.arrival_log.runs_of(id).len() >= 2).await;
         assert!(again.is_ok(), "{id} is not delivered again");
         worker.work_gate().release();
         let elsewhere = cluster.machines[other.machine].front().unwrap();
@@ -239,7 +239,7 @@
     let sent = load.end().await;
     cluster.all_completed(&sent).await;
     cluster.none_repeated(&sent);
-    assert_eq!(cluster.ledger.order_violations(MAX_RETRIES), []);
+    assert_eq!(cluster.arrival_log.order_violations(MAX_RETRIES), []);
 }
 
 /// Planned work too.
@@ -255,7 +255,7 @@
     let sent = load.end().await;
     cluster.all_completed(&sent).await;
     cluster.none_repeated(&sent);
-    assert_eq!(cluster.ledger.order_violations(MAX_RETRIES), []);
+    assert_eq!(cluster.arrival_log.order_violations(MAX_RETRIES), []);
 }
 
 /// The store that was stopped before: no second one is away while it catches up.
@@ -269,7 +269,7 @@
     load.accepts(SOME).await;
     let sent = load.end().await;
     cluster.all_completed(&sent).await;
-    assert_eq!(cluster.ledger.order_violations(MAX_RETRIES), []);
+    assert_eq!(cluster.arrival_log.order_violations(MAX_RETRIES), []);
 }
 
 /// The store that was stopped before: no second one is away while it catches up.
@@ -283,7 +283,7 @@
     load.accepts(SOME).await;
     let sent = load.end().await;
     cluster.all_completed(&sent).await;
-    assert_eq!(cluster.ledger.order_violations(MAX_RETRIES), []);
+    assert_eq!(cluster.arrival_log.order_violations(MAX_RETRIES), []);
 }
 
 /// The core goes on with the others, also where the lost machine did what only one does.
@@ -301,6 +301,6 @@
         cluster.core_is_complete().await;
         let sent = load.end().await;
         cluster.all_completed(&sent).await;
-        assert_eq!(cluster.ledger.order_violations(MAX_RETRIES), []);
+        assert_eq!(cluster.arrival_log.order_violations(MAX_RETRIES), []);
     }
 }
--- a/system/runtime/node/tests/system/workers.rs
+++ b/system/runtime/node/tests/system/workers.rs
@@ -58,11 +58,11 @@
     cluster.script(&leaving, "drained-1", Behaviour::AnswerLate);
     let running = send(&cluster, "drained", 1).await;
     let id = &running.accepted.message.request_id;
-    eventually(BOUND, || !cluster.ledger.runs_of(id).is_empty()).await.unwrap();
+    eventually(BOUND, || !cluster.arrival_log.runs_of(id).is_empty()).await.unwrap();
 
     let staying = cluster.worker(plan("drained", "i-staying")).await;
     assert!(cluster.platform.drain(leaving.instance()));
-    let arrivals = || cluster.ledger.arrivals_at(leaving.instance()).len();
+    let arrivals = || cluster.arrival_log.arrivals_at(leaving.instance()).len();
     let mut numbers = (2..).step_by(BURST);
     let known = eventually_some(BOUND, async || {
         let before = arrivals();
@@ -101,15 +101,15 @@
     let other = cluster.successor(address, plan("another", "i-other")).await;
     let waiting = send(&cluster, "replaced", 1).await;
     let id = &waiting.accepted.message.request_id;
-    let turned_away = || !cluster.ledger.arrivals_of(id).is_empty();
-    eventually(BOUND, turned_away).await.unwrap();
+    let rejected = || !cluster.arrival_log.arrivals_of(id).is_empty();
+    eventually(BOUND, rejected).await.unwrap();
 
     let next = cluster.worker(plan("replaced", "i-next")).await;
     assert!(cluster.platform.remove(&listed.instance_id));
     cluster.completed(&waiting).await;
-    assert_eq!(cluster.ledger.runs_of(id)[0].instance, *next.instance());
-    for arrival in cluster.ledger.arrivals_at(other.instance()) {
-        assert_eq!(arrival.disposition, Disposition::TurnedAway { status: 421 });
+    assert_eq!(cluster.arrival_log.runs_of(id)[0].instance, *next.instance());
+    for arrival in cluster.arrival_log.arrivals_at(other.instance()) {
+        assert_eq!(arrival.disposition, Disposition::Rejected { status: 421 });
     }
 }
 
--- a/system/testing/demo/src/deployment.rs
+++ b/system/testing/demo/src/deployment.rs
@@ -4,9 +4,10 @@
 use crate::kinds::{self, SERVICES};
 use crate::options::Options;
 use millrudder_system_standins::{
-    eventually_some, Behaviour, CallbackReceiver, Client, ConfigurationBuilder, ConfigurationVersion, Ledger,
-    Machine, MachineClass, MachinePlan, Operator, OperatorPlan, Platform, PlatformPlan, ProcessGroup,
-    ProcessName, ProcessSignal, PutOutcome, ReceiverPlan, Role, Script, SettingsWriter, Worker, WorkerPlan,
+    eventually_some, ArrivalLog, Behaviour, CallbackReceiver, Client, ConfigurationBuilder,
+    ConfigurationVersion, Machine, MachineClass, MachinePlan, Operator, OperatorPlan, Platform, PlatformPlan,
+    ProcessGroup, ProcessName, ProcessSignal, PutOutcome, ReceiverPlan, Role, Script, SettingsWriter, Worker,
+    WorkerPlan,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,7 +29,7 @@
     workers: Vec<Worker>,
     workers_started: usize,
     script: Script<Behaviour>,
-    ledger: Ledger,
+    arrival_log: ArrivalLog,
     platform: Platform,
     receiver: CallbackReceiver,
     _folder: TempDir,
@@ -58,7 +59,7 @@
             workers: Vec::new(),
             workers_started: 0,
             script: Script::default(),
-            ledger: Ledger::new(),
+            arrival_log: ArrivalLog::new(),
             platform,
             receiver: CallbackReceiver::start(ReceiverPlan::default()).await?,
             _folder: folder,
@@ -105,7 +106,7 @@
         self.workers_started += 1;
         let plan = WorkerPlan::new(service, format!("i-{}", self.workers_started));
         let plan = WorkerPlan { zone: zone.into(), script: self.script.clone(), ..plan };
-        let worker = Worker::start(plan, self.ledger.clone()).await?;
+        let worker = Worker::start(plan, self.arrival_log.clone()).await?;
         self.platform.add(worker.listed());
         self.workers.push(worker);
         Ok(())
--- a/system/testing/standins/src/ledger/arrival.rs
+++ b/system/testing/standins/src/arrival_log/arrival.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The place of a delivery among all that the ledger has seen, from 0.
+/// The place of a delivery among all that the log has seen, from 0.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct ArrivalNumber(usize);
 
@@ -27,12 +27,12 @@
     }
 }
 
-/// When something happened: its place among all that happened, and the time since the ledger's beginning.
+/// When something happened: its place among all that happened, and the time since the log's beginning.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct Moment {
     /// Its place; no two are the same.
     pub order: u64,
-    /// Time since the ledger's beginning.
+    /// Time since the log's beginning.
     pub at: Duration,
 }
 
@@ -54,8 +54,8 @@
     Waiting,
     /// It left before it got a slot; it has not run.
     LeftQueue,
-    /// It was turned away with this status; it has not run.
-    TurnedAway {
+    /// It was rejected with this status; it has not run.
+    Rejected {
         /// The status code of the answer.
         status: u16,
     },
--- a/system/testing/standins/src/ledger/mod.rs
+++ b/system/testing/standins/src/arrival_log/mod.rs
@@ -13,32 +13,32 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
-/// What the workers saw. Clones are the same ledger, so all workers of a test share one.
+/// What the workers saw. Clones are the same log, so all workers of a test share one.
 #[derive(Clone, Debug)]
-pub struct Ledger {
+pub struct ArrivalLog {
     began: Instant,
-    book: Arc<Mutex<Book>>,
+    entries: Arc<Mutex<Entries>>,
 }
 
 #[derive(Debug, Default)]
-struct Book {
+struct Entries {
     arrivals: Vec<Arrival>,
     moments: u64,
 }
 
-impl Default for Ledger {
+impl Default for ArrivalLog {
     fn default() -> Self {
         Self::new()
     }
 }
 
-impl Ledger {
-    /// An empty ledger; its time begins now.
+impl ArrivalLog {
+    /// An empty log; its time begins now.
     pub fn new() -> Self {
-        Self { began: Instant::now(), book: Arc::default() }
+        Self { began: Instant::now(), entries: Arc::default() }
     }
 
-    /// Time since the ledger's beginning.
+    /// Time since the log's beginning.
     pub fn now(&self) -> Duration {
         self.began.elapsed()
     }
@@ -129,24 +129,24 @@
 
     fn enter(&self, record: DeliveryRecord, disposition: Disposition) -> ArrivalNumber {
         let at = self.now();
-        let mut book = self.lock();
-        let number = ArrivalNumber::new(book.arrivals.len());
-        let arrived = book.moment(at);
-        book.arrivals.push(record.arrival(number, arrived, disposition));
+        let mut entries = self.lock();
+        let number = ArrivalNumber::new(entries.arrivals.len());
+        let arrived = entries.moment(at);
+        entries.arrivals.push(record.arrival(number, arrived, disposition));
         number
     }
 
     pub(self) fn change(&self, number: ArrivalNumber, change: impl FnOnce(&mut Arrival, Moment)) {
         let at = self.now();
-        let mut book = self.lock();
-        let moment = book.moment(at);
-        if let Some(arrival) = book.arrivals.get_mut(number.index()) {
+        let mut entries = self.lock();
+        let moment = entries.moment(at);
+        if let Some(arrival) = entries.arrivals.get_mut(number.index()) {
             change(arrival, moment);
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, Book> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Entries> {
+        self.entries.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -155,7 +155,7 @@
     runs.iter().filter(earlier).any(|other| other.ended.is_some() && other.ended < run.started)
 }
 
-impl Book {
+impl Entries {
     fn moment(&mut self, at: Duration) -> Moment {
         self.moments += 1;
         Moment { order: self.moments, at }
--- a/system/testing/standins/src/ledger/record.rs
+++ b/system/testing/standins/src/arrival_log/record.rs
@@ -1,6 +1,6 @@
-//! How a worker writes a delivery into the ledger.
+//! How a worker writes a delivery into the log.
 
-use super::{Arrival, ArrivalNumber, BodyHash, Disposition, Ledger, Moment, RunState};
+use super::{Arrival, ArrivalLog, ArrivalNumber, BodyHash, Disposition, Moment, RunState};
 use crate::http::{self, header};
 use crate::identity::{InstanceId, OrderKey, RequestId, ServiceName};
 use hyper::http::request::Parts;
@@ -57,15 +57,15 @@
 
 /// A delivery that waits or runs; one that is dropped is recorded as such.
 pub(crate) struct RunRecord {
-    ledger: Ledger,
+    arrival_log: ArrivalLog,
     number: ArrivalNumber,
     started: bool,
     ended: bool,
 }
 
 impl RunRecord {
-    pub(super) fn new(ledger: Ledger, number: ArrivalNumber) -> Self {
-        Self { ledger, number, started: false, ended: false }
+    pub(super) fn new(arrival_log: ArrivalLog, number: ArrivalNumber) -> Self {
+        Self { arrival_log, number, started: false, ended: false }
     }
 
     pub(crate) fn number(&self) -> ArrivalNumber {
@@ -74,7 +74,7 @@
 
     pub(crate) fn start(&mut self) {
         self.started = true;
-        self.ledger.change(self.number, |arrival, moment| {
+        self.arrival_log.change(self.number, |arrival, moment| {
             arrival.started = Some(moment);
             arrival.disposition = Disposition::Run(RunState::Working);
         });
@@ -86,7 +86,7 @@
         }
         self.ended = true;
         let disposition = if self.started { Disposition::Run(state) } else { Disposition::LeftQueue };
-        self.ledger.change(self.number, |arrival, moment| {
+        self.arrival_log.change(self.number, |arrival, moment| {
             arrival.ended = Some(moment);
             arrival.disposition = disposition;
         });
--- a/system/testing/standins/src/lib.rs
+++ b/system/testing/standins/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! Each stand-in speaks the published protocol over HTTP/1.1. What it does is under the control of the test: a
 //! [`Script`] says how a worker or a receiver behaves for each request, and a [`Gate`] says when work ends. What a
-//! worker saw is kept in a [`Ledger`], which tests question afterwards.
+//! worker saw is kept in a [`ArrivalLog`], which tests question afterwards.
 //!
 //! - [`Worker`]: runs messages, and misbehaves as scripted.
 //! - [`Platform`]: the list of instances, in pages and under a rate.
@@ -13,23 +13,24 @@
 //! - [`eventually`]: waits for a condition, within a bound.
 //!
 //! ```
-//! use millrudder_system_standins::{Client, Ledger, Message, Reception, Worker, WorkerPlan};
+//! use millrudder_system_standins::{Client, ArrivalLog, Message, Reception, Worker, WorkerPlan};
 //!
 //! # #[tokio::main(flavor = "current_thread")]
 //! # async fn main() -> Result<(), Box<dyn std::error::Error>> {
-//! let ledger = Ledger::new();
-//! let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), ledger.clone()).await?;
+//! let arrival_log = ArrivalLog::new();
+//! let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), arrival_log.clone()).await?;
 //!
 //! let message = Message::new("boye61.example", "/births/1", "r-1").with_body("late birth");
 //! let answer = Client::new().exchange(worker.address(), &message).await?;
 //!
 //! assert_eq!(answer.status.as_u16(), 200);
-//! assert_eq!(ledger.runs_of(&"r-1".into()).len(), 1);
+//! assert_eq!(arrival_log.runs_of(&"r-1".into()).len(), 1);
 //! assert_eq!(Reception::of(&answer), Reception::Unexpected { status: 200 });
 //! # Ok(())
 //! # }
 //! ```
 
+mod arrival_log;
 mod callback;
 mod client;
 mod configuration;
@@ -39,7 +40,6 @@
 mod hostile;
 mod http;
 mod identity;
-mod ledger;
 mod message;
 mod operator;
 mod platform;
@@ -52,6 +52,9 @@
 mod settings;
 mod worker;
 
+pub use arrival_log::{
+    Arrival, ArrivalLog, ArrivalNumber, BodyHash, Difference, Disposition, Moment, OrderViolation, RunState,
+};
 pub use callback::{Callback, CallbackReceiver, ReceiverBehaviour, ReceiverPlan};
 pub use client::{
     AcceptedMessage, BodyReply, Client, MessageState, MessageStatus, Reception, StatusReply, Submission,
@@ -66,9 +69,6 @@
 pub use identity::{
     InstanceId, MessageId, NodeName, OrderKey, ProcessName, RequestId, ServiceName, ZoneName,
 };
-pub use ledger::{
-    Arrival, ArrivalNumber, BodyHash, Difference, Disposition, Ledger, Moment, OrderViolation, RunState,
-};
 pub use message::{Framing, Message};
 pub use operator::{
     AttemptFailure, Operator, OperatorPlan, OrderAnswer, OrderError, PutOutcome, RetireOutcome, RetireState,
--- a/system/testing/standins/src/worker/delivery.rs
+++ b/system/testing/standins/src/worker/delivery.rs
@@ -4,10 +4,10 @@
 use super::idempotency::{Claim, ClaimGuard, Success};
 use super::slots::Place;
 use super::{WorkerHealth, WorkerState};
+use crate::arrival_log::{ArrivalNumber, DeliveryRecord, Disposition, RunRecord, RunState};
 use crate::controlled_stream::{send_again, ConnectionControl};
 use crate::http::{self, header};
 use crate::identity::RequestId;
-use crate::ledger::{ArrivalNumber, DeliveryRecord, Disposition, RunRecord, RunState};
 use crate::server::{CloseConnection, Handler, ServerResponse};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -95,7 +95,7 @@
         let Some(place) = self.slots.enter() else {
             return Ok(self.turn_away(record, NotExecuted::Full));
         };
-        let record = self.ledger.admit(record);
+        let record = self.arrival_log.admit(record);
         let deadline = http::number(headers, header::DEADLINE_MS).map(Duration::from_millis);
         let admitted = Admitted { record, request, behaviour, place, claim, deadline };
         self.run_and_answer(admitted, control).await
@@ -106,7 +106,7 @@
         if expected.is_some_and(|expected| expected != self.plan.instance.as_str()) {
             return Some(NotExecuted::OtherInstance);
         }
-        let now = self.ledger.now();
+        let now = self.arrival_log.now();
         let within_rate = self.rate.lock().unwrap_or_else(PoisonError::into_inner).admit(now);
         (!within_rate).then_some(NotExecuted::OverRate)
     }
@@ -117,18 +117,18 @@
 
     fn turn_away(&self, record: DeliveryRecord, reason: NotExecuted) -> Response<Full<Bytes>> {
         let request = record.request_id.clone();
-        self.ledger.note(record, Disposition::TurnedAway { status: reason.status().as_u16() });
+        self.arrival_log.note(record, Disposition::Rejected { status: reason.status().as_u16() });
         self.not_executed(reason, request.as_ref())
     }
 
     fn repeat(&self, record: DeliveryRecord, success: Success) -> Response<Full<Bytes>> {
         let request = record.request_id.clone();
-        self.ledger.note(record, Disposition::Repeated);
+        self.arrival_log.note(record, Disposition::Repeated);
         self.success(success, request.as_ref())
     }
 
     fn reset(&self, record: DeliveryRecord, control: &ConnectionControl) -> ServerResponse {
-        self.ledger.note(record, Disposition::Reset);
+        self.arrival_log.note(record, Disposition::Reset);
         control.reset_on_close();
         Err(CloseConnection)
     }
--- a/system/testing/standins/src/worker/mod.rs
+++ b/system/testing/standins/src/worker/mod.rs
@@ -10,9 +10,9 @@
 pub use idempotency::IdempotentTable;
 pub use plan::WorkerPlan;
 
+use crate::arrival_log::ArrivalLog;
 use crate::gate::Gate;
 use crate::identity::InstanceId;
-use crate::ledger::Ledger;
 use crate::platform::{Instance, InstanceState};
 use crate::rate::RateLimit;
 use crate::script::Script;
@@ -36,7 +36,7 @@
 /// What the connections of a worker share.
 struct WorkerState {
     plan: WorkerPlan,
-    ledger: Ledger,
+    arrival_log: ArrivalLog,
     work_gate: Gate,
     answer_gate: Gate,
     slots: Slots,
@@ -55,15 +55,19 @@
     ///
     /// # Errors
     /// If the port cannot be opened.
-    pub async fn start(plan: WorkerPlan, ledger: Ledger) -> io::Result<Self> {
-        Self::start_at(any_port(), plan, ledger).await
+    pub async fn start(plan: WorkerPlan, arrival_log: ArrivalLog) -> io::Result<Self> {
+        Self::start_at(any_port(), plan, arrival_log).await
     }
 
     /// Starts a worker at an address, such as one that another worker has left.
     ///
     /// # Errors
     /// If the address cannot be opened.
-    pub async fn start_at(address: SocketAddr, plan: WorkerPlan, ledger: Ledger) -> io::Result<Self> {
+    pub async fn start_at(
+        address: SocketAddr,
+        plan: WorkerPlan,
+        arrival_log: ArrivalLog,
+    ) -> io::Result<Self> {
         let limits = ServerLimits {
             max_connections: plan.max_connections,
             keep_alive: plan.keep_alive_seconds.map(|seconds| Duration::from_secs(seconds.into())),
@@ -75,7 +79,7 @@
             rate: Mutex::new(RateLimit::new(plan.rate_per_second)),
             health: Mutex::default(),
             plan,
-            ledger,
+            arrival_log,
         });
         let server = Server::start(address, limits, state.clone()).await?;
         Ok(Self { state, server })
--- a/system/testing/standins/tests/hostile.rs
+++ b/system/testing/standins/tests/hostile.rs
@@ -3,7 +3,7 @@
 mod support;
 
 use millrudder_system_standins::{
-    attack, HostileInput, HostileOutcome, Ledger, RawConnection, Worker, WorkerPlan,
+    attack, ArrivalLog, HostileInput, HostileOutcome, RawConnection, Worker, WorkerPlan,
 };
 use std::time::Duration;
 use support::{Reply, ReplyServer, BOUND};
@@ -16,34 +16,34 @@
 
 #[tokio::test]
 async fn input_that_is_broken_gets_an_answer_or_a_close() {
-    let ledger = Ledger::new();
-    let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), ledger.clone()).await.unwrap();
+    let arrival_log = ArrivalLog::new();
+    let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), arrival_log.clone()).await.unwrap();
     let answered = |status| HostileOutcome::Answered { status };
     assert_eq!(outcome(&worker, HostileInput::EndlessHeaders, BOUND).await, answered(431));
     assert_eq!(outcome(&worker, HostileInput::CutBody, BOUND).await, HostileOutcome::Closed);
     assert_eq!(outcome(&worker, HostileInput::Garbage, BOUND).await, answered(400));
     assert_ne!(outcome(&worker, HostileInput::BrokenChunk, BOUND).await, HostileOutcome::StillOpen);
-    assert!(ledger.runs().is_empty());
+    assert!(arrival_log.runs().is_empty());
 }
 
 #[tokio::test]
 async fn input_that_stalls_leaves_the_connection_open() {
-    let ledger = Ledger::new();
-    let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), ledger.clone()).await.unwrap();
+    let arrival_log = ArrivalLog::new();
+    let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), arrival_log.clone()).await.unwrap();
     for input in [HostileInput::StalledHead, HostileInput::StalledBody] {
         assert_eq!(outcome(&worker, input, SHORT).await, HostileOutcome::StillOpen);
     }
-    assert!(ledger.arrivals().is_empty());
+    assert!(arrival_log.arrivals().is_empty());
 }
 
 #[tokio::test]
 async fn a_long_body_is_written_in_full() {
-    let ledger = Ledger::new();
-    let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), ledger.clone()).await.unwrap();
+    let arrival_log = ArrivalLog::new();
+    let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), arrival_log.clone()).await.unwrap();
     let bytes = 1_000_001;
     let answered = outcome(&worker, HostileInput::LongBody { bytes }, BOUND).await;
     assert_eq!(answered, HostileOutcome::Answered { status: 200 });
-    assert_eq!(ledger.arrivals()[0].body_length, bytes);
+    assert_eq!(arrival_log.arrivals()[0].body_length, bytes);
 }
 
 #[tokio::test]
--- a/system/testing/standins/tests/worker_behaviours.rs
+++ b/system/testing/standins/tests/worker_behaviours.rs
@@ -1,19 +1,19 @@
-//! Each behaviour of a worker, as its caller sees it and as the ledger records it.
+//! Each behaviour of a worker, as its caller sees it and as the log records it.
 
 mod support;
 
 use millrudder_system_standins::{
-    eventually, header, Answer, Behaviour, Client, Disposition, ExchangeError, Ledger, Message, NotExecuted,
-    RawConnection, RequestId, RunState, Worker, WorkerPlan,
+    eventually, header, Answer, ArrivalLog, Behaviour, Client, Disposition, ExchangeError, Message,
+    NotExecuted, RawConnection, RequestId, RunState, Worker, WorkerPlan,
 };
 use support::BOUND;
 
 const BODY: &[u8] = b"the whole answer of the worker";
 
-async fn start() -> (Worker, Ledger) {
-    let ledger = Ledger::new();
-    let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), ledger.clone()).await.unwrap();
-    (worker, ledger)
+async fn start() -> (Worker, ArrivalLog) {
+    let arrival_log = ArrivalLog::new();
+    let worker = Worker::start(WorkerPlan::new("annotate", "i-1"), arrival_log.clone()).await.unwrap();
+    (worker, arrival_log)
 }
 
 fn message(request: &str) -> Message {
@@ -24,12 +24,12 @@
     Client::new().exchange(worker.address(), &message(request)).await
 }
 
-fn state_of(ledger: &Ledger, request: &str) -> Disposition {
-    ledger.arrivals_of(&request.into()).last().unwrap().disposition.clone()
+fn state_of(arrival_log: &ArrivalLog, request: &str) -> Disposition {
+    arrival_log.arrivals_of(&request.into()).last().unwrap().disposition.clone()
 }
 
-fn assert_succeeded(ledger: &Ledger, request: &str) {
-    assert_eq!(ledger.successes_of(&RequestId::from(request)).len(), 1);
+fn assert_succeeded(arrival_log: &ArrivalLog, request: &str) {
+    assert_eq!(arrival_log.successes_of(&RequestId::from(request)).len(), 1);
 }
 
 fn broke(result: Result<Answer, ExchangeError>) -> bool {
@@ -38,34 +38,34 @@
 
 #[tokio::test]
 async fn a_success_carries_the_signature_of_its_run() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     let answer = deliver(&worker, "r-1").await.unwrap();
     assert_eq!(answer.status.as_u16(), 200);
     assert_eq!(answer.body, BODY);
     assert_eq!(answer.header(header::REQUEST_ID), Some("r-1"));
     assert_eq!(answer.header(header::INSTANCE_ID), Some("i-1"));
     let signature = answer.header(header::RESPONSE_SIGNATURE).unwrap().to_owned();
-    assert_eq!(ledger.signatures_of(&"r-1".into()), [signature]);
-    assert!(ledger.runs()[0].differences_from(&message("r-1")).is_empty());
+    assert_eq!(arrival_log.signatures_of(&"r-1".into()), [signature]);
+    assert!(arrival_log.runs()[0].differences_from(&message("r-1")).is_empty());
 }
 
 #[tokio::test]
 async fn attempts_fail_as_often_as_scripted_for_each_message() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     worker.script().always(Behaviour::FailFirst { failures: 2 });
     let mut statuses = Vec::new();
     for request in ["r-1", "r-2", "r-1", "r-1", "r-2", "r-2"] {
         statuses.push(deliver(&worker, request).await.unwrap().status.as_u16());
     }
     assert_eq!(statuses, [500, 500, 500, 200, 500, 200]);
-    assert_eq!(ledger.runs_of(&"r-1".into()).len(), 3);
-    assert_eq!(ledger.runs_of(&"r-1".into())[0].disposition, Disposition::Run(RunState::Failed));
-    assert_succeeded(&ledger, "r-1");
+    assert_eq!(arrival_log.runs_of(&"r-1".into()).len(), 3);
+    assert_eq!(arrival_log.runs_of(&"r-1".into())[0].disposition, Disposition::Run(RunState::Failed));
+    assert_succeeded(&arrival_log, "r-1");
 }
 
 #[tokio::test]
 async fn some_messages_fail_every_time_and_some_can_never_be_done() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     worker.script().on_request("r-1", Behaviour::FailAlways);
     worker.script().on_request("r-2", Behaviour::RefuseForGood);
     for _ in 0..3 {
@@ -73,12 +73,12 @@
     }
     assert_eq!(deliver(&worker, "r-2").await.unwrap().status.as_u16(), 422);
     assert_eq!(deliver(&worker, "r-3").await.unwrap().status.as_u16(), 200);
-    assert_eq!(state_of(&ledger, "r-2"), Disposition::Run(RunState::RefusedForGood));
+    assert_eq!(state_of(&arrival_log, "r-2"), Disposition::Run(RunState::RefusedForGood));
 }
 
 #[tokio::test]
 async fn queued_behaviours_are_met_once_each() {
-    let (worker, _ledger) = start().await;
+    let (worker, _arrival_log) = start().await;
     worker.script().next(Behaviour::RefuseForGood);
     worker.script().next(Behaviour::FailAlways);
     let mut statuses = Vec::new();
@@ -90,11 +90,11 @@
 
 #[tokio::test]
 async fn a_silent_worker_runs_and_keeps_the_connection_open() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     worker.script().next(Behaviour::StaySilent);
     let address = worker.address();
     let asked = tokio::spawn(async move { Client::new().exchange(address, &message("r-1")).await });
-    eventually(BOUND, || ledger.successes_of(&"r-1".into()).len() == 1).await.unwrap();
+    eventually(BOUND, || arrival_log.successes_of(&"r-1".into()).len() == 1).await.unwrap();
     assert_eq!(worker.open_connections(), 1);
     assert_eq!(worker.running(), 0);
     assert!(!asked.is_finished());
@@ -104,27 +104,27 @@
 
 #[tokio::test]
 async fn a_lost_answer_closes_after_the_run() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     worker.script().next(Behaviour::LoseAnswer);
     assert!(broke(deliver(&worker, "r-1").await));
-    assert_succeeded(&ledger, "r-1");
+    assert_succeeded(&arrival_log, "r-1");
 }
 
 #[tokio::test]
 async fn a_reset_comes_after_the_run_or_without_one() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     worker.script().next(Behaviour::ResetAfterRun);
     worker.script().next(Behaviour::ResetBeforeRun);
     assert!(broke(deliver(&worker, "r-1").await));
     assert!(broke(deliver(&worker, "r-2").await));
-    assert_succeeded(&ledger, "r-1");
-    assert!(ledger.runs_of(&"r-2".into()).is_empty());
-    assert_eq!(state_of(&ledger, "r-2"), Disposition::Reset);
+    assert_succeeded(&arrival_log, "r-1");
+    assert!(arrival_log.runs_of(&"r-2".into()).is_empty());
+    assert_eq!(state_of(&arrival_log, "r-2"), Disposition::Reset);
 }
 
 #[tokio::test]
 async fn a_reset_is_a_reset_on_the_socket() {
-    let (worker, _ledger) = start().await;
+    let (worker, _arrival_log) = start().await;
     worker.script().next(Behaviour::ResetBeforeRun);
     let mut connection = RawConnection::open(worker.address()).await.unwrap();
     connection.write(b"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: r-1\r\n\r\n").await.unwrap();
@@ -134,10 +134,10 @@
 
 #[tokio::test]
 async fn a_cut_answer_brings_half_of_its_body() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     worker.script().always(Behaviour::CutAnswer);
     assert!(broke(deliver(&worker, "r-1").await));
-    assert_succeeded(&ledger, "r-1");
+    assert_succeeded(&arrival_log, "r-1");
 
     let mut connection = RawConnection::open(worker.address()).await.unwrap();
     connection.write(b"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: r-2\r\n\r\n").await.unwrap();
@@ -148,7 +148,7 @@
 
 #[tokio::test]
 async fn a_second_answer_follows_the_first_past_the_gate() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     worker.script().next(Behaviour::AnswerTwice);
     worker.answer_gate().hold();
     let mut connection = RawConnection::open(worker.address()).await.unwrap();
@@ -158,26 +158,26 @@
     worker.answer_gate().release();
     let second = connection.read_until(BODY, BOUND).await.unwrap();
     assert_eq!(first, second);
-    assert_succeeded(&ledger, "r-1");
+    assert_succeeded(&arrival_log, "r-1");
 }
 
 #[tokio::test]
 async fn a_late_answer_waits_at_the_gate_after_the_run() {
-    let (worker, ledger) = start().await;
+    let (worker, arrival_log) = start().await;
     worker.script().next(Behaviour::AnswerLate);
     worker.answer_gate().hold();
     let address = worker.address();
     let asked = tokio::spawn(async move { Client::new().exchange(address, &message("r-1")).await });
     eventually(BOUND, || worker.answer_gate().waiting() == 1).await.unwrap();
-    assert_succeeded(&ledger, "r-1");
+    assert_succeeded(&arrival_log, "r-1");
     assert!(!asked.is_finished());
     worker.answer_gate().release();
     assert_eq!(asked.await.unwrap().unwrap().status.as_u16(), 200);
 }
 
 #[tokio::test]
-async fn a_message_that_is_turned_away_has_not_run() {
-    let (worker, ledger) = start().await;
+async fn a_message_that_is_rejected_has_not_run() {
+    let (worker, arrival_log) = start().await;
     let reasons = [
         (NotExecuted::Full, 503),
         (NotExecuted::OverRate, 429),
@@ -190,18 +190,19 @@
         let answer = deliver(&worker, "r-1").await.unwrap();
         assert_eq!(answer.status.as_u16(), status);
         assert!(answer.header(header::NOT_EXECUTED).is_some());
-        assert_eq!(state_of(&ledger, "r-1"), Disposition::TurnedAway { status });
+        assert_eq!(state_of(&arrival_log, "r-1"), Disposition::Rejected { status });
     }
-    assert!(ledger.runs().is_empty());
+    assert!(arrival_log.runs().is_empty());
 }
 
 #[tokio::test]
 async fn workers_started_with_clones_of_a_plan_share_its_script() {
-    let ledger = Ledger::new();
+    let arrival_log = ArrivalLog::new();
     let plan = WorkerPlan::new("annotate", "i-1");
     plan.script.on_request("r-1", Behaviour::FailFirst { failures: 1 });
-    let first = Worker::start(plan.clone(), ledger.clone()).await.unwrap();
-    let second = Worker::start(WorkerPlan { instance: "i-2".into(), ..plan }, ledger.clone()).await.unwrap();
+    let first = Worker::start(plan.clone(), arrival_log.clone()).await.unwrap();
+    let second =
+        Worker::start(WorkerPlan { instance: "i-2".into(), ..plan }, arrival_log.clone()).await.unwrap();
     assert_eq!(deliver(&first, "r-1").await.unwrap().status.as_u16(), 500);
     assert_eq!(deliver(&second, "r-1").await.unwrap().status.as_u16(), 200);
 }
--- a/system/testing/standins/tests/worker_limits.rs
+++ b/system/testing/standins/tests/worker_limits.rs
@@ -3,8 +3,8 @@
 mod support;
 
 use millrudder_system_standins::{
-    eventually, eventually_some, exchange, header, Answer, Client, Disposition, ExchangeError,
-    IdempotentTable, Ledger, Message, RawConnection, RunState, Worker, WorkerHealth, WorkerPlan,
+    eventually, eventually_some, exchange, header, Answer, ArrivalLog, Client, Disposition, ExchangeError,
+    IdempotentTable, Message, RawConnection, RunState, Worker, WorkerHealth, WorkerPlan,
 };
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -15,10 +15,10 @@
     WorkerPlan::new("annotate", "i-1")
 }
 
-async fn start(plan: WorkerPlan) -> (Worker, Ledger) {
-    let ledger = Ledger::new();
-    let worker = Worker::start(plan, ledger.clone()).await.unwrap();
-    (worker, ledger)
+async fn start(plan: WorkerPlan) -> (Worker, ArrivalLog) {
+    let arrival_log = ArrivalLog::new();
+    let worker = Worker::start(plan, arrival_log.clone()).await.unwrap();
+    (worker, arrival_log)
 }
 
 fn message(request: &str) -> Message {
@@ -42,7 +42,7 @@
 
 #[tokio::test]
 async fn a_full_worker_says_that_it_has_not_run_the_message() {
-    let (worker, ledger) = start(WorkerPlan { capacity: 1, queue: 1, ..plan() }).await;
+    let (worker, arrival_log) = start(WorkerPlan { capacity: 1, queue: 1, ..plan() }).await;
     worker.work_gate().hold();
     let first = deliver_aside(&worker, "r-1");
     eventually(BOUND, || worker.running() == 1).await.unwrap();
@@ -57,24 +57,24 @@
     eventually(BOUND, || worker.waiting() == 0).await.unwrap();
     worker.work_gate().release();
     assert_eq!(second.await.unwrap().unwrap().status.as_u16(), 200);
-    let ran: Vec<_> = ledger.runs().into_iter().filter_map(|run| run.request_id).collect();
+    let ran: Vec<_> = arrival_log.runs().into_iter().filter_map(|run| run.request_id).collect();
     assert_eq!(ran, ["r-1".into(), "r-2".into()]);
 }
 
 #[tokio::test]
 async fn a_message_is_dropped_when_its_connection_closes() {
-    let (worker, ledger) = start(plan()).await;
+    let (worker, arrival_log) = start(plan()).await;
     worker.work_gate().hold();
     let asked = deliver_aside(&worker, "r-1");
     eventually(BOUND, || worker.running() == 1).await.unwrap();
     asked.abort();
     eventually(BOUND, || worker.running() == 0).await.unwrap();
-    assert_eq!(ledger.arrivals()[0].disposition, Disposition::Run(RunState::Dropped));
+    assert_eq!(arrival_log.arrivals()[0].disposition, Disposition::Run(RunState::Dropped));
 }
 
 #[tokio::test]
 async fn a_message_that_still_waits_leaves_without_a_run() {
-    let (worker, ledger) = start(WorkerPlan { capacity: 1, queue: 1, ..plan() }).await;
+    let (worker, arrival_log) = start(WorkerPlan { capacity: 1, queue: 1, ..plan() }).await;
     worker.work_gate().hold();
     let _first = deliver_aside(&worker, "r-1");
     eventually(BOUND, || worker.running() == 1).await.unwrap();
@@ -82,13 +82,13 @@
     eventually(BOUND, || worker.waiting() == 1).await.unwrap();
     second.abort();
     eventually(BOUND, || worker.waiting() == 0).await.unwrap();
-    assert_eq!(ledger.arrivals_of(&"r-2".into())[0].disposition, Disposition::LeftQueue);
-    assert!(ledger.runs_of(&"r-2".into()).is_empty());
+    assert_eq!(arrival_log.arrivals_of(&"r-2".into())[0].disposition, Disposition::LeftQueue);
+    assert!(arrival_log.runs_of(&"r-2".into()).is_empty());
 }
 
 #[tokio::test]
 async fn some_workers_run_on_after_the_connection_has_closed() {
-    let (worker, ledger) = start(WorkerPlan { runs_on_after_close: true, ..plan() }).await;
+    let (worker, arrival_log) = start(WorkerPlan { runs_on_after_close: true, ..plan() }).await;
     worker.work_gate().hold();
     let asked = deliver_aside(&worker, "r-1");
     eventually(BOUND, || worker.running() == 1).await.unwrap();
@@ -96,23 +96,23 @@
     eventually(BOUND, || worker.open_connections() == 0).await.unwrap();
     assert_eq!(worker.running(), 1);
     worker.work_gate().release();
-    eventually(BOUND, || ledger.successes_of(&"r-1".into()).len() == 1).await.unwrap();
+    eventually(BOUND, || arrival_log.successes_of(&"r-1".into()).len() == 1).await.unwrap();
 }
 
 #[tokio::test]
 async fn work_halts_at_the_deadline() {
-    let (worker, ledger) = start(plan()).await;
+    let (worker, arrival_log) = start(plan()).await;
     worker.work_gate().hold();
     let hasty = message("r-1").with_deadline(Duration::from_millis(20));
     let answer = Client::new().exchange(worker.address(), &hasty).await.unwrap();
     assert_eq!(answer.status.as_u16(), 504);
-    assert_eq!(ledger.runs()[0].disposition, Disposition::Run(RunState::Halted));
+    assert_eq!(arrival_log.runs()[0].disposition, Disposition::Run(RunState::Halted));
     assert_eq!(worker.running(), 0);
 }
 
 #[tokio::test]
 async fn a_delivery_for_another_incarnation_is_not_run() {
-    let (worker, ledger) = start(plan()).await;
+    let (worker, arrival_log) = start(plan()).await;
     for (expected, status) in [("i-0", 421), ("i-1", 200)] {
         let request = hyper::Request::post("/births/1")
             .header(header::REQUEST_ID, "r-1")
@@ -121,32 +121,32 @@
             .unwrap();
         assert_eq!(exchange(worker.address(), request, BOUND).await.unwrap().status.as_u16(), status);
     }
-    assert_eq!(ledger.runs().len(), 1);
+    assert_eq!(arrival_log.runs().len(), 1);
 }
 
 #[tokio::test]
 async fn a_delivery_without_an_id_is_not_run() {
-    let (worker, ledger) = start(plan()).await;
+    let (worker, arrival_log) = start(plan()).await;
     let answer = get(worker.address(), "/births/1").await;
     assert_eq!(answer.status.as_u16(), 400);
     assert!(answer.header(header::NOT_EXECUTED).is_some());
-    assert!(ledger.runs().is_empty());
+    assert!(arrival_log.runs().is_empty());
 }
 
 #[tokio::test]
 async fn deliveries_beyond_the_rate_are_not_run() {
-    let (worker, ledger) = start(WorkerPlan { rate_per_second: 1.0, ..plan() }).await;
+    let (worker, arrival_log) = start(WorkerPlan { rate_per_second: 1.0, ..plan() }).await;
     let refused = eventually_some(BOUND, async || {
         let answer = deliver(worker.address(), "r-1").await.unwrap();
         (answer.status.as_u16() == 429).then_some(answer)
     });
     assert!(refused.await.unwrap().header(header::NOT_EXECUTED).is_some());
-    assert_eq!(ledger.runs().len(), ledger.arrivals().len() - 1);
+    assert_eq!(arrival_log.runs().len(), arrival_log.arrivals().len() - 1);
 }
 
 #[tokio::test]
 async fn connections_beyond_the_limit_are_reset() {
-    let (worker, _ledger) = start(WorkerPlan { max_connections: 1, ..plan() }).await;
+    let (worker, _arrival_log) = start(WorkerPlan { max_connections: 1, ..plan() }).await;
     let kept = RawConnection::open(worker.address()).await.unwrap();
     eventually(BOUND, || worker.open_connections() == 1).await.unwrap();
     let refused = deliver(worker.address(), "r-1").await;
@@ -159,7 +159,7 @@
 
 #[tokio::test]
 async fn idle_connections_are_closed_after_the_time_that_keep_alive_tells() {
-    let (worker, _ledger) = start(WorkerPlan { keep_alive_seconds: Some(1), ..plan() }).await;
+    let (worker, _arrival_log) = start(WorkerPlan { keep_alive_seconds: Some(1), ..plan() }).await;
     worker.work_gate().hold();
     let mut connection = RawConnection::open(worker.address()).await.unwrap();
     connection.write(b"POST / HTTP/1.1\r\nHost: h\r\nX-Request-Id: r-1\r\n\r\n").await.unwrap();
@@ -173,7 +173,7 @@
 
 #[tokio::test]
 async fn the_test_can_close_idle_connections() {
-    let (worker, _ledger) = start(plan()).await;
+    let (worker, _arrival_log) = start(plan()).await;
     let mut connection = RawConnection::open(worker.address()).await.unwrap();
     connection.write(b"GET /health HTTP/1.1\r\nHost: h\r\n\r\n").await.unwrap();
     connection.read_until(b"\r\n\r\n", BOUND).await.unwrap();
@@ -184,7 +184,7 @@
 
 #[tokio::test]
 async fn a_health_check_waits_for_a_slot_and_tells_how_the_worker_is() {
-    let (worker, ledger) = start(WorkerPlan { capacity: 1, ..plan() }).await;
+    let (worker, arrival_log) = start(WorkerPlan { capacity: 1, ..plan() }).await;
     worker.work_gate().hold();
     let running = deliver_aside(&worker, "r-1");
     eventually(BOUND, || worker.running() == 1).await.unwrap();
@@ -200,23 +200,23 @@
     worker.set_health(WorkerHealth::Unwell);
     assert_eq!(get(address, "/health").await.status.as_u16(), 503);
     assert_eq!(deliver(address, "r-2").await.unwrap().status.as_u16(), 200);
-    assert_eq!(ledger.arrivals().len(), 2);
+    assert_eq!(arrival_log.arrivals().len(), 2);
 }
 
 #[tokio::test]
 async fn a_worker_that_tells_no_load_says_nothing_of_it() {
-    let (worker, _ledger) = start(WorkerPlan { tells_load: false, ..plan() }).await;
+    let (worker, _arrival_log) = start(WorkerPlan { tells_load: false, ..plan() }).await;
     assert_eq!(get(worker.address(), "/health").await.header(header::SERVER_LOAD), None);
 }
 
 #[tokio::test]
 async fn workers_of_an_idempotent_service_run_each_request_once() {
     let table = IdempotentTable::new();
-    let ledger = Ledger::new();
+    let arrival_log = ArrivalLog::new();
     let one = WorkerPlan { idempotent: Some(table.clone()), ..plan() };
     let other = WorkerPlan { idempotent: Some(table), ..WorkerPlan::new("annotate", "i-2") };
-    let one = Worker::start(one, ledger.clone()).await.unwrap();
-    let other = Worker::start(other, ledger.clone()).await.unwrap();
+    let one = Worker::start(one, arrival_log.clone()).await.unwrap();
+    let other = Worker::start(other, arrival_log.clone()).await.unwrap();
     one.work_gate().hold();
     let first = deliver_aside(&one, "r-1");
     eventually(BOUND, || one.running() == 1).await.unwrap();
@@ -228,14 +228,14 @@
     let again = deliver(other.address(), "r-1").await.unwrap();
     assert_eq!(again.status.as_u16(), 200);
     assert_eq!(again.header(header::RESPONSE_SIGNATURE), first.header(header::RESPONSE_SIGNATURE));
-    assert_eq!(ledger.runs().len(), 1);
-    assert_eq!(ledger.arrivals().last().unwrap().disposition, Disposition::Repeated);
+    assert_eq!(arrival_log.runs().len(), 1);
+    assert_eq!(arrival_log.arrivals().last().unwrap().disposition, Disposition::Repeated);
 }
 
 #[tokio::test]
 async fn a_run_without_success_may_be_repeated_by_an_idempotent_service() {
     let plan = WorkerPlan { idempotent: Some(IdempotentTable::new()), ..plan() };
-    let (worker, ledger) = start(plan).await;
+    let (worker, arrival_log) = start(plan).await;
     worker.work_gate().hold();
     let dropped = deliver_aside(&worker, "r-1");
     eventually(BOUND, || worker.running() == 1).await.unwrap();
@@ -243,19 +243,19 @@
     eventually(BOUND, || worker.running() == 0).await.unwrap();
     worker.work_gate().release();
     assert_eq!(deliver(worker.address(), "r-1").await.unwrap().status.as_u16(), 200);
-    assert_eq!(ledger.runs().len(), 2);
+    assert_eq!(arrival_log.runs().len(), 2);
 }
 
 #[tokio::test]
 async fn a_new_incarnation_takes_over_the_address() {
-    let (worker, ledger) = start(plan()).await;
+    let (worker, arrival_log) = start(plan()).await;
     let address = worker.address();
     let mut connection = RawConnection::open(address).await.unwrap();
     eventually(BOUND, || worker.open_connections() == 1).await.unwrap();
     drop(worker);
     assert!(connection.read_to_end(BOUND).await.unwrap().is_empty());
     let successor = WorkerPlan::new("sequence", "i-2");
-    let successor = Worker::start_at(address, successor, ledger.clone()).await.unwrap();
+    let successor = Worker::start_at(address, successor, arrival_log.clone()).await.unwrap();
     deliver(address, "r-1").await.unwrap();
-    assert_eq!(ledger.arrivals_at(successor.instance()).len(), 1);
+    assert_eq!(arrival_log.arrivals_at(successor.instance()).len(), 1);
 }
