State the setup of three takeover tests once, and name the reports' backoff

Three new tests began with the same four steps; `lost_primary` has them. The simulation's option for reports was compared with a constant to tell whether there is a backoff; it says so itself now.

--- a/system/state/queue/tests/cluster/dispatcher.rs
+++ b/system/state/queue/tests/cluster/dispatcher.rs
@@ -11,6 +11,8 @@
 
 /// Time in milliseconds after which an unanswered message is sent again.
 pub const RESEND_MS: u64 = 250;
+/// Longest time between two repetitions of a report with backoff, in milliseconds.
+pub const MAX_REPORT_INTERVAL_MS: u64 = 3_200;
 /// Time in milliseconds after which a client's request is withdrawn or given up.
 const CLIENT_TIMEOUT_MS: u64 = 2_000;
 /// Time for which a dispatcher that stops goes on accepting messages, in milliseconds.
--- a/system/state/queue/tests/cluster/mod.rs
+++ b/system/state/queue/tests/cluster/mod.rs
@@ -106,8 +106,9 @@
     pub overlapping_faults: bool,
     /// Time that a sync of a disk takes, in milliseconds.
     pub sync_ms: u64,
-    /// Longest time between two repetitions of a dispatcher's report, in milliseconds. It doubles up to this with each.
-    pub max_report_interval_ms: u64,
+    /// Dispatchers repeat a report with exponential backoff, and at once at a new connection or placement. Otherwise they
+    /// repeat it every [`dispatcher::RESEND_MS`].
+    pub report_backoff: bool,
 }
 
 impl Default for Options {
@@ -123,7 +124,7 @@
             rate_limit: Some(8.0),
             overlapping_faults: false,
             sync_ms: 2,
-            max_report_interval_ms: dispatcher::RESEND_MS,
+            report_backoff: false,
         }
     }
 }
--- a/system/state/queue/tests/cluster/runs.rs
+++ b/system/state/queue/tests/cluster/runs.rs
@@ -1,7 +1,7 @@
 //! Deliveries at a scripted dispatcher: workers run the messages, and the outcomes are reported until they are
 //! recorded.
 
-use super::dispatcher::{Delivery, RESEND_MS};
+use super::dispatcher::{Delivery, MAX_REPORT_INTERVAL_MS, RESEND_MS};
 use super::{Cluster, Event};
 use millrudder_protocol::message::{End, Message};
 use millrudder_protocol::store::{AttemptOutcome, FromDispatcher};
@@ -108,8 +108,8 @@
     }
 
     pub fn report(&mut self, at: usize, id: MessageId, token: LeaseToken, outcome: AttemptOutcome) {
-        let (outcome_sent, sent_ms) = (outcome.clone(), self.now_ms);
-        let reported = Delivery::Reported { outcome: outcome_sent, sent_ms, repeat_after_ms: RESEND_MS };
+        let reported =
+            Delivery::Reported { outcome: outcome.clone(), sent_ms: self.now_ms, repeat_after_ms: RESEND_MS };
         self.dispatchers[at].deliveries.insert((id, token), reported);
         self.send_to_primary(at, id, FromDispatcher::Attempted { id, token, outcome });
     }
@@ -147,7 +147,7 @@
 
     /// Repeats the reports of the shards of which a store is the primary, which has just been connected or named as such.
     pub fn report_at_once(&mut self, at: usize, store: usize) {
-        if self.options.max_report_interval_ms == RESEND_MS {
+        if !self.options.report_backoff {
             return;
         }
         let (now_ms, id_of_store) = (self.now_ms, self.stores[store].id);
@@ -173,7 +173,8 @@
     }
 
     pub fn repeat_reports(&mut self, at: usize) {
-        let (now_ms, max_interval_ms) = (self.now_ms, self.options.max_report_interval_ms);
+        let now_ms = self.now_ms;
+        let max_interval_ms = if self.options.report_backoff { MAX_REPORT_INTERVAL_MS } else { RESEND_MS };
         let mut again = Vec::new();
         for ((id, token), delivery) in &mut self.dispatchers[at].deliveries {
             match delivery {
--- a/system/state/queue/tests/replicas/takeovers.rs
+++ b/system/state/queue/tests/replicas/takeovers.rs
@@ -7,7 +7,7 @@
 use millrudder_protocol::{Epoch, MessageId};
 use millrudder_queue::{ConnectionId, DiskRecord, Input};
 
-use crate::harness::{message, store_id, with_key};
+use crate::harness::{message, store_id, with_key, StoreHarness};
 use crate::support::{accepted_token, announce, completed, lose_disk, success, three_stores};
 
 #[test]
@@ -218,14 +218,20 @@
     assert!(harness.take_grants().is_empty(), "its holder announced the lease");
 }
 
-// Guards against a success that is dropped because its shard is being taken over: its dispatcher had stopped before it
-// could repeat the report, and the message ran again.
-#[test]
-fn a_report_during_a_takeover_counts_although_its_dispatcher_stops() {
+/// Three stores whose primary is lost while a dispatcher holds a lease that it granted.
+fn lost_primary() -> (StoreHarness, ActiveLease) {
     let mut harness = three_stores();
     let id = harness.accept(0, 1, message(), true);
     let token = accepted_token(&harness);
     harness.kill(0);
+    (harness, ActiveLease { id, token })
+}
+
+// Guards against a success that is dropped because its shard is being taken over: its dispatcher had stopped before it
+// could repeat the report, and the message ran again.
+#[test]
+fn a_report_during_a_takeover_counts_although_its_dispatcher_stops() {
+    let (mut harness, ActiveLease { id, token }) = lost_primary();
     harness.processes[2].is_inbound_paused = true;
     harness.move_primary(1);
     announce(&mut harness, 1, vec![ActiveLease { id, token }]);
@@ -242,10 +248,7 @@
 // Guards against the same where the dispatcher knows of the placement before the store does.
 #[test]
 fn a_report_before_the_placement_is_recorded_once_the_shard_is_served() {
-    let mut harness = three_stores();
-    let id = harness.accept(0, 1, message(), true);
-    let token = accepted_token(&harness);
-    harness.kill(0);
+    let (mut harness, ActiveLease { id, token }) = lost_primary();
     harness.attempted(1, 2, id, token, success());
     harness.move_primary(1);
     assert!(harness.is_recorded(id, token));
@@ -257,10 +260,7 @@
 // Guards against reports that outlive the placement under which they were sent, as their dispatchers send them elsewhere.
 #[test]
 fn a_report_is_dropped_where_another_store_becomes_the_primary() {
-    let mut harness = three_stores();
-    let id = harness.accept(0, 1, message(), true);
-    let token = accepted_token(&harness);
-    harness.kill(0);
+    let (mut harness, ActiveLease { id, token }) = lost_primary();
     harness.attempted(1, 2, id, token, success());
     harness.move_primary(2);
     harness.move_primary(1);
--- a/system/state/queue/tests/simulation.rs
+++ b/system/state/queue/tests/simulation.rs
@@ -179,7 +179,7 @@
         rate_limit: None,
         sync_ms: 200,
         config,
-        max_report_interval_ms: 3_200,
+        report_backoff: true,
         ..Options::default()
     };
     let mut cluster = Cluster::new(options);
